--- /dev/null
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of cardamomnotch, free of I/O, clocks and global randomness."""
--- /dev/null
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/admission/__init__.py
@@ -0,0 +1,1 @@
+"""How much the gate lets through to its upstream."""
--- /dev/null
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/attempts/__init__.py
@@ -0,0 +1,1 @@
+"""Requests at an entry, and attempts at a sidecar, as state tables."""
--- /dev/null
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' lists: what is wanted, checked and versioned."""
--- /dev/null
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/configuration/checks.py
@@ -0,0 +1,103 @@
+"""Checks across the operators' lists."""
+
+from collections import Counter
+from collections.abc import Iterable, Iterator
+from typing import Protocol
+
+from .models import Configuration, Plan
+
+
+class _Named(Protocol):
+    @property
+    def name(self) -> str: ...
+
+
+def find_problems(configuration: Configuration) -> tuple[str, ...]:
+    """Return a line for each contradiction, with the path of the entry."""
+    return tuple(problem for check in _CHECKS for problem in check(configuration))
+
+
+def _duplicates(kind: str, items: Iterable[_Named]) -> Iterator[str]:
+    counts = Counter(item.name for item in items)
+    for name, count in counts.items():
+        if count > 1:
+            yield f"{kind}[{name}]: name is used {count} times"
+
+
+def _check_names(configuration: Configuration) -> Iterator[str]:
+    yield from _duplicates("models", configuration.models)
+    yield from _duplicates("classes", configuration.classes)
+    yield from _duplicates("services", configuration.services)
+    yield from _duplicates("plans", configuration.plans)
+    yield from _duplicates("workspaces", configuration.workspaces)
+    for model in configuration.models:
+        yield from _duplicates(f"models[{model.name}].versions", model.versions)
+        if not model.versions:
+            yield f"models[{model.name}].versions: no version is named"
+
+
+def _check_quality(configuration: Configuration) -> Iterator[str]:
+    for model in configuration.models:
+        for version in model.versions:
+            path = f"models[{model.name}].versions[{version.name}]"
+            if version.cost_per_1k_tokens < 0:
+                yield f"{path}.cost_per_1k_tokens: must not be negative"
+            for class_name, score in version.quality.items():
+                if not 0 <= score <= 1:
+                    yield f"{path}.quality.{class_name}: must lie from 0 to 1"
+                if class_name not in configuration.classes_by_name:
+                    yield f"{path}.quality.{class_name}: class is not listed"
+
+
+def _check_plan(configuration: Configuration, plan: Plan) -> Iterator[str]:
+    path = f"plans[{plan.name}]"
+    for allowed in plan.models:
+        model = configuration.models_by_name.get(allowed.model)
+        if model is None:
+            yield f"{path}.models: model {allowed.model} is not listed"
+            continue
+        known = {version.name for version in model.versions}
+        for version in allowed.versions:
+            if version not in known:
+                yield f"{path}.models[{allowed.model}]: no version {version}"
+    for service in plan.services:
+        if service not in configuration.services_by_name:
+            yield f"{path}.services: service {service} is not listed"
+    if min(plan.requests_per_s, plan.tokens_per_s, plan.concurrent_requests) < 0:
+        yield f"{path}: a limit must not be negative"
+
+
+def _check_plans(configuration: Configuration) -> Iterator[str]:
+    for plan in configuration.plans:
+        yield from _check_plan(configuration, plan)
+
+
+def _check_workspaces(configuration: Configuration) -> Iterator[str]:
+    digests: Counter[str] = Counter()
+    for workspace in configuration.workspaces:
+        digests.update(workspace.key_digests)
+        if workspace.plan not in configuration.plans_by_name:
+            yield f"workspaces[{workspace.name}].plan: {workspace.plan} is not listed"
+    for count in digests.values():
+        if count > 1:
+            yield f"workspaces: one key digest is used {count} times"
+
+
+def _check_marks(configuration: Configuration) -> Iterator[str]:
+    known = {
+        f"{model.name}/{version.name}"
+        for model in configuration.models
+        for version in model.versions
+    }
+    for version in configuration.marks.versions_out:
+        if version not in known:
+            yield f"marks.versions_out: {version} is not listed"
+
+
+_CHECKS = (
+    _check_names,
+    _check_quality,
+    _check_plans,
+    _check_workspaces,
+    _check_marks,
+)
--- /dev/null
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/configuration/models.py
@@ -0,0 +1,150 @@
+"""Classes of the operators' lists."""
+
+from collections.abc import Mapping
+from functools import cached_property
+
+import attrs
+
+
+@attrs.frozen(kw_only=True)
+class Version:
+    """One version of a model.
+
+    ``quality`` maps a request class to the expected score from 0 to 1.
+    """
+
+    name: str
+    cost_per_1k_tokens: float
+    quality: Mapping[str, float] = attrs.field(factory=dict)
+
+
+@attrs.frozen(kw_only=True)
+class Model:
+    """A model and its versions, oldest first."""
+
+    name: str
+    versions: tuple[Version, ...]
+
+
+@attrs.frozen(kw_only=True)
+class RequestClass:
+    """What a kind of request needs; a lower priority number goes first."""
+
+    name: str
+    quality_target: float = 0.0
+    priority: int = 1
+    deadline_s: float = 120.0
+
+
+@attrs.frozen(kw_only=True)
+class ServiceRoute:
+    """Calls of a plain service; only idempotent ones may be repeated."""
+
+    method: str
+    path_prefix: str
+    idempotent: bool = False
+
+
+@attrs.frozen(kw_only=True)
+class Service:
+    """A plain service behind the router."""
+
+    name: str
+    routes: tuple[ServiceRoute, ...]
+    deadline_s: float = 30.0
+
+
+@attrs.frozen(kw_only=True)
+class PlanModel:
+    """A model that a plan allows; no versions named means all of them."""
+
+    model: str
+    versions: tuple[str, ...] = ()
+
+
+@attrs.frozen(kw_only=True)
+class Plan:
+    """What a customer's workspaces may use; a limit of 0 means no limit."""
+
+    name: str
+    models: tuple[PlanModel, ...] = ()
+    services: tuple[str, ...] = ()
+    requests_per_s: float = 0.0
+    tokens_per_s: float = 0.0
+    concurrent_requests: int = 0
+
+
+@attrs.frozen(kw_only=True)
+class Workspace:
+    """A customer; API keys are kept as SHA-256 digests in hexadecimal."""
+
+    name: str
+    plan: str
+    key_digests: tuple[str, ...] = ()
+
+
+@attrs.frozen(kw_only=True)
+class Marks:
+    """What operators have taken out of service.
+
+    Versions are written as "model/version".
+    """
+
+    zones_out: tuple[str, ...] = ()
+    versions_out: tuple[str, ...] = ()
+    vms_out: tuple[str, ...] = ()
+
+
+@attrs.define(kw_only=True, frozen=True, slots=False)
+class Configuration:
+    """The whole of the operators' lists."""
+
+    models: tuple[Model, ...] = ()
+    classes: tuple[RequestClass, ...] = ()
+    services: tuple[Service, ...] = ()
+    plans: tuple[Plan, ...] = ()
+    workspaces: tuple[Workspace, ...] = ()
+    marks: Marks = Marks()
+
+    @cached_property
+    def models_by_name(self) -> Mapping[str, Model]:
+        """Return the models by name."""
+        return {model.name: model for model in self.models}
+
+    @cached_property
+    def classes_by_name(self) -> Mapping[str, RequestClass]:
+        """Return the request classes by name."""
+        return {item.name: item for item in self.classes}
+
+    @cached_property
+    def services_by_name(self) -> Mapping[str, Service]:
+        """Return the plain services by name."""
+        return {service.name: service for service in self.services}
+
+    @cached_property
+    def plans_by_name(self) -> Mapping[str, Plan]:
+        """Return the plans by name."""
+        return {plan.name: plan for plan in self.plans}
+
+    @cached_property
+    def workspaces_by_name(self) -> Mapping[str, Workspace]:
+        """Return the workspaces by name."""
+        return {workspace.name: workspace for workspace in self.workspaces}
+
+    @cached_property
+    def workspaces_by_digest(self) -> Mapping[str, Workspace]:
+        """Return the workspaces by digest of each API key."""
+        return {
+            digest: workspace
+            for workspace in self.workspaces
+            for digest in workspace.key_digests
+        }
+
+
+@attrs.frozen(kw_only=True)
+class ConfigurationRecord:
+    """The lists at one revision, as accepted by the store."""
+
+    revision: int
+    change_id: str
+    configuration: Configuration
--- /dev/null
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which upstreams there are, and what is known of each."""
--- /dev/null
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/membership/table.py
@@ -0,0 +1,85 @@
+"""The upstreams that an entry knows."""
+
+from collections.abc import Iterable
+
+import attrs
+
+from cardamomnotch_protocol.models import HeartbeatReply, Load
+
+from .models import Upstream, Vm
+
+ROLE_UPSTREAM = "upstream"
+# An upstream silent for this long gets no new work.
+SILENT_AFTER_S = 3.0
+
+
+class UpstreamTable:
+    """Merges the VM list, heartbeats and what attempts find out."""
+
+    def __init__(self) -> None:
+        self._upstreams: dict[str, Upstream] = {}
+
+    @property
+    def upstreams(self) -> tuple[Upstream, ...]:
+        """Return every upstream, by VM id."""
+        return tuple(self._upstreams[key] for key in sorted(self._upstreams))
+
+    def get(self, vm_id: str) -> Upstream | None:
+        """Return the upstream on ``vm_id``."""
+        return self._upstreams.get(vm_id)
+
+    def take_vm_list(self, vms: Iterable[Vm]) -> None:
+        """Add, move and drop upstreams as the list says."""
+        listed = {vm.vm_id: vm for vm in vms if vm.role == ROLE_UPSTREAM}
+        self._upstreams = {vm_id: self._from_vm(vm) for vm_id, vm in listed.items()}
+
+    def _from_vm(self, vm: Vm) -> Upstream:
+        known = self._upstreams.get(vm.vm_id)
+        if known is None or known.address != vm.address:
+            return Upstream(
+                vm_id=vm.vm_id, address=vm.address, zone=vm.zone, leaving=vm.leaving
+            )
+        return attrs.evolve(known, zone=vm.zone, leaving=vm.leaving)
+
+    def take_heartbeat(self, vm_id: str, reply: HeartbeatReply, now_s: float) -> None:
+        """Note what the sidecar on ``vm_id`` has answered.
+
+        An answer by another VM that took over the address is left out.
+        """
+        known = self._upstreams.get(vm_id)
+        if known is None or reply.vm_id != vm_id:
+            return
+        self._upstreams[vm_id] = attrs.evolve(
+            known,
+            incarnation=reply.incarnation,
+            revision=reply.revision,
+            accepting=reply.accepting,
+            versions=frozenset(reply.versions),
+            services=frozenset(reply.services),
+            load=reply.load,
+            heard_at_s=now_s,
+        )
+
+    def take_load(self, vm_id: str, load: Load, now_s: float) -> None:
+        """Note the load that came back on an answer."""
+        known = self._upstreams.get(vm_id)
+        if known is None:
+            return
+        self._upstreams[vm_id] = attrs.evolve(known, load=load, heard_at_s=now_s)
+
+    def mark_unreachable(self, vm_id: str) -> None:
+        """Note that the sidecar did not answer."""
+        known = self._upstreams.get(vm_id)
+        if known is None:
+            return
+        self._upstreams[vm_id] = attrs.evolve(known, accepting=False)
+
+    def usable(self, now_s: float) -> tuple[Upstream, ...]:
+        """Return the upstreams that may be given new work."""
+        return tuple(
+            upstream
+            for upstream in self.upstreams
+            if upstream.accepting
+            and not upstream.leaving
+            and now_s - upstream.heard_at_s <= SILENT_AFTER_S
+        )
--- /dev/null
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/__init__.py
@@ -0,0 +1,1 @@
+"""The two roles as state machines: events in, actions out."""
--- /dev/null
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/actions.py
@@ -0,0 +1,116 @@
+"""Actions that the nodes ask of the shells."""
+
+import attrs
+
+from cardamomnotch_protocol.models import (
+    AttemptRefused,
+    AttemptRequest,
+    FenceReply,
+    HeartbeatReply,
+    Usage,
+)
+from cardamomnotch_protocol.result_codes import ResultCode
+
+
+class Action:
+    """Base of all actions."""
+
+
+@attrs.frozen(kw_only=True)
+class StartAttempt(Action):
+    """Send the request's body to a sidecar."""
+
+    vm_id: str
+    address: str
+    message: AttemptRequest
+
+
+@attrs.frozen(kw_only=True)
+class RefuseRequest(Action):
+    """Give the caller a final refusal or error, at once."""
+
+    request_id: str
+    code: ResultCode
+    detail: str = ""
+    retry_after_s: float | None = None
+
+
+@attrs.frozen(kw_only=True)
+class CompleteRequest(Action):
+    """The answer is whole; end it."""
+
+    request_id: str
+    usage: Usage
+
+
+@attrs.frozen(kw_only=True)
+class CancelAttempt(Action):
+    """Tell a sidecar that nobody waits for the attempt any more."""
+
+    address: str
+    attempt_id: str
+    incarnation: str
+
+
+@attrs.frozen(kw_only=True)
+class SendConfiguration(Action):
+    """Send the configuration in force to a sidecar that is behind."""
+
+    address: str
+
+
+@attrs.frozen(kw_only=True)
+class FetchConfiguration(Action):
+    """Fetch the configuration of an entry that is ahead, then try again."""
+
+    address: str
+    retry: AttemptRequest | None = None
+
+
+@attrs.frozen(kw_only=True)
+class AcceptAttempt(Action):
+    """Call the upstream and stream its answer."""
+
+    message: AttemptRequest
+
+
+@attrs.frozen(kw_only=True)
+class FollowAttempt(Action):
+    """The attempt is known already; stream what it answers."""
+
+    attempt_id: str
+
+
+@attrs.frozen(kw_only=True)
+class RefuseAttempt(Action):
+    """Answer that the attempt has not run and will not."""
+
+    message: AttemptRefused
+
+
+@attrs.frozen(kw_only=True)
+class CancelUpstreamCall(Action):
+    """Close the call to the upstream."""
+
+    attempt_id: str
+
+
+@attrs.frozen(kw_only=True)
+class ReplyToFence(Action):
+    """Answer a fence request."""
+
+    message: FenceReply
+
+
+@attrs.frozen(kw_only=True)
+class ReplyToHeartbeat(Action):
+    """Answer a heartbeat."""
+
+    message: HeartbeatReply
+
+
+@attrs.frozen(kw_only=True)
+class ReportChange(Action):
+    """Write one log line about a change of state."""
+
+    text: str
--- /dev/null
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/events.py
@@ -0,0 +1,171 @@
+"""Events that the shells hand to the nodes."""
+
+import attrs
+
+from cardamomnotch_protocol.models import (
+    AttemptRequest,
+    FenceRequest,
+    HeartbeatReply,
+    HeartbeatRequest,
+    Load,
+    Usage,
+)
+from cardamomnotch_protocol.result_codes import ResultCode
+
+from ..attempts.entry_table import CallerRequest
+from ..configuration.models import ConfigurationRecord
+from ..membership.models import Vm
+
+
+class Event:
+    """Base of all events."""
+
+
+@attrs.frozen(kw_only=True)
+class ConfigurationOffered(Event):
+    """A record came from the store, a peer or an entry."""
+
+    record: ConfigurationRecord
+    source: str
+
+
+@attrs.frozen(kw_only=True)
+class DrainStarted(Event):
+    """The process was asked to stop."""
+
+
+@attrs.frozen(kw_only=True)
+class TimerDue(Event):
+    """About a second has passed."""
+
+
+@attrs.frozen(kw_only=True)
+class VmListReceived(Event):
+    """The platform's list was read."""
+
+    vms: tuple[Vm, ...]
+
+
+@attrs.frozen(kw_only=True)
+class HeartbeatAnswered(Event):
+    """A sidecar answered a heartbeat."""
+
+    vm_id: str
+    reply: HeartbeatReply
+
+
+@attrs.frozen(kw_only=True)
+class HeartbeatFailed(Event):
+    """A sidecar did not answer a heartbeat."""
+
+    vm_id: str
+
+
+@attrs.frozen(kw_only=True)
+class RequestArrived(Event):
+    """A caller sent a request."""
+
+    request: CallerRequest
+
+
+@attrs.frozen(kw_only=True)
+class CallerGone(Event):
+    """The caller closed its connection before the answer's end."""
+
+    request_id: str
+
+
+@attrs.frozen(kw_only=True)
+class AttemptAnswered(Event):
+    """The first part of an attempt's answer has arrived."""
+
+    request_id: str
+    attempt_id: str
+
+
+@attrs.frozen(kw_only=True)
+class AttemptTurnedDown(Event):
+    """A sidecar refused an attempt, which has not run."""
+
+    request_id: str
+    attempt_id: str
+    code: ResultCode
+    detail: str = ""
+    retry_after_s: float = 0.0
+    load: Load = Load()
+
+
+@attrs.frozen(kw_only=True)
+class AttemptEnded(Event):
+    """An attempt's last frame has arrived."""
+
+    request_id: str
+    attempt_id: str
+    code: ResultCode
+    detail: str = ""
+    usage: Usage = Usage()
+    load: Load = Load()
+    started: bool = True
+
+
+@attrs.frozen(kw_only=True)
+class AttemptLost(Event):
+    """The connection of an attempt broke or went silent.
+
+    ``sent`` tells whether any byte may have reached the sidecar.
+    """
+
+    request_id: str
+    attempt_id: str
+    code: ResultCode
+    sent: bool = True
+
+
+@attrs.frozen(kw_only=True)
+class HeartbeatArrived(Event):
+    """An entry sent a heartbeat."""
+
+    request: HeartbeatRequest
+
+
+@attrs.frozen(kw_only=True)
+class AttemptArrived(Event):
+    """An entry asked for an attempt.
+
+    ``caught_up`` is set when the newer configuration was asked for already.
+    """
+
+    request: AttemptRequest
+    caught_up: bool = False
+
+
+@attrs.frozen(kw_only=True)
+class FenceArrived(Event):
+    """An entry asked that an attempt never starts."""
+
+    request: FenceRequest
+
+
+@attrs.frozen(kw_only=True)
+class UpstreamCallEnded(Event):
+    """The call to the upstream has ended."""
+
+    attempt_id: str
+    code: ResultCode
+    detail: str = ""
+    usage: Usage = Usage()
+    first_token_ms: float = 0.0
+
+
+@attrs.frozen(kw_only=True)
+class UpstreamReported(Event):
+    """The upstream told its start id, load and loaded versions."""
+
+    start_id: str
+    waiting: int = 0
+    versions: tuple[str, ...] = ()
+
+
+@attrs.frozen(kw_only=True)
+class UpstreamUnreachable(Event):
+    """The upstream did not tell its load."""
--- /dev/null
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/sidecar_node.py
@@ -0,0 +1,256 @@
+"""The sidecar's decisions: the single gate before its upstream."""
+
+from functools import singledispatchmethod
+from typing import Any
+
+import attrs
+
+from cardamomnotch_protocol.exceptions import CardamomnotchError
+from cardamomnotch_protocol.models import (
+    AttemptRefused,
+    AttemptRequest,
+    FenceReply,
+    HeartbeatReply,
+)
+from cardamomnotch_protocol.result_codes import ResultCode
+
+from ..admission.limiter import ConcurrencyLimiter
+from ..attempts.const import DEFAULT_RETRY_AFTER_S
+from ..attempts.sidecar_table import AttemptState, AttemptTable
+from ..configuration.holder import ConfigurationHolder
+from ..plans.allowance import allowed_route, allowed_versions
+from . import actions, events
+from .actions import Action
+from .events import Event
+
+
+@attrs.frozen(kw_only=True)
+class SidecarIdentity:
+    """Who this sidecar is, from its settings."""
+
+    vm_id: str
+    zone: str
+    incarnation: str
+    services: tuple[str, ...] = ()
+
+
+class GateError(CardamomnotchError):
+    """The gate refuses an attempt."""
+
+
+class SidecarNode:
+    """Turns events into actions; holds no socket and reads no clock."""
+
+    def __init__(self, identity: SidecarIdentity, limiter: ConcurrencyLimiter) -> None:
+        self._identity = identity
+        self._limiter = limiter
+        self._attempts = AttemptTable()
+        self._configuration = ConfigurationHolder()
+        self._draining = False
+        self._upstream_start_id = ""
+        self._upstream_reachable = bool(identity.services)
+        self._upstream_versions: tuple[str, ...] = ()
+
+    @property
+    def configuration(self) -> ConfigurationHolder:
+        """Return the configuration in force."""
+        return self._configuration
+
+    @property
+    def is_ready(self) -> bool:
+        """Return whether attempts may be accepted."""
+        return (
+            not self._draining
+            and self._upstream_reachable
+            and self._configuration.record is not None
+        )
+
+    @property
+    def attempts_in_flight(self) -> int:
+        """Return how many attempts run."""
+        return len(self._attempts.running_ids)
+
+    def diagnostics(self) -> dict[str, Any]:
+        """Return the state for the dump."""
+        return {
+            "identity": attrs.asdict(self._identity),
+            "revision": self._configuration.revision,
+            "draining": self._draining,
+            "ready": self.is_ready,
+            "upstream": {
+                "start_id": self._upstream_start_id,
+                "reachable": self._upstream_reachable,
+                "versions": list(self._upstream_versions),
+            },
+            "load": attrs.asdict(self._limiter.load),
+            "attempts_running": list(self._attempts.running_ids),
+            "attempts_remembered": len(self._attempts),
+        }
+
+    @singledispatchmethod
+    def handle(self, event: Event, now_s: float) -> list[Action]:
+        """Return the actions that follow from ``event``."""
+        raise TypeError(f"no handler for {type(event).__name__}")
+
+    @handle.register
+    def _(self, event: events.ConfigurationOffered, now_s: float) -> list[Action]:
+        if not self._configuration.offer(event.record):
+            return []
+        return [
+            actions.ReportChange(
+                text=f"revision {event.record.revision} in force from {event.source}"
+            )
+        ]
+
+    @handle.register
+    def _(self, event: events.DrainStarted, now_s: float) -> list[Action]:
+        self._draining = True
+        return [actions.ReportChange(text="draining")]
+
+    @handle.register
+    def _(self, event: events.TimerDue, now_s: float) -> list[Action]:
+        self._attempts.expire(now_s)
+        return []
+
+    @handle.register
+    def _(self, event: events.HeartbeatArrived, now_s: float) -> list[Action]:
+        reply = actions.ReplyToHeartbeat(message=self._heartbeat_reply())
+        if event.request.revision <= self._configuration.revision:
+            return [reply]
+        fetch = actions.FetchConfiguration(address=event.request.entry_address)
+        return [reply, fetch]
+
+    def _heartbeat_reply(self) -> HeartbeatReply:
+        return HeartbeatReply(
+            vm_id=self._identity.vm_id,
+            zone=self._identity.zone,
+            incarnation=self._identity.incarnation,
+            revision=self._configuration.revision,
+            accepting=not self._draining and self._upstream_reachable,
+            versions=self._upstream_versions,
+            services=self._identity.services,
+            load=self._limiter.load,
+        )
+
+    @handle.register
+    def _(self, event: events.AttemptArrived, now_s: float) -> list[Action]:
+        request = event.request
+        known = self._attempts.get(request.attempt_id)
+        if known is not None and known.state is not AttemptState.NEVER_STARTED:
+            return [actions.FollowAttempt(attempt_id=request.attempt_id)]
+        behind = request.revision > self._configuration.revision
+        if behind and not event.caught_up:
+            return [
+                actions.FetchConfiguration(address=request.entry_address, retry=request)
+            ]
+        try:
+            self._check(request, behind=behind)
+        except CardamomnotchError as error:
+            return [self._refusal(request, error)]
+        self._attempts.start(request.attempt_id)
+        return [actions.AcceptAttempt(message=request)]
+
+    def _check(self, request: AttemptRequest, *, behind: bool) -> None:
+        """Raise GateError or PlanError unless the attempt may run now."""
+        if request.incarnation != self._identity.incarnation:
+            raise GateError(code=ResultCode.INCARNATION_MISMATCH)
+        if self._attempts.get(request.attempt_id) is not None:
+            raise GateError(code=ResultCode.ATTEMPT_FENCED)
+        if self._draining:
+            raise GateError(code=ResultCode.SIDECAR_DRAINING)
+        if behind or self._configuration.record is None:
+            raise GateError(code=ResultCode.REVISION_BEHIND)
+        if request.timeout_ms <= 0:
+            raise GateError(code=ResultCode.DEADLINE_PASSED)
+        if not self._upstream_reachable:
+            raise GateError(code=ResultCode.UPSTREAM_UNREACHABLE)
+        self._check_marks()
+        self._check_plan(request)
+        if not self._limiter.admit(request.attempt_id, request.expected_tokens):
+            raise GateError(code=ResultCode.UPSTREAM_FULL)
+
+    def _check_marks(self) -> None:
+        marks = self._configuration.record.configuration.marks
+        if self._identity.zone in marks.zones_out:
+            raise GateError(code=ResultCode.ZONE_OUT)
+        if self._identity.vm_id in marks.vms_out:
+            raise GateError(code=ResultCode.VM_OUT)
+
+    def _check_plan(self, request: AttemptRequest) -> None:
+        configuration = self._configuration.record.configuration
+        if request.service:
+            allowed_route(
+                configuration,
+                request.workspace,
+                request.service,
+                request.method,
+                request.path,
+            )
+            return
+        full_name = f"{request.model}/{request.version}"
+        allowed_versions(configuration, request.workspace, full_name)
+        if full_name not in self._upstream_versions:
+            raise GateError(code=ResultCode.VERSION_NOT_LOADED)
+
+    def _refusal(self, request: AttemptRequest, error: CardamomnotchError) -> Action:
+        message = AttemptRefused(
+            attempt_id=request.attempt_id,
+            incarnation=self._identity.incarnation,
+            revision=self._configuration.revision,
+            code=error.code,
+            detail=error.detail,
+            retry_after_s=error.retry_after_s or DEFAULT_RETRY_AFTER_S,
+            load=self._limiter.load,
+        )
+        return actions.RefuseAttempt(message=message)
+
+    @handle.register
+    def _(self, event: events.UpstreamCallEnded, now_s: float) -> list[Action]:
+        self._limiter.release(event.attempt_id)
+        self._attempts.finish(event.attempt_id, event.code, event.usage, now_s)
+        return []
+
+    @handle.register
+    def _(self, event: events.FenceArrived, now_s: float) -> list[Action]:
+        request = event.request
+        reply = self._fence_reply(request, now_s)
+        result: list[Action] = [actions.ReplyToFence(message=reply)]
+        if request.cancel and reply.state == AttemptState.RUNNING:
+            result.append(actions.CancelUpstreamCall(attempt_id=request.attempt_id))
+        return result
+
+    def _fence_reply(self, request: events.FenceRequest, now_s: float) -> FenceReply:
+        if request.incarnation != self._identity.incarnation:
+            # Another incarnation's memory is gone with it.
+            return FenceReply(
+                attempt_id=request.attempt_id,
+                incarnation=self._identity.incarnation,
+                state=AttemptState.UNKNOWN.value,
+            )
+        record = self._attempts.fence(request.attempt_id, now_s)
+        return FenceReply(
+            attempt_id=request.attempt_id,
+            incarnation=self._identity.incarnation,
+            state=record.state.value,
+            code=record.code,
+            usage=record.usage,
+        )
+
+    @handle.register
+    def _(self, event: events.UpstreamReported, now_s: float) -> list[Action]:
+        changed = event.start_id != self._upstream_start_id
+        came_back = not self._upstream_reachable
+        self._upstream_start_id = event.start_id
+        self._upstream_reachable = True
+        self._upstream_versions = event.versions
+        if changed or came_back:
+            return [actions.ReportChange(text=f"upstream up, start {event.start_id}")]
+        return []
+
+    @handle.register
+    def _(self, event: events.UpstreamUnreachable, now_s: float) -> list[Action]:
+        was_reachable = self._upstream_reachable
+        self._upstream_reachable = False
+        if was_reachable:
+            return [actions.ReportChange(text="upstream unreachable")]
+        return []
--- /dev/null
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/plans/__init__.py
@@ -0,0 +1,1 @@
+"""What a workspace's plan allows."""
--- /dev/null
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/plans/allowance.py
@@ -0,0 +1,128 @@
+"""Versions and services that a workspace may use now."""
+
+import attrs
+
+from cardamomnotch_protocol.exceptions import CardamomnotchError
+from cardamomnotch_protocol.result_codes import ResultCode
+
+from ..configuration.models import Configuration, Plan, ServiceRoute, Version
+
+ANY_MODEL = "auto"
+
+
+class PlanError(CardamomnotchError):
+    """The plan does not allow the request."""
+
+    code = ResultCode.MODEL_NOT_ALLOWED
+
+
+@attrs.frozen
+class AllowedVersion:
+    """A version in service that the plan allows."""
+
+    model: str
+    version: Version
+
+    @property
+    def full_name(self) -> str:
+        """Return "model/version"."""
+        return f"{self.model}/{self.version.name}"
+
+
+@attrs.frozen
+class AllowedRoute:
+    """A service call that the plan allows."""
+
+    service: str
+    route: ServiceRoute
+
+
+def plan_of(configuration: Configuration, workspace: str) -> Plan:
+    """Return the plan of ``workspace``.
+
+    Raises PlanError if the workspace is no longer listed.
+    """
+    entry = configuration.workspaces_by_name.get(workspace)
+    if entry is None:
+        raise PlanError(f"no workspace {workspace}", code=ResultCode.UNKNOWN_KEY)
+    return configuration.plans_by_name[entry.plan]
+
+
+def allowed_versions(
+    configuration: Configuration, workspace: str, model: str = ANY_MODEL
+) -> tuple[AllowedVersion, ...]:
+    """Return the versions in service that the plan of ``workspace`` allows.
+
+    ``model`` is a model's name, "model/version" or ``ANY_MODEL``. Raises
+    PlanError if the name is unknown or not allowed, or if nothing is left.
+    """
+    model_name, _, version_name = model.partition("/")
+    _check_known(configuration, model_name, version_name)
+    allowed = versions_in_plan(configuration, plan_of(configuration, workspace))
+    named = tuple(
+        item
+        for item in allowed
+        if model_name in (ANY_MODEL, item.model)
+        and version_name in ("", item.version.name)
+    )
+    if not named:
+        raise PlanError(f"the plan does not allow {model}")
+    out = frozenset(configuration.marks.versions_out)
+    in_service = tuple(item for item in named if item.full_name not in out)
+    if in_service:
+        return in_service
+    code = (
+        ResultCode.VERSION_WITHDRAWN
+        if version_name
+        else ResultCode.NO_VERSION_IN_SERVICE
+    )
+    raise PlanError(f"every allowed version of {model} is out of service", code=code)
+
+
+def _check_known(configuration: Configuration, model: str, version: str) -> None:
+    if model == ANY_MODEL:
+        return
+    entry = configuration.models_by_name.get(model)
+    if entry is None:
+        raise PlanError(f"no model {model}", code=ResultCode.UNKNOWN_MODEL)
+    if version and all(item.name != version for item in entry.versions):
+        raise PlanError(f"no version {model}/{version}", code=ResultCode.UNKNOWN_MODEL)
+
+
+def versions_in_plan(
+    configuration: Configuration, plan: Plan
+) -> tuple[AllowedVersion, ...]:
+    """Return every version that ``plan`` names, in service or not."""
+    return tuple(
+        AllowedVersion(entry.model, version)
+        for entry in plan.models
+        for version in configuration.models_by_name[entry.model].versions
+        if not entry.versions or version.name in entry.versions
+    )
+
+
+def allowed_route(
+    configuration: Configuration, workspace: str, service: str, method: str, path: str
+) -> AllowedRoute:
+    """Return the service route for a call.
+
+    Raises PlanError if there is none or the plan excludes the service.
+    """
+    entry = configuration.services_by_name.get(service)
+    if entry is None:
+        raise PlanError(f"no service {service}", code=ResultCode.UNKNOWN_ROUTE)
+    if service not in plan_of(configuration, workspace).services:
+        raise PlanError(
+            f"the plan does not allow {service}", code=ResultCode.SERVICE_NOT_ALLOWED
+        )
+    matches = [
+        route
+        for route in entry.routes
+        if route.method == method and path.startswith(route.path_prefix)
+    ]
+    if not matches:
+        raise PlanError(
+            f"no route {method} {path} in {service}", code=ResultCode.UNKNOWN_ROUTE
+        )
+    best = max(matches, key=lambda route: len(route.path_prefix))
+    return AllowedRoute(service, best)
--- /dev/null
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Which version and which upstream a request is tried on."""
--- /dev/null
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry: between callers and the gates, and the command line."""
--- /dev/null
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/__main__.py
@@ -0,0 +1,5 @@
+"""Lets the command line run as a module."""
+
+from .cli import main
+
+main()
--- /dev/null
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/caller/__init__.py
@@ -0,0 +1,1 @@
+"""The server that callers use."""
--- /dev/null
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/caller/exchange.py
@@ -0,0 +1,122 @@
+"""One caller's request while it is being served."""
+
+import asyncio
+from collections.abc import Mapping
+
+import attrs
+import orjson
+from aiohttp import web
+
+from cardamomnotch_protocol.exceptions import CardamomnotchError
+from cardamomnotch_protocol.models import Usage
+from cardamomnotch_protocol.result_codes import ResultCode
+from cardamomnotch_runtime.responses import error_body, error_response
+
+from ..const import HEADER_REQUEST_ID, HEADER_RESULT_CODE
+
+_DONE_EVENT = b"data: [DONE]\n\n"
+_KEPT_HEADERS = ("Content-Type",)
+
+
+class CallerGoneError(CardamomnotchError):
+    """The caller's connection is closed."""
+
+    code = ResultCode.CALLER_GONE
+
+
+@attrs.frozen
+class Outcome:
+    """The end of a request: whole with its usage, or an error."""
+
+    error: CardamomnotchError | None = None
+    usage: Usage = Usage()
+
+
+class CallerExchange:
+    """Holds a request's body, and passes its answer to the caller.
+
+    Streams are passed on as they come; other answers only when whole.
+    """
+
+    def __init__(
+        self, http_request: web.Request, request_id: str, body: bytes, *, stream: bool
+    ) -> None:
+        self._http_request = http_request
+        self._request_id = request_id
+        self._stream = stream
+        self._body = body
+        self._answer = bytearray()
+        self._status = 200
+        self._headers: dict[str, str] = {HEADER_REQUEST_ID: request_id}
+        self._response: web.StreamResponse | None = None
+        self._outcome: asyncio.Future[Outcome] = (
+            asyncio.get_running_loop().create_future()
+        )
+
+    @property
+    def body(self) -> bytes:
+        """Return the request's body."""
+        return self._body
+
+    def restart_answer(self, headers: Mapping[str, str]) -> None:
+        """Forget what a former attempt answered, none of it passed on."""
+        self._answer.clear()
+        self._headers.update(headers)
+
+    async def async_set_head(self, status: int, headers: Mapping[str, str]) -> None:
+        """Take the answer's status and headers."""
+        self._status = status
+        for name in _KEPT_HEADERS:
+            if headers.get(name):
+                self._headers[name] = headers[name]
+
+    async def async_write(self, data: bytes) -> None:
+        """Take a part of the answer; raise CallerGoneError if nobody reads."""
+        if not (self._stream and self._status == 200):
+            self._answer += data
+            return
+        try:
+            if self._response is None:
+                self._response = await self._async_prepare()
+            await self._response.write(data)
+        except ConnectionError as error:
+            raise CallerGoneError from error
+
+    def end(self, outcome: Outcome) -> None:
+        """Note the end of the request."""
+        if not self._outcome.done():
+            self._outcome.set_result(outcome)
+
+    async def async_finish(self) -> web.StreamResponse:
+        """Wait for the end, and return the caller's HTTP answer."""
+        outcome = await self._outcome
+        if outcome.error is not None:
+            return await self._async_finish_with_error(outcome.error)
+        if self._stream and self._status == 200:
+            response = self._response or await self._async_prepare()
+            await response.write(_DONE_EVENT)
+            await response.write_eof()
+            return response
+        return web.Response(
+            body=bytes(self._answer), status=self._status, headers=self._headers
+        )
+
+    async def _async_finish_with_error(
+        self, error: CardamomnotchError
+    ) -> web.StreamResponse:
+        if self._response is None:
+            headers = {
+                HEADER_REQUEST_ID: self._request_id,
+                HEADER_RESULT_CODE: str(int(error.code)),
+            }
+            return error_response(error, headers)
+        # The status is sent already; the stream ends without its last event.
+        event = b"data: " + orjson.dumps(error_body(error)) + b"\n\n"
+        await self._response.write(event)
+        await self._response.write_eof()
+        return self._response
+
+    async def _async_prepare(self) -> web.StreamResponse:
+        response = web.StreamResponse(status=self._status, headers=self._headers)
+        await response.prepare(self._http_request)
+        return response
--- /dev/null
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/caller/server.py
@@ -0,0 +1,120 @@
+"""HTTP handlers for callers."""
+
+import asyncio
+
+from aiohttp import web
+
+from cardamomnotch_core.attempts.entry_table import CallerRequest
+from cardamomnotch_core.nodes import actions, events
+from cardamomnotch_core.nodes.entry_node import EntryNode
+from cardamomnotch_core.plans.allowance import versions_in_plan
+from cardamomnotch_protocol.exceptions import CardamomnotchError
+from cardamomnotch_protocol.result_codes import ResultCode
+from cardamomnotch_runtime.const import MAX_BODY_BYTES
+from cardamomnotch_runtime.responses import error_response, json_response
+from cardamomnotch_runtime.runner import NodeRunner
+
+from ..const import (
+    HEADER_RESULT_CODE,
+    PATH_COMPLETIONS,
+    PATH_MODELS,
+    PATH_SERVICES,
+)
+from .exchange import CallerExchange, Outcome
+from .requests import (
+    async_read_body,
+    key_digest,
+    read_completion,
+    read_service_call,
+)
+
+
+class CallerServer:
+    """Turns callers' requests into events, and actions into answers."""
+
+    def __init__(self, node: EntryNode, runner: NodeRunner) -> None:
+        self._node = node
+        self._runner = runner
+        self._exchanges: dict[str, CallerExchange] = {}
+        runner.register(actions.RefuseRequest, self._refuse)
+        runner.register(actions.CompleteRequest, self._complete)
+
+    def create_app(self) -> web.Application:
+        """Return the application."""
+        app = web.Application(
+            client_max_size=MAX_BODY_BYTES, middlewares=[_error_middleware]
+        )
+        app.router.add_post(PATH_COMPLETIONS, self._async_completion)
+        app.router.add_get(PATH_MODELS, self._async_models)
+        app.router.add_route("*", PATH_SERVICES, self._async_service)
+        return app
+
+    def exchange(self, request_id: str) -> CallerExchange | None:
+        """Return the exchange of a request that is being served."""
+        return self._exchanges.get(request_id)
+
+    async def _async_completion(self, request: web.Request) -> web.StreamResponse:
+        body = await async_read_body(request)
+        caller_request = read_completion(request, body)
+        return await self._async_serve(request, caller_request, body)
+
+    async def _async_service(self, request: web.Request) -> web.StreamResponse:
+        body = await async_read_body(request)
+        caller_request = read_service_call(request, body)
+        return await self._async_serve(request, caller_request, body)
+
+    async def _async_serve(
+        self, request: web.Request, caller_request: CallerRequest, body: bytes
+    ) -> web.StreamResponse:
+        request_id = caller_request.request_id
+        exchange = CallerExchange(
+            request, request_id, body, stream=caller_request.stream
+        )
+        self._exchanges[request_id] = exchange
+        try:
+            self._runner.dispatch(events.RequestArrived(request=caller_request))
+            return await exchange.async_finish()
+        except (asyncio.CancelledError, ConnectionError):
+            self._runner.dispatch(events.CallerGone(request_id=request_id))
+            raise
+        finally:
+            del self._exchanges[request_id]
+
+    async def _async_models(self, request: web.Request) -> web.Response:
+        digest = key_digest(request)
+        record = self._node.configuration.record
+        if record is None:
+            raise CardamomnotchError(code=ResultCode.NOT_READY, retry_after_s=1.0)
+        workspace = record.configuration.workspaces_by_digest.get(digest)
+        if workspace is None:
+            raise CardamomnotchError(code=ResultCode.UNKNOWN_KEY)
+        plan = record.configuration.plans_by_name[workspace.plan]
+        names = [
+            item.full_name for item in versions_in_plan(record.configuration, plan)
+        ]
+        data = [{"id": name, "object": "model"} for name in names]
+        return json_response({"object": "list", "data": data})
+
+    def _refuse(self, action: actions.RefuseRequest) -> None:
+        exchange = self._exchanges.get(action.request_id)
+        if exchange is None:
+            return
+        error = CardamomnotchError(
+            action.detail, code=action.code, retry_after_s=action.retry_after_s
+        )
+        exchange.end(Outcome(error=error))
+
+    def _complete(self, action: actions.CompleteRequest) -> None:
+        exchange = self._exchanges.get(action.request_id)
+        if exchange is not None:
+            exchange.end(Outcome(usage=action.usage))
+
+
+@web.middleware
+async def _error_middleware(
+    request: web.Request, handler: web.RequestHandler
+) -> web.StreamResponse:
+    try:
+        return await handler(request)
+    except CardamomnotchError as error:
+        return error_response(error, {HEADER_RESULT_CODE: str(int(error.code))})
--- /dev/null
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/cli/__init__.py
@@ -0,0 +1,18 @@
+"""Command line of cardamomnotch."""
+
+import click
+
+from .config import config
+from .inspection import state, status
+from .marks import version, vm, zone
+from .serve import serve
+
+
+@click.group()
+@click.version_option(package_name="cardamomnotch-entry")
+def main() -> None:
+    """Route requests to allowed models and versions."""
+
+
+for _command in (config, serve, state, status, version, vm, zone):
+    main.add_command(_command)
--- /dev/null
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/cli/options.py
@@ -0,0 +1,40 @@
+"""Options and error handling that commands share."""
+
+import asyncio
+import sys
+from collections.abc import Coroutine
+from pathlib import Path
+from typing import Any, TypeVar
+
+import click
+
+from cardamomnotch_protocol.exceptions import CardamomnotchError
+from cardamomnotch_runtime.const import EXIT_BAD_SETTINGS
+from cardamomnotch_runtime.settings import SettingsError
+
+_T = TypeVar("_T")
+_EXIT_FAILED = 1
+
+settings_option = click.option(
+    "--settings",
+    "settings_path",
+    type=click.Path(path_type=Path),
+    required=True,
+    envvar="CARDAMOMNOTCH_SETTINGS",
+    help="TOML settings file.",
+)
+
+
+def run_command(coroutine: Coroutine[Any, Any, _T]) -> _T:
+    """Return the result; print one line and exit if it is an error."""
+    try:
+        return asyncio.run(coroutine)
+    except CardamomnotchError as error:
+        exit_with_error(error)
+
+
+def exit_with_error(error: CardamomnotchError) -> None:
+    """Print one line and exit: 2 for bad input, 1 for a refused change."""
+    sys.stderr.write(f"error: {error}\n")
+    bad_input = isinstance(error, SettingsError) or hasattr(error, "problems")
+    sys.exit(EXIT_BAD_SETTINGS if bad_input else _EXIT_FAILED)
--- /dev/null
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/composition.py
@@ -0,0 +1,123 @@
+"""The composition root of the entry."""
+
+import random
+import time
+
+import aiohttp
+
+from cardamomnotch_core.nodes import events
+from cardamomnotch_core.nodes.entry_node import EntryIdentity, EntryNode
+from cardamomnotch_platform.store.client import StoreClient
+from cardamomnotch_platform.vm_list.client import VmListClient
+from cardamomnotch_runtime.admin import create_admin_app
+from cardamomnotch_runtime.auth import inner_headers
+from cardamomnotch_runtime.const import TIMER_INTERVAL_S
+from cardamomnotch_runtime.runner import NodeRunner
+from cardamomnotch_runtime.server import HttpServer, bind
+from cardamomnotch_runtime.tasks import TaskGroup, async_wait_until
+
+from .caller.server import CallerServer
+from .const import HEARTBEAT_INTERVAL_S, VM_LIST_INTERVAL_S
+from .coordinators.configuration import ConfigurationCoordinator
+from .coordinators.membership import MembershipCoordinator
+from .inner.attempt_client import AttemptClient
+from .inner.configuration import ConfigurationSender
+from .metrics import EntryMetrics
+from .settings import EntrySettings
+
+
+class Entry:
+    """All parts of one entry, wired."""
+
+    def __init__(self, settings: EntrySettings) -> None:
+        self._settings = settings
+        self._caller_socket = bind(settings.caller.address, "caller.address")
+        self._inner_socket = bind(settings.node.inner_address, "node.inner_address")
+        self._admin_socket = bind(settings.node.admin_address, "node.admin_address")
+        self._sessions: list[aiohttp.ClientSession] = []
+        self._servers: list[HttpServer] = []
+        self._tasks = TaskGroup()
+        self._random = random.Random()
+        self._identity = EntryIdentity(
+            vm_id=settings.node.vm_id,
+            zone=settings.node.zone,
+            inner_address=settings.node.inner_address,
+        )
+        self._node = EntryNode(self._identity, self._random)
+        self._runner = NodeRunner(self._node, time.monotonic)
+
+    @property
+    def node(self) -> EntryNode:
+        """Return the node, for diagnostics."""
+        return self._node
+
+    async def async_setup(self) -> None:
+        """Start serving."""
+        platform_session = self._open_session({})
+        inner_session = self._open_session(
+            inner_headers(self._settings.node.inner_keys)
+        )
+        callers = CallerServer(self._node, self._runner)
+        AttemptClient(inner_session, self._runner, callers, self._tasks)
+        sender = ConfigurationSender(
+            inner_session, self._runner, self._tasks, self._node.configuration
+        )
+        metrics = EntryMetrics(self._node, self._runner)
+        admin_app = create_admin_app(
+            is_ready=lambda: self._node.is_ready,
+            diagnostics=self._node.diagnostics,
+            registry=metrics.registry,
+        )
+        inner_app = sender.create_app(self._settings.node.inner_keys)
+        self._servers = [
+            HttpServer(callers.create_app(), self._caller_socket),
+            HttpServer(inner_app, self._inner_socket),
+            HttpServer(admin_app, self._admin_socket),
+        ]
+        for server in self._servers:
+            await server.async_start()
+        self._start_coordinators(platform_session, inner_session)
+
+    def _start_coordinators(
+        self,
+        platform_session: aiohttp.ClientSession,
+        inner_session: aiohttp.ClientSession,
+    ) -> None:
+        platform = self._settings.platform
+        store = StoreClient(platform_session, platform.store_url)
+        configuration = ConfigurationCoordinator(store, self._runner, self._random)
+        membership = MembershipCoordinator(
+            node=self._node,
+            identity=self._identity,
+            runner=self._runner,
+            vm_list=VmListClient(platform_session, platform.vm_list_url),
+            session=inner_session,
+        )
+        tasks = self._tasks
+        tasks.repeat(lambda: 0.0, configuration.async_follow)
+        tasks.repeat(lambda: VM_LIST_INTERVAL_S, membership.async_read_vm_list)
+        tasks.repeat(lambda: HEARTBEAT_INTERVAL_S, membership.async_send_heartbeats)
+        tasks.repeat(lambda: TIMER_INTERVAL_S, self._async_tick)
+
+    async def async_unload(self) -> None:
+        """Finish what is in flight, then stop."""
+        self._runner.dispatch(events.DrainStarted())
+        await async_wait_until(
+            lambda: not self._node.requests_in_flight, self._settings.drain_grace_s
+        )
+        for server in self._servers:
+            await server.async_stop()
+        await self._tasks.async_unload()
+        for session in self._sessions:
+            await session.close()
+
+    async def _async_tick(self) -> None:
+        self._runner.dispatch(events.TimerDue())
+
+    def _open_session(self, headers: dict[str, str]) -> aiohttp.ClientSession:
+        # The nodes limit concurrency; the connector must not queue as well.
+        session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0), headers=headers
+        )
+        self._sessions.append(session)
+        return session
--- /dev/null
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/coordinators/__init__.py
@@ -0,0 +1,1 @@
+"""Pollers and watchers whose findings the whole entry shares."""
--- /dev/null
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/coordinators/configuration.py
@@ -0,0 +1,73 @@
+"""The one watcher of the operators' lists."""
+
+import asyncio
+import logging
+import random
+
+from cardamomnotch_core.configuration.document import record_from_message
+from cardamomnotch_core.nodes import events
+from cardamomnotch_platform.exceptions import StoreError
+from cardamomnotch_platform.store.client import StoreClient
+from cardamomnotch_platform.store.configuration import (
+    CONFIGURATION_KEY,
+    StoredConfiguration,
+    async_read_configuration,
+    read_entry,
+)
+from cardamomnotch_protocol.exceptions import CardamomnotchError
+from cardamomnotch_runtime.runner import NodeRunner
+
+from ..const import WATCH_RENEWAL_S, WATCH_RETRY_S
+
+_LOGGER = logging.getLogger(__name__)
+
+
+class ConfigurationCoordinator:
+    """Reads the lists, then waits for changes, again and again."""
+
+    def __init__(
+        self, store: StoreClient, runner: NodeRunner, random_source: random.Random
+    ) -> None:
+        self._store = store
+        self._runner = runner
+        self._random = random_source
+        self._store_available = True
+
+    async def async_follow(self) -> None:
+        """Read once, then watch until the watch is due for renewal."""
+        try:
+            stored = await async_read_configuration(self._store)
+            self._note_store(available=True)
+            self._offer(stored)
+            async with asyncio.timeout(self._jittered(WATCH_RENEWAL_S)):
+                await self._async_watch(stored.mod_revision + 1)
+        except TimeoutError:
+            return
+        except StoreError:
+            self._note_store(available=False)
+            await asyncio.sleep(self._jittered(WATCH_RETRY_S))
+
+    async def _async_watch(self, from_revision: int) -> None:
+        async for entry in self._store.async_watch(CONFIGURATION_KEY, from_revision):
+            self._offer(read_entry(entry))
+
+    def _offer(self, stored: StoredConfiguration) -> None:
+        if stored.message is None:
+            return
+        try:
+            record = record_from_message(stored.message)
+        except CardamomnotchError as error:
+            _LOGGER.error("configuration in the store left out: %s", error)
+            return
+        self._runner.dispatch(
+            events.ConfigurationOffered(record=record, source="the store")
+        )
+
+    def _jittered(self, seconds: float) -> float:
+        return seconds * self._random.uniform(0.8, 1.2)
+
+    def _note_store(self, *, available: bool) -> None:
+        if available == self._store_available:
+            return
+        self._store_available = available
+        _LOGGER.warning("store %s", "available again" if available else "unavailable")
--- /dev/null
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/coordinators/membership.py
@@ -0,0 +1,95 @@
+"""The one poller of the VM list, and the heartbeats to sidecars."""
+
+import asyncio
+import logging
+
+import aiohttp
+
+from cardamomnotch_core.membership.models import Upstream, Vm
+from cardamomnotch_core.nodes import events
+from cardamomnotch_core.nodes.entry_node import EntryIdentity, EntryNode
+from cardamomnotch_platform.exceptions import VmListError
+from cardamomnotch_platform.vm_list.client import ListedVm, VmListClient
+from cardamomnotch_protocol.const import PATH_HEARTBEAT
+from cardamomnotch_protocol.exceptions import CardamomnotchError
+from cardamomnotch_protocol.models import HeartbeatReply, HeartbeatRequest
+from cardamomnotch_runtime.frames import async_call
+from cardamomnotch_runtime.runner import NodeRunner
+
+from ..const import HEARTBEAT_TIMEOUT_S
+
+_LOGGER = logging.getLogger(__name__)
+_STATE_LEAVING = "leaving"
+
+
+class MembershipCoordinator:
+    """Keeps the node told of which upstreams there are."""
+
+    def __init__(
+        self,
+        *,
+        node: EntryNode,
+        identity: EntryIdentity,
+        runner: NodeRunner,
+        vm_list: VmListClient,
+        session: aiohttp.ClientSession,
+    ) -> None:
+        self._node = node
+        self._identity = identity
+        self._runner = runner
+        self._vm_list = vm_list
+        self._session = session
+        self._list_available = True
+
+    async def async_read_vm_list(self) -> None:
+        """Read the list once."""
+        try:
+            listed = await self._vm_list.async_read()
+        except VmListError as error:
+            self._note_list(available=False, detail=error.detail)
+            return
+        self._note_list(available=True)
+        if listed is None:
+            return
+        vms = tuple(_vm_from_listed(vm) for vm in listed)
+        self._runner.dispatch(events.VmListReceived(vms=vms))
+
+    async def async_send_heartbeats(self) -> None:
+        """Send one heartbeat to every upstream."""
+        await asyncio.gather(
+            *(self._async_heartbeat(upstream) for upstream in self._node.upstreams)
+        )
+
+    async def _async_heartbeat(self, upstream: Upstream) -> None:
+        message = HeartbeatRequest(
+            entry_id=self._identity.vm_id,
+            entry_address=self._identity.inner_address,
+            revision=self._node.configuration.revision,
+        )
+        url = f"http://{upstream.address}{PATH_HEARTBEAT}"
+        try:
+            reply = await async_call(self._session, url, message, HEARTBEAT_TIMEOUT_S)
+        except CardamomnotchError:
+            self._runner.dispatch(events.HeartbeatFailed(vm_id=upstream.vm_id))
+            return
+        if isinstance(reply, HeartbeatReply):
+            self._runner.dispatch(
+                events.HeartbeatAnswered(vm_id=upstream.vm_id, reply=reply)
+            )
+
+    def _note_list(self, *, available: bool, detail: str = "") -> None:
+        if available == self._list_available:
+            return
+        self._list_available = available
+        state = "available again" if available else "unavailable"
+        _LOGGER.warning("VM list %s %s", state, detail)
+
+
+def _vm_from_listed(vm: ListedVm) -> Vm:
+    return Vm(
+        vm_id=vm.vm_id,
+        address=vm.address,
+        zone=vm.zone,
+        role=vm.role,
+        leaving=vm.state == _STATE_LEAVING,
+    )
--- /dev/null
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/inner/__init__.py
@@ -0,0 +1,1 @@
+"""Calls between this entry and the sidecars."""
--- /dev/null
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/settings.py
@@ -0,0 +1,48 @@
+"""Settings of the entry and of the operator's command line."""
+
+import attrs
+
+from cardamomnotch_runtime.settings import (
+    LogSettings,
+    NodeSettings,
+    address_field,
+)
+
+from .const import DEFAULT_DRAIN_GRACE_S
+
+_URL = attrs.validators.matches_re(r"https?://.+")
+
+
+@attrs.frozen(kw_only=True)
+class PlatformSettings:
+    """Table ``platform``: where the platform's services are."""
+
+    store_url: str = attrs.field(validator=_URL)
+    vm_list_url: str = attrs.field(validator=_URL)
+
+
+@attrs.frozen(kw_only=True)
+class CallerSettings:
+    """Table ``caller``: the address that the platform's balancer uses."""
+
+    address: str = address_field()
+
+
+@attrs.frozen(kw_only=True)
+class EntrySettings:
+    """All tables of the entry's settings file."""
+
+    node: NodeSettings
+    caller: CallerSettings
+    platform: PlatformSettings
+    log: LogSettings = attrs.field(factory=LogSettings)
+    drain_grace_s: float = attrs.field(
+        default=DEFAULT_DRAIN_GRACE_S, validator=attrs.validators.ge(0)
+    )
+
+
+@attrs.frozen(kw_only=True)
+class OperatorSettings:
+    """All tables of an operator's settings file."""
+
+    platform: PlatformSettings
--- /dev/null
+++ b/packages/cardamomnotch-platform/src/cardamomnotch_platform/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the platform's services."""
--- /dev/null
+++ b/packages/cardamomnotch-platform/src/cardamomnotch_platform/exceptions.py
@@ -0,0 +1,20 @@
+"""Errors of the platform's services."""
+
+from cardamomnotch_protocol.exceptions import CardamomnotchError
+from cardamomnotch_protocol.result_codes import ResultCode
+
+
+class PlatformError(CardamomnotchError):
+    """A platform service failed."""
+
+    code = ResultCode.STORE_UNAVAILABLE
+
+
+class StoreError(PlatformError):
+    """The store could not be asked; a write may have taken effect."""
+
+
+class VmListError(PlatformError):
+    """The VM list could not be read."""
+
+    code = ResultCode.VM_LIST_UNAVAILABLE
--- /dev/null
+++ b/packages/cardamomnotch-platform/src/cardamomnotch_platform/store/client.py
@@ -0,0 +1,194 @@
+"""Client of the store."""
+
+import base64
+import logging
+from collections.abc import AsyncIterator
+from typing import Any
+
+import aiohttp
+import orjson
+
+from ..exceptions import StoreError
+from .models import Lease, StoreEntry, WriteResult
+
+_LOGGER = logging.getLogger(__name__)
+_TIMEOUT_S = 2.0
+
+
+def _to_base64(data: bytes) -> str:
+    return base64.b64encode(data).decode()
+
+
+def _key_to_base64(key: str) -> str:
+    return _to_base64(key.encode())
+
+
+def _range_end(prefix: str) -> str:
+    """Return the first key after all keys that start with ``prefix``."""
+    raw = bytearray(prefix.encode())
+    raw[-1] += 1
+    return _to_base64(bytes(raw))
+
+
+def _entry_from_json(item: dict[str, Any]) -> StoreEntry:
+    return StoreEntry(
+        key=base64.b64decode(item["key"]).decode(),
+        value=base64.b64decode(item.get("value", "")),
+        mod_revision=int(item.get("mod_revision", 0)),
+        lease_id=int(item.get("lease", 0)),
+    )
+
+
+class StoreClient:
+    """Reads, compare-and-swap, leases and watches.
+
+    Every method raises StoreError if the answer did not come; a write may
+    have taken effect all the same.
+    """
+
+    def __init__(
+        self, session: aiohttp.ClientSession, url: str, timeout_s: float = _TIMEOUT_S
+    ) -> None:
+        self._session = session
+        self._url = url.rstrip("/")
+        self._timeout = aiohttp.ClientTimeout(total=timeout_s)
+        self._calls: dict[str, int] = {}
+
+    @property
+    def calls(self) -> dict[str, int]:
+        """Return how many calls were made, by kind."""
+        return dict(self._calls)
+
+    async def async_get(self, key: str) -> StoreEntry:
+        """Return the entry of ``key``; absent keys have ``mod_revision`` 0."""
+        answer = await self._async_call("kv/range", {"key": _key_to_base64(key)})
+        items = answer.get("kvs", [])
+        return _entry_from_json(items[0]) if items else StoreEntry(key=key)
+
+    async def async_list(
+        self, prefix: str, *, start: str = "", limit: int = 0
+    ) -> tuple[StoreEntry, ...]:
+        """Return the entries under ``prefix`` from key ``start`` on, in order."""
+        body = {
+            "key": _key_to_base64(start or prefix),
+            "range_end": _range_end(prefix),
+            "limit": str(limit),
+        }
+        answer = await self._async_call("kv/range", body)
+        return tuple(_entry_from_json(item) for item in answer.get("kvs", []))
+
+    async def async_put_if(
+        self, key: str, value: bytes, mod_revision: int, *, lease_id: int = 0
+    ) -> WriteResult:
+        """Write ``value`` if ``key`` is still at ``mod_revision``.
+
+        A ``mod_revision`` of 0 asks that the key is absent.
+        """
+        put = {
+            "request_put": {
+                "key": _key_to_base64(key),
+                "value": _to_base64(value),
+                "lease": str(lease_id),
+            }
+        }
+        return await self._async_transaction(key, mod_revision, put)
+
+    async def async_delete_if(self, key: str, mod_revision: int) -> WriteResult:
+        """Delete ``key`` if it is still at ``mod_revision``."""
+        delete = {"request_delete_range": {"key": _key_to_base64(key)}}
+        return await self._async_transaction(key, mod_revision, delete)
+
+    async def async_delete_prefix(self, prefix: str, end: str = "") -> None:
+        """Delete the keys under ``prefix``, up to but without ``end``."""
+        range_end = _key_to_base64(end) if end else _range_end(prefix)
+        body = {"key": _key_to_base64(prefix), "range_end": range_end}
+        await self._async_call("kv/deleterange", body)
+
+    async def async_grant_lease(self, ttl_s: int) -> Lease:
+        """Return a new lease."""
+        answer = await self._async_call("lease/grant", {"TTL": str(ttl_s)})
+        return Lease(lease_id=int(answer["ID"]), ttl_s=int(answer["TTL"]))
+
+    async def async_renew_lease(self, lease_id: int) -> int:
+        """Return the seconds that the lease now has; 0 if it has lapsed."""
+        answer = await self._async_call("lease/keepalive", {"ID": str(lease_id)})
+        return int(answer.get("result", {}).get("TTL", 0))
+
+    async def async_revoke_lease(self, lease_id: int) -> None:
+        """Give the lease back, with the keys that hang on it."""
+        await self._async_call("lease/revoke", {"ID": str(lease_id)})
+
+    async def async_watch(
+        self, key: str, from_revision: int
+    ) -> AsyncIterator[StoreEntry]:
+        """Yield the changes of ``key`` from store revision ``from_revision`` on.
+
+        Ends when the store closes the stream; raises StoreError if it breaks.
+        """
+        body = {
+            "create_request": {
+                "key": _key_to_base64(key),
+                "start_revision": str(from_revision),
+            }
+        }
+        self._count("watch")
+        timeout = aiohttp.ClientTimeout(total=None, connect=2.0)
+        try:
+            async with self._session.post(
+                f"{self._url}/v3/watch", data=orjson.dumps(body), timeout=timeout
+            ) as response:
+                if response.status != 200:
+                    raise StoreError(f"watch: status {response.status}")
+                async for line in response.content:
+                    for event in _events_of(line):
+                        yield event
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            raise StoreError(f"watch: {type(error).__name__}") from error
+
+    async def _async_transaction(
+        self, key: str, mod_revision: int, success: dict[str, Any]
+    ) -> WriteResult:
+        body = {
+            "compare": [
+                {
+                    "key": _key_to_base64(key),
+                    "target": "MOD",
+                    "result": "EQUAL",
+                    "mod_revision": str(mod_revision),
+                }
+            ],
+            "success": [success],
+            "failure": [{"request_range": {"key": _key_to_base64(key)}}],
+        }
+        answer = await self._async_call("kv/txn", body)
+        revision = int(answer["header"]["revision"])
+        if answer.get("succeeded", False):
+            return WriteResult(succeeded=True, revision=revision)
+        items = answer["responses"][0]["response_range"].get("kvs", [])
+        current = _entry_from_json(items[0]) if items else StoreEntry(key=key)
+        return WriteResult(succeeded=False, revision=revision, current=current)
+
+    async def _async_call(self, path: str, body: dict[str, Any]) -> dict[str, Any]:
+        self._count(path)
+        try:
+            async with self._session.post(
+                f"{self._url}/v3/{path}", data=orjson.dumps(body), timeout=self._timeout
+            ) as response:
+                data = await response.read()
+                if response.status != 200:
+                    raise StoreError(f"{path}: status {response.status}")
+            return orjson.loads(data)
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            raise StoreError(f"{path}: {type(error).__name__}") from error
+        except orjson.JSONDecodeError as error:
+            raise StoreError(f"{path}: answer is not JSON") from error
+
+    def _count(self, kind: str) -> None:
+        self._calls[kind] = self._calls.get(kind, 0) + 1
+
+
+def _events_of(line: bytes) -> list[StoreEntry]:
+    if not line.strip():
+        return []
+    result = orjson.loads(line).get("result", {})
+    return [_entry_from_json(event["kv"]) for event in result.get("events", [])]
--- /dev/null
+++ b/packages/cardamomnotch-platform/src/cardamomnotch_platform/store/configuration.py
@@ -0,0 +1,69 @@
+"""The operators' lists in the store."""
+
+import attrs
+
+from cardamomnotch_protocol import codec
+from cardamomnotch_protocol.exceptions import CardamomnotchError
+from cardamomnotch_protocol.models import ConfigurationMessage
+from cardamomnotch_protocol.result_codes import ResultCode
+
+from .client import StoreClient
+from .models import StoreEntry
+
+CONFIGURATION_KEY = "cardamomnotch/configuration"
+
+
+class RevisionConflictError(CardamomnotchError):
+    """Another change was accepted first."""
+
+    code = ResultCode.REVISION_CONFLICT
+
+
+@attrs.frozen(kw_only=True)
+class StoredConfiguration:
+    """The message in the store, with the store's revision of its key."""
+
+    message: ConfigurationMessage | None
+    mod_revision: int
+
+
+def read_entry(entry: StoreEntry) -> StoredConfiguration:
+    """Return the configuration that ``entry`` holds, if any.
+
+    Raises ProtocolError if the value is not a configuration message.
+    """
+    if not entry.mod_revision or not entry.value:
+        return StoredConfiguration(message=None, mod_revision=entry.mod_revision)
+    message = codec.decode(entry.value).message
+    if not isinstance(message, ConfigurationMessage):
+        raise CardamomnotchError(
+            "the store holds another kind of message",
+            code=ResultCode.INVALID_CONFIGURATION,
+        )
+    return StoredConfiguration(message=message, mod_revision=entry.mod_revision)
+
+
+async def async_read_configuration(store: StoreClient) -> StoredConfiguration:
+    """Return the configuration in the store."""
+    return read_entry(await store.async_get(CONFIGURATION_KEY))
+
+
+async def async_write_configuration(
+    store: StoreClient, message: ConfigurationMessage, mod_revision: int
+) -> None:
+    """Write ``message`` if the key is still at ``mod_revision``.
+
+    Raises RevisionConflictError if another change came first; an answer lost
+    after the write is recognised by the change id.
+    """
+    result = await store.async_put_if(
+        CONFIGURATION_KEY, codec.encode(message), mod_revision
+    )
+    if result.succeeded:
+        return
+    winner = read_entry(result.current).message
+    if winner is not None and winner.change_id == message.change_id:
+        return
+    raise RevisionConflictError(
+        f"revision {winner.revision if winner else 0} was accepted first"
+    )
--- /dev/null
+++ b/packages/cardamomnotch-platform/src/cardamomnotch_platform/vm_list/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's lagging list of live and leaving VMs."""
--- /dev/null
+++ b/packages/cardamomnotch-platform/src/cardamomnotch_platform/vm_list/client.py
@@ -0,0 +1,62 @@
+"""Client of the VM list."""
+
+import aiohttp
+import attrs
+import orjson
+
+from cardamomnotch_protocol.exceptions import SchemaError
+from cardamomnotch_protocol.schema import strict_converter, structure
+
+from ..exceptions import VmListError
+
+_CONVERTER = strict_converter(forbid_extra_keys=False)
+_TIMEOUT = aiohttp.ClientTimeout(total=2.0)
+
+
+@attrs.frozen(kw_only=True)
+class ListedVm:
+    """A VM as the platform lists it; ``address`` is "ip:port"."""
+
+    vm_id: str
+    address: str
+    zone: str
+    role: str
+    state: str = "live"
+
+
+@attrs.frozen
+class _VmList:
+    vms: tuple[ListedVm, ...]
+
+
+class VmListClient:
+    """Reads the list, and asks only for changes by its ETag."""
+
+    def __init__(self, session: aiohttp.ClientSession, url: str) -> None:
+        self._session = session
+        self._url = url
+        self._etag = ""
+
+    async def async_read(self) -> tuple[ListedVm, ...] | None:
+        """Return the listed VMs, or None if nothing has changed.
+
+        Raises VmListError if the list cannot be read.
+        """
+        headers = {"If-None-Match": self._etag} if self._etag else {}
+        try:
+            async with self._session.get(
+                self._url, headers=headers, timeout=_TIMEOUT
+            ) as response:
+                if response.status == 304:
+                    return None
+                if response.status != 200:
+                    raise VmListError(f"status {response.status}")
+                data = orjson.loads(await response.read())
+                etag = response.headers.get("ETag", "")
+            vms = structure(_CONVERTER, data, _VmList).vms
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            raise VmListError(type(error).__name__) from error
+        except (orjson.JSONDecodeError, SchemaError) as error:
+            raise VmListError(str(error)) from error
+        self._etag = etag
+        return vms
--- /dev/null
+++ b/packages/cardamomnotch-protocol/src/cardamomnotch_protocol/__init__.py
@@ -0,0 +1,1 @@
+"""Messages, codec and result codes between cardamomnotch processes."""
--- /dev/null
+++ b/packages/cardamomnotch-protocol/src/cardamomnotch_protocol/codec.py
@@ -0,0 +1,167 @@
+"""Frames: a JSON header line, then the bytes of the payload."""
+
+from collections.abc import Iterator
+from typing import Any
+
+import attrs
+import orjson
+
+from .const import (
+    ATTR_COMPATIBLE_WITH,
+    ATTR_PAYLOAD_BYTES,
+    ATTR_PROTOCOL_VERSION,
+    ATTR_TYPE,
+    MAX_HEADER_BYTES,
+    MAX_PAYLOAD_BYTES,
+    OLDEST_READABLE_VERSION,
+    PROTOCOL_VERSION,
+)
+from .exceptions import ProtocolError, SchemaError
+from .models import MESSAGE_CLASSES, Message
+from .result_codes import ResultCode
+from .schema import strict_converter, structure
+
+_ENVELOPE_FIELDS = frozenset(
+    (ATTR_COMPATIBLE_WITH, ATTR_PAYLOAD_BYTES, ATTR_PROTOCOL_VERSION, ATTR_TYPE)
+)
+_CONVERTER = strict_converter(forbid_extra_keys=False)
+_FIELD_NAMES = {
+    cls: frozenset(attrs.fields_dict(cls)) - {"unknown_fields"}
+    for cls in MESSAGE_CLASSES.values()
+}
+
+
+@attrs.frozen
+class Frame:
+    """A message with its payload."""
+
+    message: Message
+    payload: bytes = b""
+
+
+def encode(message: Message, payload: bytes = b"") -> bytes:
+    """Return ``message`` and ``payload`` as one frame."""
+    header: dict[str, Any] = {
+        ATTR_PROTOCOL_VERSION: PROTOCOL_VERSION,
+        ATTR_COMPATIBLE_WITH: OLDEST_READABLE_VERSION,
+        ATTR_TYPE: message.message_type,
+    }
+    if payload:
+        header[ATTR_PAYLOAD_BYTES] = len(payload)
+    header.update(message.unknown_fields)
+    fields = _CONVERTER.unstructure(message)
+    del fields["unknown_fields"]
+    header.update(fields)
+    return orjson.dumps(header) + b"\n" + payload
+
+
+def _check_version(header: dict[str, Any]) -> None:
+    version = header.get(ATTR_PROTOCOL_VERSION)
+    compatible = header.get(ATTR_COMPATIBLE_WITH, version)
+    if not isinstance(version, int) or not isinstance(compatible, int):
+        raise ProtocolError("protocol version is missing")
+    if compatible > PROTOCOL_VERSION or version < OLDEST_READABLE_VERSION:
+        raise ProtocolError(
+            f"protocol version {version} is not readable",
+            code=ResultCode.UNSUPPORTED_PROTOCOL,
+        )
+
+
+def _read_header(line: bytes) -> dict[str, Any]:
+    try:
+        header = orjson.loads(line)
+    except orjson.JSONDecodeError as error:
+        raise ProtocolError(f"header is not JSON: {error}") from error
+    if not isinstance(header, dict):
+        raise ProtocolError("header is not an object")
+    _check_version(header)
+    return header
+
+
+def _payload_size(header: dict[str, Any]) -> int:
+    size = header.get(ATTR_PAYLOAD_BYTES, 0)
+    if not isinstance(size, int) or size < 0:
+        raise ProtocolError("payload size is not a count of bytes")
+    if size > MAX_PAYLOAD_BYTES:
+        raise ProtocolError(
+            f"payload of {size} bytes exceeds {MAX_PAYLOAD_BYTES}",
+            code=ResultCode.MESSAGE_TOO_LARGE,
+        )
+    return size
+
+
+def _message_from_header(header: dict[str, Any]) -> Message:
+    name = header.get(ATTR_TYPE)
+    cls = MESSAGE_CLASSES.get(name) if isinstance(name, str) else None
+    if cls is None:
+        raise ProtocolError(f"message type {name!r} is not known")
+    known = _FIELD_NAMES[cls]
+    fields = {key: value for key, value in header.items() if key in known}
+    unknown = {
+        key: value
+        for key, value in header.items()
+        if key not in known and key not in _ENVELOPE_FIELDS
+    }
+    if unknown:
+        fields["unknown_fields"] = unknown
+    try:
+        return structure(_CONVERTER, fields, cls)
+    except SchemaError as error:
+        raise ProtocolError(f"{name}: {error.detail}") from error
+
+
+class FrameDecoder:
+    """Cuts a stream of bytes into frames."""
+
+    def __init__(self) -> None:
+        self._buffer = bytearray()
+        self._header: dict[str, Any] | None = None
+
+    @property
+    def is_empty(self) -> bool:
+        """Return whether no partial frame is held."""
+        return not self._buffer and self._header is None
+
+    def feed(self, data: bytes) -> Iterator[Frame]:
+        """Yield the frames that ``data`` completes.
+
+        Raises ProtocolError for bytes that cannot be a frame.
+        """
+        self._buffer += data
+        while (frame := self._next_frame()) is not None:
+            yield frame
+
+    def _next_frame(self) -> Frame | None:
+        if self._header is None:
+            self._header = self._next_header()
+        if self._header is None:
+            return None
+        size = _payload_size(self._header)
+        if len(self._buffer) < size:
+            return None
+        payload = bytes(self._buffer[:size])
+        del self._buffer[:size]
+        header, self._header = self._header, None
+        return Frame(_message_from_header(header), payload)
+
+    def _next_header(self) -> dict[str, Any] | None:
+        end = self._buffer.find(b"\n")
+        if max(end, len(self._buffer) if end < 0 else 0) > MAX_HEADER_BYTES:
+            raise ProtocolError("header is too long", code=ResultCode.MESSAGE_TOO_LARGE)
+        if end < 0:
+            return None
+        line = bytes(self._buffer[:end])
+        del self._buffer[: end + 1]
+        return _read_header(line)
+
+
+def decode(data: bytes) -> Frame:
+    """Return the one frame that ``data`` holds.
+
+    Raises ProtocolError if it is not exactly one frame.
+    """
+    decoder = FrameDecoder()
+    frames = list(decoder.feed(data))
+    if len(frames) != 1 or not decoder.is_empty:
+        raise ProtocolError(f"expected one frame, found {len(frames)}")
+    return frames[0]
--- /dev/null
+++ b/packages/cardamomnotch-protocol/src/cardamomnotch_protocol/models.py
@@ -0,0 +1,226 @@
+"""Typed messages between entry and sidecar."""
+
+from collections.abc import Callable, Mapping
+from typing import Any, ClassVar, TypeVar
+
+import attrs
+
+from .result_codes import ResultCode
+
+_MessageClass = TypeVar("_MessageClass", bound=type)
+MESSAGE_CLASSES: dict[str, type["Message"]] = {}
+
+
+@attrs.frozen(kw_only=True)
+class Message:
+    """Base of all messages.
+
+    ``unknown_fields`` keeps what a newer sender added, so that a message that
+    is passed on loses nothing.
+    """
+
+    message_type: ClassVar[str] = ""
+
+    unknown_fields: Mapping[str, Any] = attrs.field(factory=dict, eq=False, repr=False)
+
+
+def _message(name: str) -> Callable[[_MessageClass], _MessageClass]:
+    def register(cls: _MessageClass) -> _MessageClass:
+        cls.message_type = name
+        MESSAGE_CLASSES[name] = cls
+        return cls
+
+    return register
+
+
+@attrs.frozen(kw_only=True)
+class Load:
+    """What an upstream is doing, counted by its sidecar."""
+
+    # Attempts in flight, and how many the sidecar admits now.
+    in_flight: int = 0
+    limit: int = 0
+    tokens_in_flight: int = 0
+    # Requests that wait inside the engine, by its own lagging report.
+    waiting: int = 0
+    first_token_ms: float = 0.0
+
+
+@attrs.frozen(kw_only=True)
+class Usage:
+    """What an attempt consumed, as the upstream counts it."""
+
+    prompt_tokens: int = 0
+    completion_tokens: int = 0
+
+
+@_message("attempt_request")
+@attrs.frozen(kw_only=True)
+class AttemptRequest(Message):
+    """Ask a sidecar to run one attempt; the payload is the request's body.
+
+    ``timeout_ms`` is the time left until the caller's deadline.
+    """
+
+    attempt_id: str
+    request_id: str
+    request_key: str
+    workspace: str
+    incarnation: str
+    revision: int
+    timeout_ms: int
+    entry_address: str = ""
+    # Model calls name a model and version, service calls a service and route.
+    model: str = ""
+    version: str = ""
+    service: str = ""
+    method: str = "POST"
+    path: str = ""
+    headers: Mapping[str, str] = attrs.field(factory=dict)
+    request_class: str = ""
+    priority: int = 0
+    idempotent: bool = True
+    stream: bool = False
+    expected_tokens: int = 0
+    fingerprint: str = ""
+    # Crashes in which this request was already a suspect.
+    suspected_crashes: int = 0
+
+
+@_message("attempt_accepted")
+@attrs.frozen(kw_only=True)
+class AttemptAccepted(Message):
+    """The attempt is admitted; frames of its answer follow."""
+
+    attempt_id: str
+    incarnation: str
+    revision: int
+    load: Load = Load()
+
+
+@_message("attempt_refused")
+@attrs.frozen(kw_only=True)
+class AttemptRefused(Message):
+    """The attempt has not run and will not run."""
+
+    attempt_id: str
+    incarnation: str
+    revision: int
+    code: ResultCode
+    detail: str = ""
+    retry_after_s: float = 0.0
+    load: Load = Load()
+
+
+@_message("answer_head")
+@attrs.frozen(kw_only=True)
+class AnswerHead(Message):
+    """Status and headers of the upstream's answer."""
+
+    attempt_id: str
+    status: int
+    headers: Mapping[str, str] = attrs.field(factory=dict)
+
+
+@_message("answer_chunk")
+@attrs.frozen(kw_only=True)
+class AnswerChunk(Message):
+    """A piece of the answer's body, which is the frame's payload."""
+
+    attempt_id: str
+    # Bytes of the answer before this piece.
+    offset: int
+
+
+@_message("keep_alive")
+@attrs.frozen(kw_only=True)
+class KeepAlive(Message):
+    """Nothing to say, but the connection is alive."""
+
+    attempt_id: str
+
+
+@_message("attempt_finished")
+@attrs.frozen(kw_only=True)
+class AttemptFinished(Message):
+    """The last frame: how the attempt ended.
+
+    ``total_bytes`` lets the reader see that it holds the whole answer.
+    """
+
+    attempt_id: str
+    code: ResultCode
+    detail: str = ""
+    total_bytes: int = 0
+    usage: Usage = Usage()
+    load: Load = Load()
+    # Whether the upstream may have run the request.
+    started: bool = True
+
+
+@_message("fence_request")
+@attrs.frozen(kw_only=True)
+class FenceRequest(Message):
+    """Ask that an attempt never starts, and whether it did."""
+
+    attempt_id: str
+    incarnation: str
+    # Also cancel the attempt if it is running.
+    cancel: bool = False
+
+
+@_message("fence_reply")
+@attrs.frozen(kw_only=True)
+class FenceReply(Message):
+    """State of an attempt: never_started, running, finished or unknown."""
+
+    attempt_id: str
+    incarnation: str
+    state: str
+    code: ResultCode = ResultCode.OK
+    usage: Usage = Usage()
+
+
+@_message("heartbeat_request")
+@attrs.frozen(kw_only=True)
+class HeartbeatRequest(Message):
+    """An entry tells a sidecar that it is there, and its revision."""
+
+    entry_id: str
+    entry_address: str
+    revision: int
+
+
+@_message("heartbeat_reply")
+@attrs.frozen(kw_only=True)
+class HeartbeatReply(Message):
+    """A sidecar tells who it is and what it can take."""
+
+    vm_id: str
+    zone: str
+    incarnation: str
+    revision: int
+    accepting: bool
+    # Loaded versions as "model/version", or names of plain services.
+    versions: tuple[str, ...] = ()
+    services: tuple[str, ...] = ()
+    load: Load = Load()
+
+
+@_message("configuration")
+@attrs.frozen(kw_only=True)
+class ConfigurationMessage(Message):
+    """The operators' lists at one revision."""
+
+    revision: int
+    change_id: str
+    digest: str
+    document: Mapping[str, Any]
+
+
+@_message("configuration_reply")
+@attrs.frozen(kw_only=True)
+class ConfigurationReply(Message):
+    """The revision that is in force at the receiver."""
+
+    revision: int
--- /dev/null
+++ b/packages/cardamomnotch-runtime/src/cardamomnotch_runtime/__init__.py
@@ -0,0 +1,1 @@
+"""Parts that both binaries share: settings, servers, metrics, logs."""
--- /dev/null
+++ b/packages/cardamomnotch-runtime/src/cardamomnotch_runtime/process.py
@@ -0,0 +1,100 @@
+"""Running a process until it is told to stop."""
+
+import asyncio
+import json
+import logging
+import signal
+import sys
+import traceback
+from collections.abc import Awaitable, Callable
+
+import aiomisc
+import uvloop
+
+from .const import EXIT_BAD_SETTINGS
+from .settings import LogSettings, SettingsError
+
+# The loop's own pool; the product itself uses no threads.
+_POOL_THREADS = 2
+
+
+class NodeService(aiomisc.Service):
+    """Starts a composed node, and drains it on SIGTERM or SIGINT."""
+
+    __required__ = ("setup", "unload")
+
+    setup: Callable[[], Awaitable[None]]
+    unload: Callable[[], Awaitable[None]]
+
+    async def start(self) -> None:
+        """Set the node up."""
+        await self.setup()
+
+    async def stop(self, exception: Exception | None = None) -> None:
+        """Drain and unload the node."""
+        await self.unload()
+
+
+class _JsonFormatter(logging.Formatter):
+    """Formats a record as one JSON object a line."""
+
+    def format(self, record: logging.LogRecord) -> str:
+        """Return ``record`` as JSON."""
+        fields = {
+            "time": self.formatTime(record, "%Y-%m-%dT%H:%M:%S%z"),
+            "level": record.levelname.lower(),
+            "logger": record.name,
+            "message": record.getMessage(),
+        }
+        if record.exc_info:
+            fields["traceback"] = "".join(traceback.format_exception(*record.exc_info))
+        return json.dumps(fields)
+
+
+def configure_logging(settings: LogSettings) -> None:
+    """Send log lines to standard error."""
+    handler = logging.StreamHandler(sys.stderr)
+    if settings.format == "json":
+        handler.setFormatter(_JsonFormatter())
+    else:
+        handler.setFormatter(
+            logging.Formatter("%(asctime)s %(levelname)s %(name)s %(message)s")
+        )
+    logging.basicConfig(level=settings.level.upper(), handlers=[handler], force=True)
+
+
+async def _async_wait_for_stop() -> None:
+    loop = asyncio.get_running_loop()
+    stop = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    await stop.wait()
+
+
+def run_node(
+    setup: Callable[[], Awaitable[None]],
+    unload: Callable[[], Awaitable[None]],
+    log: LogSettings,
+    shutdown_timeout_s: float,
+) -> None:
+    """Run a node on aiomisc's entry point until a signal arrives.
+
+    ``shutdown_timeout_s`` bounds the whole of ``unload``.
+    """
+    configure_logging(log)
+    service = NodeService(setup=setup, unload=unload)
+    with aiomisc.entrypoint(
+        service,
+        log_config=False,
+        pool_size=_POOL_THREADS,
+        loop_factory=uvloop.new_event_loop,
+        catch_signals=(),
+        shutdown_timeout=shutdown_timeout_s,
+    ) as loop:
+        loop.run_until_complete(_async_wait_for_stop())
+
+
+def exit_with_settings_error(error: SettingsError) -> None:
+    """Print one line and exit with the code for bad settings."""
+    sys.stderr.write(f"error: {error}\n")
+    sys.exit(EXIT_BAD_SETTINGS)
--- /dev/null
+++ b/packages/cardamomnotch-runtime/src/cardamomnotch_runtime/server.py
@@ -0,0 +1,47 @@
+"""Listening sockets of one process."""
+
+import socket
+
+from aiohttp import web
+
+from .settings import SettingsError, host_and_port
+
+# Time that an open answer has to end once a server is stopped.
+SHUTDOWN_TIMEOUT_S = 5.0
+
+
+def bind(address: str, key: str) -> socket.socket:
+    """Return a socket bound to "ip:port".
+
+    Raises SettingsError that names the settings' ``key``.
+    """
+    host, port = host_and_port(address)
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    bound = socket.socket(family, socket.SOCK_STREAM)
+    bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    try:
+        bound.bind((host, port))
+    except OSError as error:
+        bound.close()
+        raise SettingsError(f"{key}: {address}: {error.strerror}") from error
+    return bound
+
+
+class HttpServer:
+    """One aiohttp application on one bound socket."""
+
+    def __init__(self, app: web.Application, bound: socket.socket) -> None:
+        self._runner = web.AppRunner(
+            app, access_log=None, handle_signals=False, handler_cancellation=True
+        )
+        self._socket = bound
+
+    async def async_start(self) -> None:
+        """Start accepting connections."""
+        await self._runner.setup()
+        site = web.SockSite(self._runner, self._socket)
+        await site.start()
+
+    async def async_stop(self) -> None:
+        """Stop accepting connections and close the open ones."""
+        await self._runner.cleanup()
--- /dev/null
+++ b/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/__init__.py
@@ -0,0 +1,1 @@
+"""The sidecar: the single gate before one upstream."""
--- /dev/null
+++ b/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/__main__.py
@@ -0,0 +1,5 @@
+"""Lets the sidecar run as a module."""
+
+from .cli import main
+
+main()
--- /dev/null
+++ b/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/attempt_runner.py
@@ -0,0 +1,85 @@
+"""Runs accepted attempts against the upstream."""
+
+import asyncio
+from collections.abc import Callable
+
+from cardamomnotch_core.nodes import actions, events
+from cardamomnotch_protocol.models import AttemptFinished, AttemptRequest, Load
+from cardamomnotch_protocol.result_codes import ResultCode
+from cardamomnotch_runtime.runner import NodeRunner
+from cardamomnotch_runtime.tasks import TaskGroup
+
+from .answer_buffer import AnswerBuffer
+from .const import ANSWER_RETENTION_S
+from .upstream.models import CallResult, UpstreamClient, UpstreamError
+
+
+class AttemptRunner:
+    """Owns the answer buffers and the calls in flight."""
+
+    def __init__(
+        self,
+        runner: NodeRunner,
+        client: UpstreamClient,
+        tasks: TaskGroup,
+        load: Callable[[], Load],
+    ) -> None:
+        self._runner = runner
+        self._client = client
+        self._tasks = tasks
+        self._load = load
+        self._buffers: dict[str, AnswerBuffer] = {}
+        self._calls: dict[str, asyncio.Task] = {}
+        runner.register(actions.CancelUpstreamCall, self._cancel)
+
+    def buffer(self, attempt_id: str) -> AnswerBuffer | None:
+        """Return the answer of ``attempt_id``, if it is kept."""
+        return self._buffers.get(attempt_id)
+
+    def start(self, request: AttemptRequest, body: bytes) -> AnswerBuffer:
+        """Call the upstream for ``request`` and return its answer."""
+        buffer = AnswerBuffer(request.attempt_id)
+        self._buffers[request.attempt_id] = buffer
+        task = self._tasks.start(self._async_run(request, body, buffer))
+        self._calls[request.attempt_id] = task
+        return buffer
+
+    def _cancel(self, action: actions.CancelUpstreamCall) -> None:
+        task = self._calls.get(action.attempt_id)
+        if task is not None:
+            task.cancel()
+
+    async def _async_run(
+        self, request: AttemptRequest, body: bytes, buffer: AnswerBuffer
+    ) -> None:
+        result = CallResult()
+        code, detail, started = ResultCode.OK, "", True
+        try:
+            result = await self._client.async_call(request, body, buffer)
+        except UpstreamError as error:
+            code, detail, started = error.code, error.detail, error.started
+        except asyncio.CancelledError:
+            code = ResultCode.ATTEMPT_CANCELLED
+        self._calls.pop(request.attempt_id, None)
+        self._runner.dispatch(
+            events.UpstreamCallEnded(
+                attempt_id=request.attempt_id,
+                code=code,
+                detail=detail,
+                usage=result.usage,
+                first_token_ms=result.first_token_ms,
+            )
+        )
+        buffer.finish(
+            AttemptFinished(
+                attempt_id=request.attempt_id,
+                code=code,
+                detail=detail,
+                total_bytes=buffer.total_bytes,
+                usage=result.usage,
+                load=self._load(),
+                started=started,
+            )
+        )
+        loop = asyncio.get_running_loop()
+        loop.call_later(ANSWER_RETENTION_S, self._buffers.pop, request.attempt_id, None)
--- /dev/null
+++ b/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/composition.py
@@ -0,0 +1,117 @@
+"""The composition root of the sidecar."""
+
+import time
+import uuid
+
+import aiohttp
+
+from cardamomnotch_core.admission.limiter import ConcurrencyLimiter
+from cardamomnotch_core.nodes import events
+from cardamomnotch_core.nodes.sidecar_node import SidecarIdentity, SidecarNode
+from cardamomnotch_runtime.admin import create_admin_app
+from cardamomnotch_runtime.auth import inner_headers
+from cardamomnotch_runtime.const import TIMER_INTERVAL_S
+from cardamomnotch_runtime.runner import NodeRunner
+from cardamomnotch_runtime.server import HttpServer, bind
+from cardamomnotch_runtime.tasks import TaskGroup, async_wait_until
+
+from .attempt_runner import AttemptRunner
+from .const import CONF_ENGINE, CONF_SERVICE, REPORT_INTERVAL_S
+from .coordinator import UpstreamCoordinator
+from .inner.configuration import ConfigurationFetcher
+from .inner.server import InnerServer
+from .metrics import SidecarMetrics
+from .settings import SidecarSettings
+from .upstream.engine import EngineClient
+from .upstream.plain_service import PlainServiceClient
+
+_CLIENTS = {CONF_ENGINE: EngineClient, CONF_SERVICE: PlainServiceClient}
+
+
+class Sidecar:
+    """All parts of one sidecar, wired."""
+
+    def __init__(self, settings: SidecarSettings) -> None:
+        self._settings = settings
+        self._inner_socket = bind(settings.node.inner_address, "node.inner_address")
+        self._admin_socket = bind(settings.node.admin_address, "node.admin_address")
+        self._sessions: list[aiohttp.ClientSession] = []
+        self._servers: list[HttpServer] = []
+        self._tasks = TaskGroup()
+        limiter = ConcurrencyLimiter(limit=settings.upstream.max_concurrency)
+        self._limiter = limiter
+        self._identity = SidecarIdentity(
+            vm_id=settings.node.vm_id,
+            zone=settings.node.zone,
+            incarnation=uuid.uuid4().hex,
+            services=settings.upstream.services,
+        )
+        self._node = SidecarNode(self._identity, limiter)
+        self._runner = NodeRunner(self._node, time.monotonic)
+
+    @property
+    def node(self) -> SidecarNode:
+        """Return the node, for diagnostics."""
+        return self._node
+
+    async def async_setup(self) -> None:
+        """Start serving."""
+        upstream_session = self._open_session({})
+        inner_session = self._open_session(
+            inner_headers(self._settings.node.inner_keys)
+        )
+        upstream = self._settings.upstream
+        client = _CLIENTS[upstream.kind](
+            upstream_session, upstream.url, upstream.silence_s
+        )
+        metrics = SidecarMetrics(self._node, self._runner)
+        attempts = AttemptRunner(
+            self._runner, client, self._tasks, lambda: self._limiter.load
+        )
+        fetcher = ConfigurationFetcher(
+            inner_session, self._runner, self._tasks, self._node.configuration
+        )
+        inner = InnerServer(
+            runner=self._runner,
+            attempts=attempts,
+            fetcher=fetcher,
+            incarnation=self._identity.incarnation,
+            inner_keys=self._settings.node.inner_keys,
+        )
+        admin_app = create_admin_app(
+            is_ready=lambda: self._node.is_ready,
+            diagnostics=self._node.diagnostics,
+            registry=metrics.registry,
+        )
+        self._servers = [
+            HttpServer(inner.create_app(), self._inner_socket),
+            HttpServer(admin_app, self._admin_socket),
+        ]
+        for server in self._servers:
+            await server.async_start()
+        coordinator = UpstreamCoordinator(self._runner, client)
+        self._tasks.repeat(lambda: REPORT_INTERVAL_S, coordinator.async_poll)
+        self._tasks.repeat(lambda: TIMER_INTERVAL_S, self._async_tick)
+
+    async def async_unload(self) -> None:
+        """Finish what is in flight, then stop."""
+        self._runner.dispatch(events.DrainStarted())
+        await async_wait_until(
+            lambda: not self._node.attempts_in_flight, self._settings.drain_grace_s
+        )
+        for server in self._servers:
+            await server.async_stop()
+        await self._tasks.async_unload()
+        for session in self._sessions:
+            await session.close()
+
+    async def _async_tick(self) -> None:
+        self._runner.dispatch(events.TimerDue())
+
+    def _open_session(self, headers: dict[str, str]) -> aiohttp.ClientSession:
+        # The gate limits concurrency; the connector must not queue as well.
+        session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0), headers=headers
+        )
+        self._sessions.append(session)
+        return session
--- /dev/null
+++ b/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/coordinator.py
@@ -0,0 +1,29 @@
+"""The one poller of the upstream's own report."""
+
+from cardamomnotch_core.nodes import events
+from cardamomnotch_runtime.runner import NodeRunner
+
+from .upstream.models import UpstreamClient, UpstreamError
+
+
+class UpstreamCoordinator:
+    """Asks the upstream for its report and tells the node."""
+
+    def __init__(self, runner: NodeRunner, client: UpstreamClient) -> None:
+        self._runner = runner
+        self._client = client
+
+    async def async_poll(self) -> None:
+        """Ask once."""
+        try:
+            report = await self._client.async_report()
+        except UpstreamError:
+            self._runner.dispatch(events.UpstreamUnreachable())
+            return
+        self._runner.dispatch(
+            events.UpstreamReported(
+                start_id=report.start_id,
+                waiting=report.waiting,
+                versions=report.versions,
+            )
+        )
--- /dev/null
+++ b/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/inner/server.py
@@ -0,0 +1,162 @@
+"""HTTP handlers for the inner protocol at the sidecar."""
+
+from aiohttp import web
+
+from cardamomnotch_core.configuration.document import record_from_message
+from cardamomnotch_core.nodes import actions, events
+from cardamomnotch_protocol import codec
+from cardamomnotch_protocol.const import (
+    CONTENT_TYPE_FRAMES,
+    PATH_ATTEMPTS,
+    PATH_CONFIGURATION,
+    PATH_FENCE,
+    PATH_HEARTBEAT,
+)
+from cardamomnotch_protocol.exceptions import CardamomnotchError, ProtocolError
+from cardamomnotch_protocol.models import (
+    AttemptAccepted,
+    AttemptRequest,
+    ConfigurationMessage,
+    ConfigurationReply,
+    FenceRequest,
+    HeartbeatRequest,
+    Load,
+)
+from cardamomnotch_protocol.result_codes import ResultCode
+from cardamomnotch_runtime.auth import inner_key_middleware
+from cardamomnotch_runtime.const import MAX_BODY_BYTES
+from cardamomnotch_runtime.frames import async_read_frame, frame_response
+from cardamomnotch_runtime.responses import error_response
+from cardamomnotch_runtime.runner import NodeRunner
+
+from ..answer_buffer import AnswerBuffer
+from ..attempt_runner import AttemptRunner
+from .configuration import ConfigurationFetcher
+
+
+class InnerServer:
+    """Turns inner calls into events, and actions into answers."""
+
+    def __init__(
+        self,
+        *,
+        runner: NodeRunner,
+        attempts: AttemptRunner,
+        fetcher: ConfigurationFetcher,
+        incarnation: str,
+        inner_keys: tuple[str, ...],
+    ) -> None:
+        self._runner = runner
+        self._attempts = attempts
+        self._fetcher = fetcher
+        self._incarnation = incarnation
+        self._inner_keys = inner_keys
+
+    def create_app(self) -> web.Application:
+        """Return the application."""
+        app = web.Application(
+            client_max_size=2 * MAX_BODY_BYTES,
+            middlewares=[_error_middleware, inner_key_middleware(self._inner_keys)],
+        )
+        app.router.add_post(PATH_ATTEMPTS, self._async_attempt)
+        app.router.add_get(PATH_ATTEMPTS + "/{attempt_id}", self._async_follow)
+        app.router.add_post(PATH_FENCE, self._async_fence)
+        app.router.add_post(PATH_HEARTBEAT, self._async_heartbeat)
+        app.router.add_post(PATH_CONFIGURATION, self._async_configuration)
+        return app
+
+    async def _async_attempt(self, request: web.Request) -> web.StreamResponse:
+        frame = await async_read_frame(request, AttemptRequest)
+        action = await self._async_decide(frame.message)
+        if isinstance(action, actions.RefuseAttempt):
+            return frame_response(action.message)
+        if isinstance(action, actions.AcceptAttempt):
+            buffer = self._attempts.start(frame.message, frame.payload)
+        else:
+            buffer = self._buffer_of(frame.message.attempt_id)
+        return await self._async_answer(request, buffer, frame.message, offset=0)
+
+    async def _async_decide(self, message: AttemptRequest) -> actions.Action:
+        arrived = events.AttemptArrived(request=message)
+        action = self._runner.dispatch(arrived)[0]
+        if not isinstance(action, actions.FetchConfiguration):
+            return action
+        await self._fetcher.async_fetch(action.address)
+        caught_up = events.AttemptArrived(request=message, caught_up=True)
+        return self._runner.dispatch(caught_up)[0]
+
+    async def _async_follow(self, request: web.Request) -> web.StreamResponse:
+        attempt_id = request.match_info["attempt_id"]
+        try:
+            offset = int(request.query.get("offset", "0"))
+        except ValueError as error:
+            raise ProtocolError("offset is not a number") from error
+        buffer = self._buffer_of(attempt_id)
+        message = AttemptAccepted(
+            attempt_id=attempt_id, incarnation=self._incarnation, revision=0
+        )
+        return await self._async_answer(request, buffer, message, offset=offset)
+
+    def _buffer_of(self, attempt_id: str) -> AnswerBuffer:
+        buffer = self._attempts.buffer(attempt_id)
+        if buffer is None:
+            raise CardamomnotchError(code=ResultCode.ATTEMPT_UNKNOWN)
+        return buffer
+
+    async def _async_answer(
+        self,
+        request: web.Request,
+        buffer: AnswerBuffer,
+        message: AttemptRequest | AttemptAccepted,
+        *,
+        offset: int,
+    ) -> web.StreamResponse:
+        response = web.StreamResponse(headers={"Content-Type": CONTENT_TYPE_FRAMES})
+        await response.prepare(request)
+        accepted = AttemptAccepted(
+            attempt_id=message.attempt_id,
+            incarnation=self._incarnation,
+            revision=message.revision,
+            load=Load(),
+        )
+        await response.write(codec.encode(accepted))
+        async for data in buffer.async_frames(offset):
+            await response.write(data)
+        await response.write_eof()
+        return response
+
+    async def _async_fence(self, request: web.Request) -> web.StreamResponse:
+        frame = await async_read_frame(request, FenceRequest)
+        arrived = events.FenceArrived(request=frame.message)
+        reply = _first(self._runner.dispatch(arrived), actions.ReplyToFence)
+        return frame_response(reply.message)
+
+    async def _async_heartbeat(self, request: web.Request) -> web.StreamResponse:
+        frame = await async_read_frame(request, HeartbeatRequest)
+        arrived = events.HeartbeatArrived(request=frame.message)
+        reply = _first(self._runner.dispatch(arrived), actions.ReplyToHeartbeat)
+        return frame_response(reply.message)
+
+    async def _async_configuration(self, request: web.Request) -> web.StreamResponse:
+        frame = await async_read_frame(request, ConfigurationMessage)
+        record = record_from_message(frame.message)
+        self._runner.dispatch(
+            events.ConfigurationOffered(record=record, source="an entry")
+        )
+        return frame_response(ConfigurationReply(revision=self._fetcher.revision))
+
+
+def _first(
+    found: list[actions.Action], action_class: type[actions.Action]
+) -> actions.Action:
+    return next(action for action in found if isinstance(action, action_class))
+
+
+@web.middleware
+async def _error_middleware(
+    request: web.Request, handler: web.RequestHandler
+) -> web.StreamResponse:
+    try:
+        return await handler(request)
+    except CardamomnotchError as error:
+        return error_response(error)
--- /dev/null
+++ b/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/upstream/__init__.py
@@ -0,0 +1,1 @@
+"""Calls to the upstream behind the gate."""
--- /dev/null
+++ b/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/upstream/engine.py
@@ -0,0 +1,124 @@
+"""Client of a model engine that speaks chat-completions."""
+
+import time
+
+import aiohttp
+import orjson
+
+from cardamomnotch_protocol.models import AttemptRequest
+from cardamomnotch_protocol.result_codes import ResultCode
+
+from ..answer_buffer import AnswerBuffer
+from ..const import HEADER_REQUEST_ID
+from .models import CallResult, UpstreamError, UpstreamReport
+from .sse import CompletionStream, usage_from_json
+from .transport import call_timeout, upstream_errors
+
+_COMPLETIONS_PATH = "/v1/chat/completions"
+_LOAD_PATH = "/load"
+_BUSY_STATUSES = frozenset((429, 503))
+_REPORT_TIMEOUT = aiohttp.ClientTimeout(total=2.0)
+
+
+class EngineClient:
+    """Streams completions, and checks that each is whole and its own."""
+
+    def __init__(
+        self, session: aiohttp.ClientSession, url: str, silence_s: float
+    ) -> None:
+        self._session = session
+        self._url = url.rstrip("/")
+        self._silence_s = silence_s
+
+    async def async_report(self) -> UpstreamReport:
+        """Return the engine's start id, queue and loaded versions."""
+        with upstream_errors():
+            async with self._session.get(
+                self._url + _LOAD_PATH, timeout=_REPORT_TIMEOUT
+            ) as response:
+                data = orjson.loads(await response.read())
+        return UpstreamReport(
+            start_id=str(data.get("start_id", "")),
+            waiting=int(data.get("waiting", 0)),
+            versions=tuple(data.get("versions", ())),
+        )
+
+    async def async_call(
+        self, request: AttemptRequest, body: bytes, buffer: AnswerBuffer
+    ) -> CallResult:
+        """Run a completion."""
+        started_at_s = time.monotonic()
+        with upstream_errors():
+            async with self._session.post(
+                self._url + _COMPLETIONS_PATH,
+                data=_engine_body(request, body),
+                headers={
+                    HEADER_REQUEST_ID: request.attempt_id,
+                    "Content-Type": "application/json",
+                },
+                timeout=call_timeout(request.timeout_ms, self._silence_s),
+            ) as response:
+                _check_head(request, response)
+                if request.stream and response.status == 200:
+                    return await _async_stream(response, buffer, started_at_s)
+                return await _async_whole(response, buffer, started_at_s)
+
+
+def _engine_body(request: AttemptRequest, body: bytes) -> bytes:
+    data = orjson.loads(body)
+    data["model"] = f"{request.model}/{request.version}"
+    data["priority"] = request.priority
+    if request.stream:
+        data["stream_options"] = {"include_usage": True}
+    return orjson.dumps(data)
+
+
+def _check_head(request: AttemptRequest, response: aiohttp.ClientResponse) -> None:
+    echoed = response.headers.get(HEADER_REQUEST_ID, request.attempt_id)
+    if echoed != request.attempt_id:
+        response.close()
+        raise UpstreamError(code=ResultCode.CROSSED_ANSWER)
+    if response.status in _BUSY_STATUSES:
+        raise UpstreamError(
+            "the engine is busy", code=ResultCode.UPSTREAM_FULL, started=False
+        )
+    if response.status >= 500:
+        raise UpstreamError(
+            f"engine status {response.status}", code=ResultCode.UPSTREAM_FAILED
+        )
+
+
+async def _async_stream(
+    response: aiohttp.ClientResponse, buffer: AnswerBuffer, started_at_s: float
+) -> CallResult:
+    stream = CompletionStream()
+    first_token_ms = 0.0
+    buffer.set_head(response.status, {"Content-Type": "text/event-stream"})
+    async for data in response.content.iter_any():
+        for event in stream.feed(data):
+            first_token_ms = first_token_ms or _elapsed_ms(started_at_s)
+            buffer.append(event)
+    if not stream.is_whole:
+        raise UpstreamError(code=ResultCode.SHORT_ANSWER)
+    return CallResult(usage=stream.usage, first_token_ms=first_token_ms)
+
+
+async def _async_whole(
+    response: aiohttp.ClientResponse, buffer: AnswerBuffer, started_at_s: float
+) -> CallResult:
+    body = await response.read()
+    try:
+        data = orjson.loads(body)
+    except orjson.JSONDecodeError as error:
+        raise UpstreamError(
+            "the answer is not JSON", code=ResultCode.SHORT_ANSWER
+        ) from error
+    buffer.set_head(response.status, {"Content-Type": "application/json"})
+    buffer.append(body)
+    return CallResult(
+        usage=usage_from_json(data), first_token_ms=_elapsed_ms(started_at_s)
+    )
+
+
+def _elapsed_ms(started_at_s: float) -> float:
+    return (time.monotonic() - started_at_s) * 1000
--- /dev/null
+++ b/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/upstream/models.py
@@ -0,0 +1,61 @@
+"""Classes of upstream calls."""
+
+from typing import Protocol
+
+import attrs
+
+from cardamomnotch_protocol.exceptions import CardamomnotchError
+from cardamomnotch_protocol.models import AttemptRequest, Usage
+from cardamomnotch_protocol.result_codes import ResultCode
+
+from ..answer_buffer import AnswerBuffer
+
+
+@attrs.frozen(kw_only=True)
+class CallResult:
+    """How a whole answer ended."""
+
+    usage: Usage = Usage()
+    first_token_ms: float = 0.0
+
+
+@attrs.frozen(kw_only=True)
+class UpstreamReport:
+    """What an upstream tells about itself."""
+
+    start_id: str
+    waiting: int = 0
+    versions: tuple[str, ...] = ()
+
+
+class UpstreamError(CardamomnotchError):
+    """A call to the upstream failed.
+
+    ``started`` tells whether the upstream may have run the request.
+    """
+
+    code = ResultCode.UPSTREAM_FAILED
+
+    def __init__(
+        self, detail: str = "", *, code: ResultCode, started: bool = True
+    ) -> None:
+        self.started = started
+        super().__init__(detail, code=code)
+
+
+class UpstreamClient(Protocol):
+    """Calls one kind of upstream."""
+
+    async def async_call(
+        self, request: AttemptRequest, body: bytes, buffer: AnswerBuffer
+    ) -> CallResult:
+        """Run the request and put its answer into ``buffer``.
+
+        Raises UpstreamError if the answer is not whole.
+        """
+
+    async def async_report(self) -> UpstreamReport:
+        """Return what the upstream tells about itself.
+
+        Raises UpstreamError if it does not answer.
+        """
--- /dev/null
+++ b/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/upstream/sse.py
@@ -0,0 +1,88 @@
+"""Server-sent events of chat-completions streams."""
+
+from collections.abc import Iterator
+from typing import Any
+
+import orjson
+
+from cardamomnotch_protocol.models import Usage
+from cardamomnotch_protocol.result_codes import ResultCode
+
+from .models import UpstreamError
+
+_DATA_PREFIX = b"data:"
+_DONE = b"[DONE]"
+_SEPARATOR = b"\n\n"
+
+
+def usage_from_json(data: dict[str, Any]) -> Usage:
+    """Return the usage of a completion or chunk; zeros if it has none."""
+    usage = data.get("usage") or {}
+    return Usage(
+        prompt_tokens=int(usage.get("prompt_tokens", 0)),
+        completion_tokens=int(usage.get("completion_tokens", 0)),
+    )
+
+
+class CompletionStream:
+    """Checks a stream event by event and knows whether it is whole."""
+
+    def __init__(self) -> None:
+        self._buffer = bytearray()
+        self._completion_id = ""
+        self._done = False
+        self._finish_reason = ""
+        self._usage = Usage()
+
+    @property
+    def usage(self) -> Usage:
+        """Return the usage told so far."""
+        return self._usage
+
+    @property
+    def is_whole(self) -> bool:
+        """Return whether the answer has ended as it should."""
+        return self._done and bool(self._finish_reason) and not self._buffer
+
+    def feed(self, data: bytes) -> Iterator[bytes]:
+        """Yield whole events, without the final marker.
+
+        Raises UpstreamError for an event of another answer or a broken one.
+        """
+        self._buffer += data.replace(b"\r\n", b"\n")
+        while (end := self._buffer.find(_SEPARATOR)) >= 0:
+            event = bytes(self._buffer[: end + len(_SEPARATOR)])
+            del self._buffer[: end + len(_SEPARATOR)]
+            if self._accept(event):
+                yield event
+
+    def _accept(self, event: bytes) -> bool:
+        """Note what ``event`` says, and return whether to pass it on."""
+        if not event.startswith(_DATA_PREFIX):
+            return True
+        text = event[len(_DATA_PREFIX) :].strip()
+        if text == _DONE:
+            self._done = True
+            return False
+        try:
+            chunk = orjson.loads(text)
+        except orjson.JSONDecodeError as error:
+            raise UpstreamError(
+                "event is not JSON", code=ResultCode.UPSTREAM_FAILED
+            ) from error
+        self._accept_chunk(chunk)
+        return True
+
+    def _accept_chunk(self, chunk: dict[str, Any]) -> None:
+        if "error" in chunk:
+            raise UpstreamError(
+                "the engine sent an error", code=ResultCode.UPSTREAM_FAILED
+            )
+        completion_id = str(chunk.get("id", ""))
+        if self._completion_id and completion_id != self._completion_id:
+            raise UpstreamError(code=ResultCode.CROSSED_ANSWER)
+        self._completion_id = completion_id
+        for choice in chunk.get("choices", ()):
+            self._finish_reason = choice.get("finish_reason") or self._finish_reason
+        if chunk.get("usage"):
+            self._usage = usage_from_json(chunk)
--- /dev/null
+++ b/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/upstream/transport.py
@@ -0,0 +1,36 @@
+"""Translation of aiohttp's failures into upstream errors."""
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+import aiohttp
+
+from cardamomnotch_protocol.result_codes import ResultCode
+
+from .models import UpstreamError
+
+
+@contextmanager
+def upstream_errors() -> Iterator[None]:
+    """Raise UpstreamError in place of aiohttp's errors."""
+    try:
+        yield
+    except aiohttp.ClientConnectorError as error:
+        raise UpstreamError(
+            type(error).__name__, code=ResultCode.UPSTREAM_UNREACHABLE, started=False
+        ) from error
+    except aiohttp.ClientPayloadError as error:
+        raise UpstreamError(str(error), code=ResultCode.SHORT_ANSWER) from error
+    except TimeoutError as error:
+        raise UpstreamError(code=ResultCode.UPSTREAM_SILENT) from error
+    except (aiohttp.ClientError, OSError) as error:
+        raise UpstreamError(
+            type(error).__name__, code=ResultCode.UPSTREAM_FAILED
+        ) from error
+
+
+def call_timeout(timeout_ms: int, silence_s: float) -> aiohttp.ClientTimeout:
+    """Return aiohttp's timeouts for a call with ``timeout_ms`` left."""
+    return aiohttp.ClientTimeout(
+        total=timeout_ms / 1000, sock_connect=1.0, sock_read=silence_s
+    )
--- /dev/null
+++ b/script/__init__.py
@@ -0,0 +1,1 @@
+"""Programs for developers."""
--- /dev/null
+++ b/script/result_codes.py
@@ -0,0 +1,29 @@
+"""Prints the table of result codes for docs/result-codes.md."""
+
+from cardamomnotch_protocol.result_codes import ResultCode, describe
+
+_HEADER = """# Result codes
+
+Every refusal and error carries one of these numbers, in the JSON body under
+`error.code` and, towards callers, in the header
+`X-Cardamomnotch-Result-Code`. `Retry-After` says when to come back.
+
+| code | name | HTTP status | may succeed later | meaning |
+| --- | --- | --- | --- | --- |"""
+
+
+def main() -> None:
+    """Print the page."""
+    print(_HEADER)
+    for code in ResultCode:
+        description = describe(code)
+        retryable = "yes" if description.retryable else "no"
+        status = int(description.http_status)
+        print(
+            f"| {int(code)} | `{code.name.lower()}` | {status} | {retryable}"
+            f" | {description.summary} |"
+        )
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,58 @@
+"""Fixtures of all tests, and the list of tests that are known to fail."""
+
+from collections.abc import AsyncIterator, Awaitable, Callable
+
+import aiohttp
+import pytest
+from aiohttp import web
+from aiohttp.test_utils import TestServer
+from hypothesis import settings
+
+from tests.known_red import load_known_red
+
+settings.register_profile("fixed", derandomize=True, deadline=None, max_examples=60)
+settings.load_profile("fixed")
+
+ServeApp = Callable[[web.Application], Awaitable[str]]
+
+
+def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
+    """Expect the known failures to fail, strictly."""
+    known = {entry.test_id: entry for entry in load_known_red()}
+    for item in items:
+        entry = known.get(item.nodeid)
+        if entry is not None:
+            reason = f"issue {entry.issue}: {entry.seen}"
+            item.add_marker(pytest.mark.xfail(strict=True, reason=reason))
+
+
+def pytest_terminal_summary(terminalreporter: pytest.TerminalReporter) -> None:
+    """Print the known failures."""
+    for entry in load_known_red():
+        terminalreporter.write_line(
+            f"KNOWN RED {entry.test_id}: {entry.seen} (issue {entry.issue};"
+            f" {entry.command})"
+        )
+
+
+@pytest.fixture
+async def serve_app() -> AsyncIterator[ServeApp]:
+    """Return a function that serves an application and gives its URL."""
+    servers: list[TestServer] = []
+
+    async def serve(app: web.Application) -> str:
+        server = TestServer(app)
+        await server.start_server()
+        servers.append(server)
+        return str(server.make_url("")).rstrip("/")
+
+    yield serve
+    for server in servers:
+        await server.close()
+
+
+@pytest.fixture
+async def http_session() -> AsyncIterator[aiohttp.ClientSession]:
+    """Return a client session."""
+    async with aiohttp.ClientSession() as session:
+        yield session
--- /dev/null
+++ b/tests/known_red.py
@@ -0,0 +1,31 @@
+"""The list of tests that are known to fail."""
+
+from pathlib import Path
+
+import attrs
+
+PATH = Path(__file__).parents[1] / "KNOWN-RED.txt"
+_FIELDS = 4
+
+
+@attrs.frozen
+class KnownRed:
+    """An entry of the list."""
+
+    test_id: str
+    command: str
+    seen: str
+    issue: str
+
+
+def load_known_red(path: Path = PATH) -> tuple[KnownRed, ...]:
+    """Return the entries; raise ValueError for a line with a part missing."""
+    entries = []
+    for line in path.read_text(encoding="utf-8").splitlines():
+        if not line.strip() or line.startswith("#"):
+            continue
+        parts = [part.strip() for part in line.split("|")]
+        if len(parts) != _FIELDS or not all(parts):
+            raise ValueError(f"{path.name}: {line!r} needs {_FIELDS} parts")
+        entries.append(KnownRed(*parts))
+    return tuple(entries)
--- /dev/null
+++ b/tests/protocol/test_codec.py
@@ -0,0 +1,155 @@
+"""Contract of the inner protocol's frames."""
+
+import orjson
+import pytest
+
+from cardamomnotch_protocol import codec
+from cardamomnotch_protocol.const import MAX_HEADER_BYTES, MAX_PAYLOAD_BYTES
+from cardamomnotch_protocol.exceptions import ProtocolError
+from cardamomnotch_protocol.models import (
+    MESSAGE_CLASSES,
+    AnswerChunk,
+    AttemptFinished,
+    AttemptRefused,
+    AttemptRequest,
+    HeartbeatReply,
+    Load,
+    Usage,
+)
+from cardamomnotch_protocol.result_codes import ResultCode
+
+_REQUEST = AttemptRequest(
+    attempt_id="a-1",
+    request_id="a",
+    request_key="w:a",
+    workspace="w",
+    incarnation="i",
+    revision=3,
+    timeout_ms=1000,
+    headers={"Accept": "text/plain"},
+)
+_MESSAGES = [
+    _REQUEST,
+    AnswerChunk(attempt_id="a-1", offset=7),
+    AttemptFinished(
+        attempt_id="a-1", code=ResultCode.OK, usage=Usage(completion_tokens=2)
+    ),
+    AttemptRefused(
+        attempt_id="a-1", incarnation="i", revision=3, code=ResultCode.UPSTREAM_FULL
+    ),
+    HeartbeatReply(
+        vm_id="v",
+        zone="z",
+        incarnation="i",
+        revision=1,
+        accepting=True,
+        versions=("m/1",),
+        load=Load(in_flight=2, limit=4),
+    ),
+]
+
+
+def _header(**changes: object) -> bytes:
+    line = codec.encode(AnswerChunk(attempt_id="a-1", offset=7))
+    fields = orjson.loads(line)
+    fields.update(changes)
+    fields = {key: value for key, value in fields.items() if value is not None}
+    return orjson.dumps(fields) + b"\n"
+
+
+@pytest.mark.parametrize("message", _MESSAGES, ids=lambda item: item.message_type)
+def test_message_survives_the_wire(message):
+    """A message and its payload come back as they were."""
+    frame = codec.decode(codec.encode(message, b"body\n{}"))
+    assert frame.message == message
+    assert type(frame.message) is type(message)
+    assert frame.payload == b"body\n{}"
+
+
+def test_frames_are_cut_at_any_byte():
+    """Frames come out whole, however the stream is cut."""
+    data = b"".join(
+        codec.encode(AnswerChunk(attempt_id="a", offset=n), b"x" * n) for n in range(4)
+    )
+    decoder = codec.FrameDecoder()
+    frames = [
+        frame for index in range(len(data)) for frame in decoder.feed(data[index:][:1])
+    ]
+    assert [len(frame.payload) for frame in frames] == [0, 1, 2, 3]
+    assert decoder.is_empty
+
+
+def test_unknown_field_is_kept():
+    """A field of a newer sender survives decoding and encoding."""
+    message = codec.decode(_header(added_later={"deep": [1]})).message
+    assert message.unknown_fields == {"added_later": {"deep": [1]}}
+    again = codec.decode(codec.encode(message)).message
+    assert again.unknown_fields == {"added_later": {"deep": [1]}}
+
+
+def test_newer_compatible_version_is_read():
+    """A newer sender that names this version as compatible is understood."""
+    frame = codec.decode(_header(protocol_version=9, compatible_with=1))
+    assert frame.message == AnswerChunk(attempt_id="a-1", offset=7)
+
+
+def test_unknown_result_code_is_read_cautiously():
+    """A result code of a newer sender counts as an unknown outcome."""
+    data = codec.encode(AttemptFinished(attempt_id="a", code=ResultCode.OK))
+    newer = data.replace(b'"code":0', b'"code":399')
+    assert codec.decode(newer).message.code is ResultCode.OUTCOME_UNKNOWN
+
+
+@pytest.mark.parametrize(
+    ("data", "code"),
+    [
+        pytest.param(b"{\n", ResultCode.MALFORMED_MESSAGE, id="bad JSON"),
+        pytest.param(b"[]\n", ResultCode.MALFORMED_MESSAGE, id="not an object"),
+        pytest.param(b"", ResultCode.MALFORMED_MESSAGE, id="empty"),
+        pytest.param(_header(type="x"), ResultCode.MALFORMED_MESSAGE, id="type"),
+        pytest.param(
+            _header(attempt_id=None), ResultCode.MALFORMED_MESSAGE, id="missing field"
+        ),
+        pytest.param(
+            _header(offset="7"), ResultCode.MALFORMED_MESSAGE, id="wrong type"
+        ),
+        pytest.param(
+            _header(compatible_with=9, protocol_version=9),
+            ResultCode.UNSUPPORTED_PROTOCOL,
+            id="newer version",
+        ),
+        pytest.param(
+            _header(compatible_with=0, protocol_version=0),
+            ResultCode.UNSUPPORTED_PROTOCOL,
+            id="older version",
+        ),
+        pytest.param(
+            _header(protocol_version=None),
+            ResultCode.MALFORMED_MESSAGE,
+            id="no version",
+        ),
+        pytest.param(
+            _header(payload_bytes=MAX_PAYLOAD_BYTES + 1),
+            ResultCode.MESSAGE_TOO_LARGE,
+            id="oversize payload",
+        ),
+        pytest.param(
+            b"x" * (MAX_HEADER_BYTES + 1),
+            ResultCode.MESSAGE_TOO_LARGE,
+            id="oversize header",
+        ),
+        pytest.param(
+            _header(payload_bytes=3), ResultCode.MALFORMED_MESSAGE, id="short payload"
+        ),
+    ],
+)
+def test_bad_frame_is_refused(data, code):
+    """A frame that cannot be read raises a numbered error."""
+    with pytest.raises(ProtocolError) as caught:
+        codec.decode(data)
+    assert caught.value.code is code
+
+
+def test_every_message_has_a_name():
+    """Every message class is registered under its own name."""
+    assert all(cls.message_type == name for name, cls in MESSAGE_CLASSES.items())
--- /dev/null
+++ b/tests/stand_ins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the platform and the upstreams, with faults."""
--- /dev/null
+++ b/tests/stand_ins/store.py
@@ -0,0 +1,206 @@
+"""Stand-in for the store: revisions, transactions, leases and watches.
+
+Faults: ``down``, ``delay_s``, ``lose_answer`` (after the effect),
+``drop_watches``, ``lapse_leases``.
+"""
+
+import asyncio
+import base64
+import itertools
+import time
+from typing import Any
+
+import orjson
+from aiohttp import web
+
+from .faults import Faults
+
+
+def _from_base64(text: str) -> bytes:
+    return base64.b64decode(text)
+
+
+def _to_base64(data: bytes) -> str:
+    return base64.b64encode(data).decode()
+
+
+class StoreStandIn:
+    """Keeps keys in memory and counts its calls by kind."""
+
+    def __init__(self) -> None:
+        self.faults = Faults()
+        self.revision = 1
+        self.entries: dict[bytes, dict[str, Any]] = {}
+        self.leases: dict[int, tuple[float, float]] = {}
+        self._events: list[tuple[int, bytes, bytes]] = []
+        self._changed = asyncio.Event()
+        self._lease_ids = itertools.count(1000)
+
+    def create_app(self) -> web.Application:
+        """Return the application."""
+        app = web.Application(client_max_size=2 * 1_048_576)
+        self.faults.add_routes(app)
+        for path, handler in (
+            ("kv/range", self._range),
+            ("kv/txn", self._txn),
+            ("kv/deleterange", self._delete_range),
+            ("lease/grant", self._grant),
+            ("lease/keepalive", self._keep_alive),
+            ("lease/revoke", self._revoke),
+        ):
+            app.router.add_post(f"/v3/{path}", self._wrap(path, handler))
+        app.router.add_post("/v3/watch", self._async_watch)
+        return app
+
+    def _wrap(self, path: str, handler: Any) -> Any:
+        async def handle(request: web.Request) -> web.Response:
+            self.faults.count(path)
+            data = await request.read()
+            self.faults.count("bytes_received", len(data))
+            if self.faults.use("down"):
+                return web.Response(status=503)
+            if delay_s := self.faults.get("delay_s"):
+                await asyncio.sleep(delay_s)
+            self._expire_leases()
+            answer = handler(orjson.loads(data))
+            if path != "kv/range" and self.faults.use("lose_answer"):
+                request.transport.abort()
+            answer["header"] = {"revision": str(self.revision)}
+            return web.json_response(answer)
+
+        return handle
+
+    def _range(self, body: dict[str, Any]) -> dict[str, Any]:
+        keys = self._keys(body)
+        limit = int(body.get("limit", 0) or 0)
+        if limit:
+            keys = keys[:limit]
+        return {"kvs": [self._as_json(key) for key in keys], "count": str(len(keys))}
+
+    def _keys(self, body: dict[str, Any]) -> list[bytes]:
+        start = _from_base64(body["key"])
+        if "range_end" not in body:
+            return [start] if start in self.entries else []
+        end = _from_base64(body["range_end"])
+        return sorted(key for key in self.entries if start <= key < end)
+
+    def _as_json(self, key: bytes) -> dict[str, Any]:
+        entry = self.entries[key]
+        return {
+            "key": _to_base64(key),
+            "value": _to_base64(entry["value"]),
+            "mod_revision": str(entry["mod_revision"]),
+            "lease": str(entry["lease"]),
+        }
+
+    def _txn(self, body: dict[str, Any]) -> dict[str, Any]:
+        holds = all(self._compare(item) for item in body.get("compare", ()))
+        requests = body.get("success" if holds else "failure", ())
+        return {
+            "succeeded": holds,
+            "responses": [self._apply(item) for item in requests],
+        }
+
+    def _compare(self, item: dict[str, Any]) -> bool:
+        entry = self.entries.get(_from_base64(item["key"]))
+        actual = entry["mod_revision"] if entry else 0
+        return actual == int(item["mod_revision"])
+
+    def _apply(self, item: dict[str, Any]) -> dict[str, Any]:
+        if put := item.get("request_put"):
+            self._put(
+                _from_base64(put["key"]),
+                _from_base64(put.get("value", "")),
+                int(put.get("lease", 0) or 0),
+            )
+            return {"response_put": {}}
+        if delete := item.get("request_delete_range"):
+            self._delete_range(delete)
+            return {"response_delete_range": {}}
+        return {"response_range": self._range(item["request_range"])}
+
+    def _put(self, key: bytes, value: bytes, lease: int) -> None:
+        self.revision += 1
+        self.entries[key] = {
+            "value": value,
+            "mod_revision": self.revision,
+            "lease": lease,
+        }
+        self.faults.count("bytes_written", len(value))
+        self._notify(key, value)
+
+    def _notify(self, key: bytes, value: bytes) -> None:
+        self._events.append((self.revision, key, value))
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    def _delete_range(self, body: dict[str, Any]) -> dict[str, Any]:
+        keys = self._keys(body)
+        for key in keys:
+            del self.entries[key]
+        if keys:
+            self.revision += 1
+        return {"deleted": str(len(keys))}
+
+    def _grant(self, body: dict[str, Any]) -> dict[str, Any]:
+        lease_id = next(self._lease_ids)
+        ttl_s = float(body["TTL"])
+        self.leases[lease_id] = (ttl_s, time.monotonic() + ttl_s)
+        return {"ID": str(lease_id), "TTL": str(int(ttl_s))}
+
+    def _keep_alive(self, body: dict[str, Any]) -> dict[str, Any]:
+        lease_id = int(body["ID"])
+        if lease_id not in self.leases:
+            return {"result": {"ID": str(lease_id), "TTL": "0"}}
+        ttl_s, _ = self.leases[lease_id]
+        self.leases[lease_id] = (ttl_s, time.monotonic() + ttl_s)
+        return {"result": {"ID": str(lease_id), "TTL": str(int(ttl_s))}}
+
+    def _revoke(self, body: dict[str, Any]) -> dict[str, Any]:
+        self._drop_lease(int(body["ID"]))
+        return {}
+
+    def _drop_lease(self, lease_id: int) -> None:
+        self.leases.pop(lease_id, None)
+        held = [k for k, entry in self.entries.items() if entry["lease"] == lease_id]
+        for key in held:
+            del self.entries[key]
+            self.revision += 1
+
+    def _expire_leases(self) -> None:
+        lapse_all = self.faults.use("lapse_leases")
+        now = time.monotonic()
+        for lease_id, (_, ends_at) in tuple(self.leases.items()):
+            if lapse_all or ends_at < now:
+                self._drop_lease(lease_id)
+
+    async def _async_watch(self, request: web.Request) -> web.StreamResponse:
+        self.faults.count("watch")
+        if self.faults.use("down"):
+            return web.Response(status=503)
+        create = orjson.loads(await request.read())["create_request"]
+        key = _from_base64(create["key"])
+        revision = int(create.get("start_revision", self.revision + 1))
+        response = web.StreamResponse()
+        await response.prepare(request)
+        await response.write(b'{"result":{"created":true}}\n')
+        while not self.faults.use("drop_watches") and not self.faults.get("down"):
+            changed = self._changed
+            for at, changed_key, value in self._events:
+                if at >= revision and changed_key == key:
+                    await response.write(self._event_line(at, key, value))
+                    revision = at + 1
+            try:
+                async with asyncio.timeout(0.2):
+                    await changed.wait()
+            except TimeoutError:
+                continue
+        return response
+
+    def _event_line(self, revision: int, key: bytes, value: bytes) -> bytes:
+        kv = {
+            "key": _to_base64(key),
+            "value": _to_base64(value),
+            "mod_revision": str(revision),
+        }
+        return orjson.dumps({"result": {"events": [{"kv": kv}]}}) + b"\n"
