--- /dev/null
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/admission/gate.py
@@ -0,0 +1,89 @@
+"""Checks that every attempt passes before it reaches the upstream."""
+
+import attrs
+
+from cardamomnotch_protocol.exceptions import CardamomnotchError
+from cardamomnotch_protocol.models import AttemptRequest
+from cardamomnotch_protocol.result_codes import ResultCode
+
+from ..configuration.holder import ConfigurationHolder
+from ..nodes.identity import SidecarIdentity
+from ..plans.allowance import allowed_route, allowed_versions
+from .limiter import ConcurrencyLimiter
+
+
+class GateError(CardamomnotchError):
+    """The gate refuses an attempt."""
+
+
+@attrs.define(kw_only=True)
+class UpstreamHealth:
+    """What the sidecar knows of its upstream."""
+
+    reachable: bool
+    start_id: str = ""
+    versions: tuple[str, ...] = ()
+
+
+class Gate:
+    """Judges attempts against lists, marks, health and limit."""
+
+    def __init__(
+        self,
+        identity: SidecarIdentity,
+        configuration: ConfigurationHolder,
+        limiter: ConcurrencyLimiter,
+        upstream: UpstreamHealth,
+    ) -> None:
+        self._identity = identity
+        self._configuration = configuration
+        self._limiter = limiter
+        self._upstream = upstream
+
+    def check(
+        self, request: AttemptRequest, *, behind: bool, draining: bool, known: bool
+    ) -> None:
+        """Raise GateError or PlanError unless the attempt may run now.
+
+        ``behind`` says that the entry's revision is newer, ``known`` that the
+        attempt was fenced before it arrived. Admission is the last check.
+        """
+        if request.incarnation != self._identity.incarnation:
+            raise GateError(code=ResultCode.INCARNATION_MISMATCH)
+        if known:
+            raise GateError(code=ResultCode.ATTEMPT_FENCED)
+        if draining:
+            raise GateError(code=ResultCode.SIDECAR_DRAINING)
+        if behind or self._configuration.record is None:
+            raise GateError(code=ResultCode.REVISION_BEHIND)
+        if request.timeout_ms <= 0:
+            raise GateError(code=ResultCode.DEADLINE_PASSED)
+        if not self._upstream.reachable:
+            raise GateError(code=ResultCode.UPSTREAM_UNREACHABLE)
+        self._check_marks()
+        self._check_plan(request)
+        if not self._limiter.admit(request.attempt_id, request.expected_tokens):
+            raise GateError(code=ResultCode.UPSTREAM_FULL)
+
+    def _check_marks(self) -> None:
+        marks = self._configuration.record.configuration.marks
+        if self._identity.zone in marks.zones_out:
+            raise GateError(code=ResultCode.ZONE_OUT)
+        if self._identity.vm_id in marks.vms_out:
+            raise GateError(code=ResultCode.VM_OUT)
+
+    def _check_plan(self, request: AttemptRequest) -> None:
+        configuration = self._configuration.record.configuration
+        if request.service:
+            allowed_route(
+                configuration,
+                request.workspace,
+                request.service,
+                request.method,
+                request.path,
+            )
+            return
+        full_name = f"{request.model}/{request.version}"
+        allowed_versions(configuration, request.workspace, full_name)
+        if full_name not in self._upstream.versions:
+            raise GateError(code=ResultCode.VERSION_NOT_LOADED)
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/membership/table.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/membership/table.py
@@ -28,10 +28,14 @@
         """Return the upstream on ``vm_id``."""
         return self._upstreams.get(vm_id)
 
-    def take_vm_list(self, vms: Iterable[Vm]) -> None:
-        """Add, move and drop upstreams as the list says."""
+    def take_vm_list(self, vms: Iterable[Vm]) -> tuple[str, ...]:
+        """Add, move and drop upstreams as the list says.
+
+        Returns the ids of VMs that have not answered a heartbeat yet.
+        """
         listed = {vm.vm_id: vm for vm in vms if vm.role == ROLE_UPSTREAM}
         self._upstreams = {vm_id: self._from_vm(vm) for vm_id, vm in listed.items()}
+        return tuple(item.vm_id for item in self.upstreams if not item.is_known)
 
     def _from_vm(self, vm: Vm) -> Upstream:
         known = self._upstreams.get(vm.vm_id)
@@ -60,6 +64,12 @@
             heard_at_s=now_s,
         )
 
+    def take_revision(self, vm_id: str, revision: int) -> None:
+        """Note the revision that is in force at the sidecar on ``vm_id``."""
+        known = self._upstreams.get(vm_id)
+        if known is not None and revision > known.revision:
+            self._upstreams[vm_id] = attrs.evolve(known, revision=revision)
+
     def take_load(self, vm_id: str, load: Load, now_s: float) -> None:
         """Note the load that came back on an answer."""
         known = self._upstreams.get(vm_id)
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/actions.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/actions.py
@@ -52,10 +52,18 @@
     incarnation: str
 
 
+@attrs.frozen(kw_only=True)
+class SendHeartbeat(Action):
+    """Send a heartbeat out of turn, to an upstream that has just appeared."""
+
+    vm_id: str
+
+
 @attrs.frozen(kw_only=True)
 class SendConfiguration(Action):
     """Send the configuration in force to a sidecar that is behind."""
 
+    vm_id: str
     address: str
 
 
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/entry_node.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/entry_node.py
@@ -1,4 +1,4 @@
-"""The entry's decisions: which attempt a request is given, and its end."""
+"""The entry's decisions, by concern."""
 
 import random
 from functools import singledispatchmethod
@@ -6,54 +6,15 @@
 
 import attrs
 
-from cardamomnotch_protocol.exceptions import CardamomnotchError
-from cardamomnotch_protocol.models import AttemptRequest
-from cardamomnotch_protocol.result_codes import ResultCode
-
-from ..attempts.const import DEFAULT_RETRY_AFTER_S, MAX_ATTEMPTS_PER_REQUEST
-from ..attempts.entry_table import (
-    CallerRequest,
-    RequestRecord,
-    RequestState,
-    RequestTable,
-)
 from ..configuration.holder import ConfigurationHolder
-from ..configuration.models import Configuration
 from ..membership.models import Upstream
 from ..membership.table import UpstreamTable
-from ..routing.models import Demand, Route
 from ..routing.router import Router
 from . import actions, events
 from .actions import Action
 from .events import Event
-
-DEFAULT_DEADLINE_S = 120.0
-
-# Refusals after which another upstream may still take the request.
-_ELSEWHERE = frozenset(
-    (
-        ResultCode.ATTEMPT_FENCED,
-        ResultCode.INCARNATION_MISMATCH,
-        ResultCode.REVISION_BEHIND,
-        ResultCode.SIDECAR_DRAINING,
-        ResultCode.SIDECAR_UNREACHABLE,
-        ResultCode.UPSTREAM_FULL,
-        ResultCode.UPSTREAM_UNREACHABLE,
-        ResultCode.VERSION_NOT_LOADED,
-        ResultCode.VERSION_WITHDRAWN,
-        ResultCode.VM_OUT,
-        ResultCode.ZONE_OUT,
-    )
-)
-
-
-@attrs.frozen(kw_only=True)
-class EntryIdentity:
-    """Who this entry is, from its settings."""
-
-    vm_id: str
-    zone: str
-    inner_address: str
+from .identity import EntryIdentity
+from .request_flow import RequestFlow
 
 
 class EntryNode:
@@ -63,9 +24,13 @@
         self._identity = identity
         self._random = random_source
         self._configuration = ConfigurationHolder()
-        self._requests = RequestTable()
-        self._router = Router(identity.zone, random_source)
         self._upstreams = UpstreamTable()
+        self._requests = RequestFlow(
+            identity,
+            configuration=self._configuration,
+            upstreams=self._upstreams,
+            router=Router(identity.zone, random_source),
+        )
         self._draining = False
 
     @property
@@ -78,6 +43,10 @@
         """Return the upstreams that heartbeats go to."""
         return self._upstreams.upstreams
 
+    def upstream(self, vm_id: str) -> Upstream | None:
+        """Return the upstream on ``vm_id``."""
+        return self._upstreams.get(vm_id)
+
     @property
     def requests_in_flight(self) -> int:
         """Return how many requests are being served."""
@@ -115,11 +84,15 @@
     def _(self, event: events.ConfigurationOffered, now_s: float) -> list[Action]:
         if not self._configuration.offer(event.record):
             return []
-        return [
-            actions.ReportChange(
-                text=f"revision {event.record.revision} in force from {event.source}"
-            )
+        change = actions.ReportChange(
+            text=f"revision {event.record.revision} in force from {event.source}"
+        )
+        behind = [
+            actions.SendConfiguration(vm_id=item.vm_id, address=item.address)
+            for item in self.upstreams
+            if item.is_known
         ]
+        return [change, *behind]
 
     @handle.register
     def _(self, event: events.DrainStarted, now_s: float) -> list[Action]:
@@ -132,7 +105,12 @@
 
     @handle.register
     def _(self, event: events.VmListReceived, now_s: float) -> list[Action]:
-        self._upstreams.take_vm_list(event.vms)
+        unknown = self._upstreams.take_vm_list(event.vms)
+        return [actions.SendHeartbeat(vm_id=vm_id) for vm_id in unknown]
+
+    @handle.register
+    def _(self, event: events.ConfigurationTaken, now_s: float) -> list[Action]:
+        self._upstreams.take_revision(event.vm_id, event.revision)
         return []
 
     @handle.register
@@ -141,209 +119,18 @@
         upstream = self._upstreams.get(event.vm_id)
         if upstream is None or event.reply.revision >= self._configuration.revision:
             return []
-        return [actions.SendConfiguration(address=upstream.address)]
+        return [actions.SendConfiguration(vm_id=event.vm_id, address=upstream.address)]
 
     @handle.register
     def _(self, event: events.HeartbeatFailed, now_s: float) -> list[Action]:
         self._upstreams.mark_unreachable(event.vm_id)
         return []
 
-    @handle.register
-    def _(self, event: events.RequestArrived, now_s: float) -> list[Action]:
-        try:
-            record = self._admit(event.request, now_s)
-        except CardamomnotchError as error:
-            return [_refusal(event.request.request_id, error)]
-        return self._next_attempt(record, now_s)
-
-    def _admit(self, request: CallerRequest, now_s: float) -> RequestRecord:
-        """Return a new record; raise CardamomnotchError if it is refused."""
-        current = self._configuration.record
-        if current is None:
-            raise CardamomnotchError(
-                code=ResultCode.NOT_READY, retry_after_s=DEFAULT_RETRY_AFTER_S
-            )
-        configuration = current.configuration
-        workspace = configuration.workspaces_by_digest.get(request.key_digest)
-        if workspace is None:
-            raise CardamomnotchError(code=ResultCode.UNKNOWN_KEY)
-        key = request.idempotency_key or request.request_id
-        return RequestRecord(
-            request=request,
-            demand=Demand(
-                workspace=workspace.name,
-                model=request.model,
-                request_class=request.request_class,
-                session_version=request.session_version,
-                service=request.service,
-                method=request.method,
-                path=request.path,
-            ),
-            workspace=workspace.name,
-            request_key=f"{workspace.name}:{key}",
-            deadline_s=now_s + _time_allowed_s(configuration, request),
-        )
-
-    def _next_attempt(self, record: RequestRecord, now_s: float) -> list[Action]:
-        configuration = self._configuration.record.configuration
-        candidates = [
-            upstream
-            for upstream in self._upstreams.usable(now_s)
-            if upstream.vm_id not in record.tried
-        ]
-        try:
-            if now_s >= record.deadline_s:
-                raise CardamomnotchError(code=ResultCode.DEADLINE_PASSED)
-            route = self._router.choose(configuration, record.demand, candidates)
-        except CardamomnotchError as error:
-            self._requests.end(record.request.request_id)
-            return [_refusal(record.request.request_id, error)]
-        record = attrs.evolve(
-            record,
-            attempt_id=f"{record.request.request_id}-{record.attempts + 1}",
-            attempts=record.attempts + 1,
-            route=route,
-            state=RequestState.ATTEMPTING,
-        )
-        self._requests.put(record)
-        return [self._start(record, route, now_s)]
-
-    def _start(self, record: RequestRecord, route: Route, now_s: float) -> Action:
-        request = record.request
-        message = AttemptRequest(
-            attempt_id=record.attempt_id,
-            request_id=request.request_id,
-            request_key=record.request_key,
-            workspace=record.workspace,
-            incarnation=route.upstream.incarnation,
-            revision=self._configuration.revision,
-            timeout_ms=int((record.deadline_s - now_s) * 1000),
-            entry_address=self._identity.inner_address,
-            model=route.model,
-            version=route.version,
-            service=route.service,
-            method=request.method,
-            path=request.path,
-            headers=dict(request.headers),
-            request_class=request.request_class,
-            priority=route.priority,
-            idempotent=route.idempotent,
-            stream=request.stream,
-            expected_tokens=request.expected_tokens,
-            fingerprint=request.fingerprint,
-        )
-        return actions.StartAttempt(
-            vm_id=route.upstream.vm_id, address=route.upstream.address, message=message
-        )
-
-    @handle.register
-    def _(self, event: events.AttemptAnswered, now_s: float) -> list[Action]:
-        record = self._current(event.request_id, event.attempt_id)
-        if record is not None:
-            self._requests.put(
-                attrs.evolve(record, state=RequestState.STREAMING, maybe_ran=True)
-            )
-        return []
-
-    @handle.register
-    def _(self, event: events.AttemptTurnedDown, now_s: float) -> list[Action]:
-        record = self._current(event.request_id, event.attempt_id)
-        if record is None:
-            return []
-        vm_id = record.route.upstream.vm_id
-        self._upstreams.take_load(vm_id, event.load, now_s)
-        error = CardamomnotchError(
-            event.detail, code=event.code, retry_after_s=event.retry_after_s or None
-        )
-        may_go_on = record.attempts < MAX_ATTEMPTS_PER_REQUEST
-        if event.code not in _ELSEWHERE or not may_go_on:
-            self._requests.end(event.request_id)
-            return [_refusal(event.request_id, error)]
-        return self._next_attempt(
-            attrs.evolve(record, tried=record.tried | {vm_id}), now_s
-        )
-
-    @handle.register
-    def _(self, event: events.AttemptEnded, now_s: float) -> list[Action]:
-        record = self._current(event.request_id, event.attempt_id)
-        if record is None:
-            return []
-        self._upstreams.take_load(record.route.upstream.vm_id, event.load, now_s)
-        if event.code is ResultCode.OK:
-            self._requests.end(event.request_id)
-            return [
-                actions.CompleteRequest(request_id=event.request_id, usage=event.usage)
-            ]
-        return self._after_failure(record, event.code, event.detail, now_s)
-
-    @handle.register
-    def _(self, event: events.AttemptLost, now_s: float) -> list[Action]:
-        record = self._current(event.request_id, event.attempt_id)
-        if record is None:
-            return []
-        self._upstreams.mark_unreachable(record.route.upstream.vm_id)
-        if not event.sent:
-            record = attrs.evolve(
-                record, tried=record.tried | {record.route.upstream.vm_id}
-            )
-            return self._next_attempt(record, now_s)
-        return self._after_failure(record, event.code, "", now_s)
-
-    def _after_failure(
-        self, record: RequestRecord, code: ResultCode, detail: str, now_s: float
-    ) -> list[Action]:
-        """Retry what may be repeated, or end the request truthfully."""
-        may_repeat = (
-            record.route.idempotent
-            and record.state is RequestState.ATTEMPTING
-            and record.attempts < MAX_ATTEMPTS_PER_REQUEST
-        )
-        if may_repeat:
-            tried = record.tried | {record.route.upstream.vm_id}
-            return self._next_attempt(
-                attrs.evolve(record, tried=tried, maybe_ran=True), now_s
-            )
-        self._requests.end(record.request.request_id)
-        if not record.route.idempotent:
-            code = ResultCode.OUTCOME_UNKNOWN
-        error = CardamomnotchError(detail, code=code)
-        return [_refusal(record.request.request_id, error)]
-
-    @handle.register
-    def _(self, event: events.CallerGone, now_s: float) -> list[Action]:
-        record = self._requests.end(event.request_id)
-        if record is None or record.route is None or not record.route.idempotent:
-            return []
-        upstream = record.route.upstream
-        return [
-            actions.CancelAttempt(
-                address=upstream.address,
-                attempt_id=record.attempt_id,
-                incarnation=upstream.incarnation,
-            )
-        ]
-
-    def _current(self, request_id: str, attempt_id: str) -> RequestRecord | None:
-        record = self._requests.get(request_id)
-        if record is None or record.attempt_id != attempt_id:
-            return None
-        return record
-
-
-def _time_allowed_s(configuration: Configuration, request: CallerRequest) -> float:
-    if request.timeout_s:
-        return request.timeout_s
-    service = configuration.services_by_name.get(request.service)
-    if service is not None:
-        return service.deadline_s
-    request_class = configuration.classes_by_name.get(request.request_class)
-    return request_class.deadline_s if request_class else DEFAULT_DEADLINE_S
-
-
-def _refusal(request_id: str, error: CardamomnotchError) -> Action:
-    return actions.RefuseRequest(
-        request_id=request_id,
-        code=error.code,
-        detail=error.detail,
-        retry_after_s=error.retry_after_s,
-    )
+    @handle.register(events.RequestArrived)
+    @handle.register(events.CallerGone)
+    @handle.register(events.AttemptAnswered)
+    @handle.register(events.AttemptTurnedDown)
+    @handle.register(events.AttemptEnded)
+    @handle.register(events.AttemptLost)
+    def _(self, event: Event, now_s: float) -> list[Action]:
+        return self._requests.handle(event, now_s)
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/events.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/events.py
@@ -61,6 +61,14 @@
     vm_id: str
 
 
+@attrs.frozen(kw_only=True)
+class ConfigurationTaken(Event):
+    """A sidecar confirmed the revision that is in force there."""
+
+    vm_id: str
+    revision: int
+
+
 @attrs.frozen(kw_only=True)
 class RequestArrived(Event):
     """A caller sent a request."""
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/sidecar_node.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/sidecar_node.py
@@ -12,30 +12,16 @@
     FenceReply,
     HeartbeatReply,
 )
-from cardamomnotch_protocol.result_codes import ResultCode
 
+from ..admission.gate import Gate, UpstreamHealth
 from ..admission.limiter import ConcurrencyLimiter
 from ..attempts.const import DEFAULT_RETRY_AFTER_S
 from ..attempts.sidecar_table import AttemptState, AttemptTable
 from ..configuration.holder import ConfigurationHolder
-from ..plans.allowance import allowed_route, allowed_versions
 from . import actions, events
 from .actions import Action
 from .events import Event
-
-
-@attrs.frozen(kw_only=True)
-class SidecarIdentity:
-    """Who this sidecar is, from its settings."""
-
-    vm_id: str
-    zone: str
-    incarnation: str
-    services: tuple[str, ...] = ()
-
-
-class GateError(CardamomnotchError):
-    """The gate refuses an attempt."""
+from .identity import SidecarIdentity
 
 
 class SidecarNode:
@@ -47,9 +33,8 @@
         self._attempts = AttemptTable()
         self._configuration = ConfigurationHolder()
         self._draining = False
-        self._upstream_start_id = ""
-        self._upstream_reachable = bool(identity.services)
-        self._upstream_versions: tuple[str, ...] = ()
+        self._upstream = UpstreamHealth(reachable=bool(identity.services))
+        self._gate = Gate(identity, self._configuration, limiter, self._upstream)
 
     @property
     def configuration(self) -> ConfigurationHolder:
@@ -61,7 +46,7 @@
         """Return whether attempts may be accepted."""
         return (
             not self._draining
-            and self._upstream_reachable
+            and self._upstream.reachable
             and self._configuration.record is not None
         )
 
@@ -78,9 +63,9 @@
             "draining": self._draining,
             "ready": self.is_ready,
             "upstream": {
-                "start_id": self._upstream_start_id,
-                "reachable": self._upstream_reachable,
-                "versions": list(self._upstream_versions),
+                "start_id": self._upstream.start_id,
+                "reachable": self._upstream.reachable,
+                "versions": list(self._upstream.versions),
             },
             "load": attrs.asdict(self._limiter.load),
             "attempts_running": list(self._attempts.running_ids),
@@ -126,8 +111,8 @@
             zone=self._identity.zone,
             incarnation=self._identity.incarnation,
             revision=self._configuration.revision,
-            accepting=not self._draining and self._upstream_reachable,
-            versions=self._upstream_versions,
+            accepting=not self._draining and self._upstream.reachable,
+            versions=self._upstream.versions,
             services=self._identity.services,
             load=self._limiter.load,
         )
@@ -144,54 +129,17 @@
                 actions.FetchConfiguration(address=request.entry_address, retry=request)
             ]
         try:
-            self._check(request, behind=behind)
+            self._gate.check(
+                request,
+                behind=behind,
+                draining=self._draining,
+                known=known is not None,
+            )
         except CardamomnotchError as error:
             return [self._refusal(request, error)]
         self._attempts.start(request.attempt_id)
         return [actions.AcceptAttempt(message=request)]
 
-    def _check(self, request: AttemptRequest, *, behind: bool) -> None:
-        """Raise GateError or PlanError unless the attempt may run now."""
-        if request.incarnation != self._identity.incarnation:
-            raise GateError(code=ResultCode.INCARNATION_MISMATCH)
-        if self._attempts.get(request.attempt_id) is not None:
-            raise GateError(code=ResultCode.ATTEMPT_FENCED)
-        if self._draining:
-            raise GateError(code=ResultCode.SIDECAR_DRAINING)
-        if behind or self._configuration.record is None:
-            raise GateError(code=ResultCode.REVISION_BEHIND)
-        if request.timeout_ms <= 0:
-            raise GateError(code=ResultCode.DEADLINE_PASSED)
-        if not self._upstream_reachable:
-            raise GateError(code=ResultCode.UPSTREAM_UNREACHABLE)
-        self._check_marks()
-        self._check_plan(request)
-        if not self._limiter.admit(request.attempt_id, request.expected_tokens):
-            raise GateError(code=ResultCode.UPSTREAM_FULL)
-
-    def _check_marks(self) -> None:
-        marks = self._configuration.record.configuration.marks
-        if self._identity.zone in marks.zones_out:
-            raise GateError(code=ResultCode.ZONE_OUT)
-        if self._identity.vm_id in marks.vms_out:
-            raise GateError(code=ResultCode.VM_OUT)
-
-    def _check_plan(self, request: AttemptRequest) -> None:
-        configuration = self._configuration.record.configuration
-        if request.service:
-            allowed_route(
-                configuration,
-                request.workspace,
-                request.service,
-                request.method,
-                request.path,
-            )
-            return
-        full_name = f"{request.model}/{request.version}"
-        allowed_versions(configuration, request.workspace, full_name)
-        if full_name not in self._upstream_versions:
-            raise GateError(code=ResultCode.VERSION_NOT_LOADED)
-
     def _refusal(self, request: AttemptRequest, error: CardamomnotchError) -> Action:
         message = AttemptRefused(
             attempt_id=request.attempt_id,
@@ -238,19 +186,19 @@
 
     @handle.register
     def _(self, event: events.UpstreamReported, now_s: float) -> list[Action]:
-        changed = event.start_id != self._upstream_start_id
-        came_back = not self._upstream_reachable
-        self._upstream_start_id = event.start_id
-        self._upstream_reachable = True
-        self._upstream_versions = event.versions
+        changed = event.start_id != self._upstream.start_id
+        came_back = not self._upstream.reachable
+        self._upstream.start_id = event.start_id
+        self._upstream.reachable = True
+        self._upstream.versions = event.versions
         if changed or came_back:
             return [actions.ReportChange(text=f"upstream up, start {event.start_id}")]
         return []
 
     @handle.register
     def _(self, event: events.UpstreamUnreachable, now_s: float) -> list[Action]:
-        was_reachable = self._upstream_reachable
-        self._upstream_reachable = False
+        was_reachable = self._upstream.reachable
+        self._upstream.reachable = False
         if was_reachable:
             return [actions.ReportChange(text="upstream unreachable")]
         return []
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/composition.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/composition.py
@@ -6,7 +6,8 @@
 import aiohttp
 
 from cardamomnotch_core.nodes import events
-from cardamomnotch_core.nodes.entry_node import EntryIdentity, EntryNode
+from cardamomnotch_core.nodes.entry_node import EntryNode
+from cardamomnotch_core.nodes.identity import EntryIdentity
 from cardamomnotch_platform.store.client import StoreClient
 from cardamomnotch_platform.vm_list.client import VmListClient
 from cardamomnotch_runtime.admin import create_admin_app
@@ -92,6 +93,7 @@
             runner=self._runner,
             vm_list=VmListClient(platform_session, platform.vm_list_url),
             session=inner_session,
+            tasks=self._tasks,
         )
         tasks = self._tasks
         tasks.repeat(lambda: 0.0, configuration.async_follow)
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/coordinators/membership.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/coordinators/membership.py
@@ -6,8 +6,9 @@
 import aiohttp
 
 from cardamomnotch_core.membership.models import Upstream, Vm
-from cardamomnotch_core.nodes import events
-from cardamomnotch_core.nodes.entry_node import EntryIdentity, EntryNode
+from cardamomnotch_core.nodes import actions, events
+from cardamomnotch_core.nodes.entry_node import EntryNode
+from cardamomnotch_core.nodes.identity import EntryIdentity
 from cardamomnotch_platform.exceptions import VmListError
 from cardamomnotch_platform.vm_list.client import ListedVm, VmListClient
 from cardamomnotch_protocol.const import PATH_HEARTBEAT
@@ -15,6 +16,7 @@
 from cardamomnotch_protocol.models import HeartbeatReply, HeartbeatRequest
 from cardamomnotch_runtime.frames import async_call
 from cardamomnotch_runtime.runner import NodeRunner
+from cardamomnotch_runtime.tasks import TaskGroup
 
 from ..const import HEARTBEAT_TIMEOUT_S
 
@@ -33,13 +35,16 @@
         runner: NodeRunner,
         vm_list: VmListClient,
         session: aiohttp.ClientSession,
+        tasks: TaskGroup,
     ) -> None:
         self._node = node
         self._identity = identity
         self._runner = runner
         self._vm_list = vm_list
         self._session = session
+        self._tasks = tasks
         self._list_available = True
+        runner.register(actions.SendHeartbeat, self._send_heartbeat)
 
     async def async_read_vm_list(self) -> None:
         """Read the list once."""
@@ -60,6 +65,11 @@
             *(self._async_heartbeat(upstream) for upstream in self._node.upstreams)
         )
 
+    def _send_heartbeat(self, action: actions.SendHeartbeat) -> None:
+        upstream = self._node.upstream(action.vm_id)
+        if upstream is not None:
+            self._tasks.start(self._async_heartbeat(upstream))
+
     async def _async_heartbeat(self, upstream: Upstream) -> None:
         message = HeartbeatRequest(
             entry_id=self._identity.vm_id,
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/inner/configuration.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/inner/configuration.py
@@ -7,10 +7,10 @@
 
 from cardamomnotch_core.configuration.document import message_from_record
 from cardamomnotch_core.configuration.holder import ConfigurationHolder
-from cardamomnotch_core.nodes import actions
+from cardamomnotch_core.nodes import actions, events
 from cardamomnotch_protocol.const import PATH_CONFIGURATION
 from cardamomnotch_protocol.exceptions import CardamomnotchError
-from cardamomnotch_protocol.models import ConfigurationMessage
+from cardamomnotch_protocol.models import ConfigurationMessage, ConfigurationReply
 from cardamomnotch_protocol.result_codes import ResultCode
 from cardamomnotch_runtime.auth import inner_key_middleware
 from cardamomnotch_runtime.frames import async_call, frame_response
@@ -33,6 +33,7 @@
         holder: ConfigurationHolder,
     ) -> None:
         self._session = session
+        self._runner = runner
         self._tasks = tasks
         self._holder = holder
         self._message: ConfigurationMessage | None = None
@@ -62,14 +63,19 @@
         return frame_response(message)
 
     def _send(self, action: actions.SendConfiguration) -> None:
-        self._tasks.start(self._async_send(action.address))
+        self._tasks.start(self._async_send(action))
 
-    async def _async_send(self, address: str) -> None:
+    async def _async_send(self, action: actions.SendConfiguration) -> None:
         message = self.current_message()
         if message is None:
             return
-        url = f"http://{address}{PATH_CONFIGURATION}"
+        url = f"http://{action.address}{PATH_CONFIGURATION}"
         try:
-            await async_call(self._session, url, message, _TIMEOUT_S)
+            reply = await async_call(self._session, url, message, _TIMEOUT_S)
         except CardamomnotchError as error:
             _LOGGER.debug("configuration not sent: %s", error)
+            return
+        if isinstance(reply, ConfigurationReply):
+            self._runner.dispatch(
+                events.ConfigurationTaken(vm_id=action.vm_id, revision=reply.revision)
+            )
--- a/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/composition.py
+++ b/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/composition.py
@@ -7,7 +7,8 @@
 
 from cardamomnotch_core.admission.limiter import ConcurrencyLimiter
 from cardamomnotch_core.nodes import events
-from cardamomnotch_core.nodes.sidecar_node import SidecarIdentity, SidecarNode
+from cardamomnotch_core.nodes.identity import SidecarIdentity
+from cardamomnotch_core.nodes.sidecar_node import SidecarNode
 from cardamomnotch_runtime.admin import create_admin_app
 from cardamomnotch_runtime.auth import inner_headers
 from cardamomnotch_runtime.const import TIMER_INTERVAL_S
--- /dev/null
+++ b/script/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements, one module each; every module has ``run() -> Report``."""
