--- a/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/actions.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/actions.py
@@ -11,6 +11,8 @@
 )
 from cardamomnotch_protocol.result_codes import ResultCode
 
+from ..configuration.changes import ListsChange
+
 
 class Action:
     """Base of all actions."""
@@ -122,3 +124,11 @@
     """Write one log line about a change of state."""
 
     text: str
+
+
+@attrs.frozen(kw_only=True)
+class ChangeLists(Action):
+    """Put a change of the lists into the store, from where it reaches all."""
+
+    change: ListsChange
+    reason: str
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/cli/config.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/cli/config.py
@@ -9,9 +9,10 @@
 from cardamomnotch_core.configuration.exceptions import ConfigurationError
 from cardamomnotch_core.configuration.models import Configuration
 
-from .changes import async_change, async_open_store, async_read_record
+from ..lists.writer import async_read_record, async_replace
 from .documents import load_configuration
 from .options import exit_with_error, run_command, settings_option
+from .stores import async_open_store
 
 _FILE = click.argument("path", type=click.Path(path_type=Path))
 
@@ -70,4 +71,4 @@
     settings_path: Path, configuration: Configuration, based_on: int | None
 ) -> int:
     async with async_open_store(settings_path) as store:
-        return await async_change(store, lambda _: configuration, based_on)
+        return await async_replace(store, lambda _: configuration, based_on)
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/cli/marks.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/cli/marks.py
@@ -4,18 +4,12 @@
 
 import click
 
-from cardamomnotch_core.configuration.document import (
-    configuration_from_document,
-    document_from_configuration,
-)
-from cardamomnotch_core.configuration.marks import MarkKind, set_mark
-from cardamomnotch_core.configuration.models import Configuration
-from cardamomnotch_platform.store.configuration import RevisionConflictError
-
-from .changes import async_change, async_open_store
-from .options import run_command, settings_option
+from cardamomnotch_core.configuration.changes import MarkChange
+from cardamomnotch_core.configuration.marks import MarkKind
 
-_MAX_TRIES = 10
+from ..lists.writer import async_make_change
+from .options import run_command, settings_option
+from .stores import async_open_store
 
 
 def _mark_group(name: str, kind: MarkKind) -> click.Group:
@@ -30,7 +24,8 @@
         @click.argument("item")
         @settings_option
         def command(item: str, settings_path: Path) -> None:
-            revision = run_command(_async_mark(settings_path, kind, item, out=out))
+            change = MarkChange(kind=kind, name=item, out=out)
+            revision = run_command(_async_mark(settings_path, change))
             click.echo(f"revision {revision} accepted: {name} {item} {word}")
 
     add("in", out=False)
@@ -38,21 +33,9 @@
     return group
 
 
-async def _async_mark(
-    settings_path: Path, kind: MarkKind, item: str, *, out: bool
-) -> int:
-    def change(configuration: Configuration) -> Configuration:
-        changed = set_mark(configuration, kind, item, out=out)
-        return configuration_from_document(document_from_configuration(changed))
-
+async def _async_mark(settings_path: Path, change: MarkChange) -> int:
     async with async_open_store(settings_path) as store:
-        for _ in range(_MAX_TRIES - 1):
-            # A mark stands for itself, so it may be put on top of any change.
-            try:
-                return await async_change(store, change)
-            except RevisionConflictError:
-                continue
-        return await async_change(store, change)
+        return await async_make_change(store, change)
 
 
 zone = _mark_group("zone", MarkKind.ZONE)
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/composition.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/composition.py
@@ -23,6 +23,7 @@
 from .coordinators.membership import MembershipCoordinator
 from .inner.attempt_client import AttemptClient
 from .inner.configuration import ConfigurationSender
+from .lists.coordinator import ListsCoordinator
 from .metrics import EntryMetrics
 from .settings import EntrySettings
 
@@ -87,6 +88,7 @@
         platform = self._settings.platform
         store = StoreClient(platform_session, platform.store_url)
         configuration = ConfigurationCoordinator(store, self._runner, self._random)
+        ListsCoordinator(store, self._runner, self._tasks, self._random)
         membership = MembershipCoordinator(
             node=self._node,
             identity=self._identity,
--- /dev/null
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/lists/__init__.py
@@ -0,0 +1,1 @@
+"""Writing changes of the lists to the store."""
--- /dev/null
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/lists/coordinator.py
@@ -0,0 +1,54 @@
+"""Writes the changes that this entry itself decides."""
+
+import asyncio
+import logging
+import random
+
+from cardamomnotch_core.nodes import actions
+from cardamomnotch_platform.exceptions import StoreError
+from cardamomnotch_platform.store.client import StoreClient
+from cardamomnotch_platform.store.configuration import RevisionConflictError
+from cardamomnotch_protocol.exceptions import CardamomnotchError
+from cardamomnotch_runtime.runner import NodeRunner
+from cardamomnotch_runtime.tasks import TaskGroup
+
+from .writer import async_make_change
+
+_LOGGER = logging.getLogger(__name__)
+_FIRST_RETRY_S = 0.2
+_MAX_RETRY_S = 5.0
+
+
+class ListsCoordinator:
+    """Carries out ``ChangeLists``, through outages of the store."""
+
+    def __init__(
+        self,
+        store: StoreClient,
+        runner: NodeRunner,
+        tasks: TaskGroup,
+        random_source: random.Random,
+    ) -> None:
+        self._store = store
+        self._tasks = tasks
+        self._random = random_source
+        runner.register(actions.ChangeLists, self._start)
+
+    def _start(self, action: actions.ChangeLists) -> None:
+        self._tasks.start(self._async_write(action))
+
+    async def _async_write(self, action: actions.ChangeLists) -> None:
+        delay_s = _FIRST_RETRY_S
+        while True:
+            try:
+                revision = await async_make_change(self._store, action.change)
+            except (StoreError, RevisionConflictError):
+                # Full jitter keeps many entries from retrying in step.
+                await asyncio.sleep(self._random.uniform(0, delay_s))
+                delay_s = min(_MAX_RETRY_S, 2 * delay_s)
+                continue
+            except CardamomnotchError as error:
+                _LOGGER.error("change of the lists refused: %s", error)
+                return
+            _LOGGER.info("revision %d accepted: %s", revision, action.reason)
+            return
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/cli/changes.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/lists/writer.py
@@ -1,13 +1,12 @@
-"""Changes of the operators' lists in the store."""
+"""Compare-and-swap of the operators' lists in the store."""
 
 import uuid
-from collections.abc import AsyncIterator, Callable
-from contextlib import asynccontextmanager
-from pathlib import Path
-
-import aiohttp
+from collections.abc import Callable
 
+from cardamomnotch_core.configuration.changes import ListsChange, apply_change
 from cardamomnotch_core.configuration.document import (
+    configuration_from_document,
+    document_from_configuration,
     message_from_record,
     record_from_message,
 )
@@ -19,19 +18,8 @@
     async_read_configuration,
     async_write_configuration,
 )
-from cardamomnotch_runtime.settings import load_settings
-
-from ..settings import OperatorSettings
-
-Change = Callable[[Configuration], Configuration]
 
-
-@asynccontextmanager
-async def async_open_store(settings_path: Path) -> AsyncIterator[StoreClient]:
-    """Yield a client of the store that the settings name."""
-    settings = load_settings(settings_path, OperatorSettings)
-    async with aiohttp.ClientSession() as session:
-        yield StoreClient(session, settings.platform.store_url)
+_MAX_TRIES = 10
 
 
 async def async_read_record(store: StoreClient) -> ConfigurationRecord | None:
@@ -40,10 +28,12 @@
     return record_from_message(stored.message) if stored.message else None
 
 
-async def async_change(
-    store: StoreClient, change: Change, based_on: int | None = None
+async def async_replace(
+    store: StoreClient,
+    edit: Callable[[Configuration], Configuration],
+    based_on: int | None = None,
 ) -> int:
-    """Apply ``change`` to the lists and return the accepted revision.
+    """Edit the lists once and return the accepted revision.
 
     Raises RevisionConflictError if the lists are not at ``based_on``, or if
     another change came first.
@@ -58,7 +48,7 @@
     record = ConfigurationRecord(
         revision=revision + 1,
         change_id=uuid.uuid4().hex,
-        configuration=change(current.configuration if current else Configuration()),
+        configuration=edit(current.configuration if current else Configuration()),
     )
     message = message_from_record(record)
     try:
@@ -67,3 +57,22 @@
         # The write may have taken effect before the answer was lost.
         await async_write_configuration(store, message, stored.mod_revision)
     return record.revision
+
+
+async def async_make_change(store: StoreClient, change: ListsChange) -> int:
+    """Make ``change`` on top of whatever is accepted; return the revision.
+
+    Raises ConfigurationError if the result contradicts itself, StoreError,
+    or RevisionConflictError if others keep coming first.
+    """
+
+    def edit(configuration: Configuration) -> Configuration:
+        changed = apply_change(change, configuration)
+        return configuration_from_document(document_from_configuration(changed))
+
+    for _ in range(_MAX_TRIES - 1):
+        try:
+            return await async_replace(store, edit)
+        except RevisionConflictError:
+            continue
+    return await async_replace(store, edit)
