Re-attach to attempts over new connections, and fence before giving up

A broken or silent connection ended a request, or ran it a second time without asking the sidecar. The entry now asks for the same attempt from its last byte over a connection that was never pooled; if that fails it fences the attempt, and only never_started lets a request run elsewhere or be called not run. A sidecar cancels idempotent attempts without a reader.

--- a/packages/cardamomnotch-core/src/cardamomnotch_core/attempts/entry_table.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/attempts/entry_table.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from cardamomnotch_protocol.result_codes import ResultCode
+
 from ..routing.models import Demand, Route
 
 
@@ -53,6 +55,9 @@
     tried: frozenset[str] = frozenset()
     # Whether some attempt may have run.
     maybe_ran: bool = False
+    # Why the present attempt's answer was lost, and how often.
+    lost_code: ResultCode = ResultCode.OK
+    fences: int = 0
 
 
 class RequestTable:
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/attempts/sidecar_table.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/attempts/sidecar_table.py
@@ -7,7 +7,7 @@
 from cardamomnotch_protocol.models import Usage
 from cardamomnotch_protocol.result_codes import ResultCode
 
-from .const import ATTEMPT_RETENTION_S
+from .const import ATTEMPT_RETENTION_S, FENCE_RETENTION_S
 
 
 class AttemptState(StrEnum):
@@ -78,7 +78,7 @@
         record = AttemptRecord(
             attempt_id=attempt_id,
             state=AttemptState.NEVER_STARTED,
-            forget_at_s=now_s + ATTEMPT_RETENTION_S,
+            forget_at_s=now_s + FENCE_RETENTION_S,
         )
         self._records[attempt_id] = record
         return record
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/actions.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/actions.py
@@ -35,6 +35,8 @@
     code: ResultCode
     detail: str = ""
     retry_after_s: float | None = None
+    # Whether it is certain that the request has not run and will not.
+    not_run: bool = False
 
 
 @attrs.frozen(kw_only=True)
@@ -132,3 +134,22 @@
 
     change: ListsChange
     reason: str
+
+
+@attrs.frozen(kw_only=True)
+class FenceAttempt(Action):
+    """Ask a sidecar whether the attempt started, and that it never will."""
+
+    request_id: str
+    attempt_id: str
+    address: str
+    incarnation: str
+    cancel: bool = False
+
+
+@attrs.frozen(kw_only=True)
+class RejoinAttempt(Action):
+    """Follow the answer of an attempt that has started already."""
+
+    address: str
+    message: AttemptRequest
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/entry_node.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/entry_node.py
@@ -132,5 +132,6 @@
     @handle.register(events.AttemptTurnedDown)
     @handle.register(events.AttemptEnded)
     @handle.register(events.AttemptLost)
+    @handle.register(events.AttemptFenced)
     def _(self, event: Event, now_s: float) -> list[Action]:
         return self._requests.handle(event, now_s)
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/events.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/events.py
@@ -13,6 +13,7 @@
 from cardamomnotch_protocol.result_codes import ResultCode
 
 from ..attempts.entry_table import CallerRequest
+from ..attempts.sidecar_table import AttemptState
 from ..configuration.models import ConfigurationRecord
 from ..membership.models import Vm
 
@@ -177,3 +178,12 @@
 @attrs.frozen(kw_only=True)
 class UpstreamUnreachable(Event):
     """The upstream did not tell its load."""
+
+
+@attrs.frozen(kw_only=True)
+class AttemptFenced(Event):
+    """A sidecar told whether an attempt has started; it cannot any more."""
+
+    request_id: str
+    attempt_id: str
+    state: AttemptState
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/request_flow.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/request_flow.py
@@ -8,13 +8,18 @@
 from cardamomnotch_protocol.models import AttemptRequest
 from cardamomnotch_protocol.result_codes import ResultCode
 
-from ..attempts.const import DEFAULT_RETRY_AFTER_S, MAX_ATTEMPTS_PER_REQUEST
+from ..attempts.const import (
+    DEFAULT_RETRY_AFTER_S,
+    MAX_ATTEMPTS_PER_REQUEST,
+    MAX_REJOINS,
+)
 from ..attempts.entry_table import (
     CallerRequest,
     RequestRecord,
     RequestState,
     RequestTable,
 )
+from ..attempts.sidecar_table import AttemptState
 from ..configuration.holder import ConfigurationHolder
 from ..configuration.models import Configuration
 from ..membership.table import UpstreamTable
@@ -76,7 +81,15 @@
         try:
             record = self._admit(event.request, now_s)
         except CardamomnotchError as error:
-            return [_refusal(event.request.request_id, error)]
+            return [
+                actions.RefuseRequest(
+                    request_id=event.request.request_id,
+                    code=error.code,
+                    detail=error.detail,
+                    retry_after_s=error.retry_after_s,
+                    not_run=True,
+                )
+            ]
         return self._next_attempt(record, now_s)
 
     def _admit(self, request: CallerRequest, now_s: float) -> RequestRecord:
@@ -120,7 +133,7 @@
             route = self._router.choose(configuration, record.demand, candidates)
         except CardamomnotchError as error:
             self._requests.end(record.request.request_id)
-            return [_refusal(record.request.request_id, error)]
+            return [_refusal(record, error)]
         record = attrs.evolve(
             record,
             attempt_id=f"{record.request.request_id}-{record.attempts + 1}",
@@ -181,7 +194,7 @@
         may_go_on = record.attempts < MAX_ATTEMPTS_PER_REQUEST
         if event.code not in _ELSEWHERE or not may_go_on:
             self._requests.end(event.request_id)
-            return [_refusal(event.request_id, error)]
+            return [_refusal(record, error)]
         return self._next_attempt(
             attrs.evolve(record, tried=record.tried | {vm_id}), now_s
         )
@@ -197,46 +210,80 @@
             return [
                 actions.CompleteRequest(request_id=event.request_id, usage=event.usage)
             ]
-        return self._after_failure(record, event.code, event.detail, now_s)
+        error = CardamomnotchError(event.detail, code=event.code)
+        return self._after_failure(record, error, now_s, started=event.started)
 
     @handle.register
     def _(self, event: events.AttemptLost, now_s: float) -> list[Action]:
         record = self._current(event.request_id, event.attempt_id)
         if record is None:
             return []
-        self._upstreams.mark_unreachable(record.route.upstream.vm_id)
+        upstream = record.route.upstream
+        self._upstreams.mark_unreachable(upstream.vm_id)
+        error = CardamomnotchError(code=event.code)
         if not event.sent:
-            record = attrs.evolve(
-                record, tried=record.tried | {record.route.upstream.vm_id}
+            return self._after_failure(record, error, now_s, started=False)
+        self._requests.put(
+            attrs.evolve(record, lost_code=event.code, fences=record.fences + 1)
+        )
+        return [
+            actions.FenceAttempt(
+                request_id=event.request_id,
+                attempt_id=event.attempt_id,
+                address=upstream.address,
+                incarnation=upstream.incarnation,
+                cancel=record.route.idempotent,
             )
-            return self._next_attempt(record, now_s)
-        return self._after_failure(record, event.code, "", now_s)
+        ]
+
+    @handle.register
+    def _(self, event: events.AttemptFenced, now_s: float) -> list[Action]:
+        record = self._current(event.request_id, event.attempt_id)
+        if record is None:
+            return []
+        known = event.state in (AttemptState.RUNNING, AttemptState.FINISHED)
+        if known and not record.route.idempotent and record.fences <= MAX_REJOINS:
+            return [
+                actions.RejoinAttempt(
+                    address=record.route.upstream.address,
+                    message=self._start(record, record.route, now_s).message,
+                )
+            ]
+        started = event.state is not AttemptState.NEVER_STARTED
+        error = CardamomnotchError(code=record.lost_code)
+        return self._after_failure(record, error, now_s, started=started)
 
     def _after_failure(
-        self, record: RequestRecord, code: ResultCode, detail: str, now_s: float
+        self,
+        record: RequestRecord,
+        error: CardamomnotchError,
+        now_s: float,
+        *,
+        started: bool,
     ) -> list[Action]:
         """Retry what may be repeated, or end the request truthfully."""
+        record = attrs.evolve(
+            record,
+            maybe_ran=record.maybe_ran or started,
+            tried=record.tried | {record.route.upstream.vm_id},
+        )
         may_repeat = (
-            record.route.idempotent
+            (record.route.idempotent or not record.maybe_ran)
             and record.state is RequestState.ATTEMPTING
             and record.attempts < MAX_ATTEMPTS_PER_REQUEST
         )
         if may_repeat:
-            tried = record.tried | {record.route.upstream.vm_id}
-            return self._next_attempt(
-                attrs.evolve(record, tried=tried, maybe_ran=True), now_s
-            )
+            return self._next_attempt(record, now_s)
         self._requests.end(record.request.request_id)
-        if not record.route.idempotent:
-            code = ResultCode.OUTCOME_UNKNOWN
-        error = CardamomnotchError(detail, code=code)
-        return [_refusal(record.request.request_id, error)]
+        return [_refusal(record, error)]
 
     @handle.register
     def _(self, event: events.CallerGone, now_s: float) -> list[Action]:
-        record = self._requests.end(event.request_id)
+        record = self._requests.get(event.request_id)
         if record is None or record.route is None or not record.route.idempotent:
+            # What may not be repeated is followed to its end all the same.
             return []
+        self._requests.end(event.request_id)
         upstream = record.route.upstream
         return [
             actions.CancelAttempt(
@@ -263,10 +310,15 @@
     return request_class.deadline_s if request_class else DEFAULT_DEADLINE_S
 
 
-def _refusal(request_id: str, error: CardamomnotchError) -> Action:
+def _refusal(record: RequestRecord, error: CardamomnotchError) -> Action:
+    """Return the final answer to a request that is given up."""
+    code, detail = error.code, error.detail
+    if record.maybe_ran and record.route is not None and not record.route.idempotent:
+        code, detail = ResultCode.OUTCOME_UNKNOWN, f"{error.code.name.lower()}"
     return actions.RefuseRequest(
-        request_id=request_id,
-        code=error.code,
-        detail=error.detail,
+        request_id=record.request.request_id,
+        code=code,
+        detail=detail,
         retry_after_s=error.retry_after_s,
+        not_run=not record.maybe_ran,
     )
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/caller/exchange.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/caller/exchange.py
@@ -12,7 +12,7 @@
 from cardamomnotch_protocol.result_codes import ResultCode
 from cardamomnotch_runtime.responses import error_body, error_response
 
-from ..const import HEADER_REQUEST_ID, HEADER_RESULT_CODE
+from ..const import HEADER_NOT_RUN, HEADER_REQUEST_ID, HEADER_RESULT_CODE
 
 _DONE_EVENT = b"data: [DONE]\n\n"
 _KEPT_HEADERS = ("Content-Type",)
@@ -30,6 +30,7 @@
 
     error: CardamomnotchError | None = None
     usage: Usage = Usage()
+    not_run: bool = False
 
 
 class CallerExchange:
@@ -91,7 +92,7 @@
         """Wait for the end, and return the caller's HTTP answer."""
         outcome = await self._outcome
         if outcome.error is not None:
-            return await self._async_finish_with_error(outcome.error)
+            return await self._async_finish_with_error(outcome.error, outcome.not_run)
         if self._stream and self._status == 200:
             response = self._response or await self._async_prepare()
             await response.write(_DONE_EVENT)
@@ -102,12 +103,13 @@
         )
 
     async def _async_finish_with_error(
-        self, error: CardamomnotchError
+        self, error: CardamomnotchError, not_run: bool
     ) -> web.StreamResponse:
         if self._response is None:
             headers = {
                 HEADER_REQUEST_ID: self._request_id,
                 HEADER_RESULT_CODE: str(int(error.code)),
+                HEADER_NOT_RUN: str(not_run).lower(),
             }
             return error_response(error, headers)
         # The status is sent already; the stream ends without its last event.
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/caller/server.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/caller/server.py
@@ -102,7 +102,7 @@
         error = CardamomnotchError(
             action.detail, code=action.code, retry_after_s=action.retry_after_s
         )
-        exchange.end(Outcome(error=error))
+        exchange.end(Outcome(error=error, not_run=action.not_run))
 
     def _complete(self, action: actions.CompleteRequest) -> None:
         exchange = self._exchanges.get(action.request_id)
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/composition.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/composition.py
@@ -60,7 +60,10 @@
             inner_headers(self._settings.node.inner_keys)
         )
         callers = CallerServer(self._node, self._runner)
-        AttemptClient(inner_session, self._runner, callers, self._tasks)
+        fresh_session = self._open_session(
+            inner_headers(self._settings.node.inner_keys), reuse=False
+        )
+        AttemptClient(inner_session, fresh_session, self._runner, callers, self._tasks)
         sender = ConfigurationSender(
             inner_session, self._runner, self._tasks, self._node.configuration
         )
@@ -118,10 +121,11 @@
     async def _async_tick(self) -> None:
         self._runner.dispatch(events.TimerDue())
 
-    def _open_session(self, headers: dict[str, str]) -> aiohttp.ClientSession:
+    def _open_session(
+        self, headers: dict[str, str], *, reuse: bool = True
+    ) -> aiohttp.ClientSession:
         # The nodes limit concurrency; the connector must not queue as well.
-        session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0), headers=headers
-        )
+        connector = aiohttp.TCPConnector(limit=0, force_close=not reuse)
+        session = aiohttp.ClientSession(connector=connector, headers=headers)
         self._sessions.append(session)
         return session
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/const.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/const.py
@@ -4,6 +4,7 @@
 
 HEADER_CLASS: Final = "X-Cardamomnotch-Class"
 HEADER_IDEMPOTENCY_KEY: Final = "Idempotency-Key"
+HEADER_NOT_RUN: Final = "X-Cardamomnotch-Not-Run"
 HEADER_REQUEST_ID: Final = "X-Cardamomnotch-Request-Id"
 HEADER_RESULT_CODE: Final = "X-Cardamomnotch-Result-Code"
 HEADER_TIMEOUT: Final = "X-Cardamomnotch-Timeout-S"
@@ -16,6 +17,10 @@
 # Time for the first frame of an attempt, and longest silence after it.
 ATTEMPT_SILENCE_S: Final = 3.0
 ATTEMPT_CONNECT_S: Final = 1.0
+# Longest time without a new byte in which a lost answer is asked for again.
+REATTACH_LIMIT_S: Final = 6.0
+REATTACH_PAUSE_S: Final = 0.2
+FENCE_LIMIT_S: Final = 3.0
 HEARTBEAT_INTERVAL_S: Final = 1.0
 HEARTBEAT_TIMEOUT_S: Final = 1.0
 VM_LIST_INTERVAL_S: Final = 1.0
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/inner/attempt_client.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/inner/attempt_client.py
@@ -1,11 +1,13 @@
 """Sends attempts to sidecars and follows their answers."""
 
+import asyncio
 import logging
 from collections.abc import AsyncIterator
-from functools import singledispatchmethod
+from contextlib import AbstractAsyncContextManager
 
 import aiohttp
 
+from cardamomnotch_core.attempts.sidecar_table import AttemptState
 from cardamomnotch_core.nodes import actions, events
 from cardamomnotch_protocol import codec
 from cardamomnotch_protocol.codec import Frame, FrameDecoder
@@ -15,17 +17,7 @@
     PATH_FENCE,
 )
 from cardamomnotch_protocol.exceptions import CardamomnotchError, ProtocolError
-from cardamomnotch_protocol.models import (
-    AnswerChunk,
-    AnswerHead,
-    AttemptAccepted,
-    AttemptFinished,
-    AttemptRefused,
-    AttemptRequest,
-    FenceRequest,
-    KeepAlive,
-    Message,
-)
+from cardamomnotch_protocol.models import FenceReply, FenceRequest
 from cardamomnotch_protocol.result_codes import ResultCode
 from cardamomnotch_runtime.frames import async_call
 from cardamomnotch_runtime.runner import NodeRunner
@@ -36,38 +28,65 @@
 from ..const import (
     ATTEMPT_CONNECT_S,
     ATTEMPT_SILENCE_S,
-    HEADER_VERSION,
+    FENCE_LIMIT_S,
     HEARTBEAT_TIMEOUT_S,
+    REATTACH_LIMIT_S,
+    REATTACH_PAUSE_S,
 )
+from .follower import AttemptFollower
 
 _LOGGER = logging.getLogger(__name__)
 _TIMEOUT = aiohttp.ClientTimeout(
     total=None, sock_connect=ATTEMPT_CONNECT_S, sock_read=ATTEMPT_SILENCE_S
 )
 _HEADERS = {"Content-Type": CONTENT_TYPE_FRAMES}
+_BROKEN = (aiohttp.ClientError, TimeoutError, OSError, ProtocolError)
+_STATUS_NOT_FOUND = 404
+
+
+class AttemptForgottenError(CardamomnotchError):
+    """The sidecar does not hold the attempt's answer."""
+
+    code = ResultCode.ATTEMPT_UNKNOWN
 
 
 class AttemptClient:
-    """Carries out the actions that concern attempts."""
+    """Carries out the actions that concern attempts.
+
+    ``session`` reuses connections; ``fresh_session`` opens a new one for each
+    call, because a pooled one may be silent for good.
+    """
 
     def __init__(
         self,
         session: aiohttp.ClientSession,
+        fresh_session: aiohttp.ClientSession,
         runner: NodeRunner,
         callers: CallerServer,
         tasks: TaskGroup,
     ) -> None:
         self._session = session
+        self._fresh_session = fresh_session
         self._runner = runner
         self._callers = callers
         self._tasks = tasks
         runner.register(actions.StartAttempt, self._start)
+        runner.register(actions.RejoinAttempt, self._rejoin)
+        runner.register(actions.FenceAttempt, self._fence)
         runner.register(actions.CancelAttempt, self._cancel)
 
     def _start(self, action: actions.StartAttempt) -> None:
         exchange = self._callers.exchange(action.message.request_id)
         if exchange is not None:
-            self._tasks.start(self._async_attempt(action, exchange))
+            self._tasks.start(self._async_attempt(action, exchange, rejoin=False))
+
+    def _rejoin(self, action: actions.RejoinAttempt) -> None:
+        exchange = self._callers.exchange(action.message.request_id)
+        if exchange is not None:
+            self._tasks.start(self._async_attempt(action, exchange, rejoin=True))
+
+    def _fence(self, action: actions.FenceAttempt) -> None:
+        self._tasks.start(self._async_fence(action))
 
     def _cancel(self, action: actions.CancelAttempt) -> None:
         self._tasks.start(self._async_cancel(action))
@@ -76,138 +95,133 @@
         message = FenceRequest(
             attempt_id=action.attempt_id, incarnation=action.incarnation, cancel=True
         )
-        url = f"http://{action.address}{PATH_FENCE}"
         try:
-            await async_call(self._session, url, message, HEARTBEAT_TIMEOUT_S)
+            await self._async_call_fence(action.address, message)
         except CardamomnotchError as error:
             _LOGGER.debug("attempt not cancelled: %s", error)
 
+    async def _async_fence(self, action: actions.FenceAttempt) -> None:
+        """Ask until the sidecar answers; without an answer nothing is known."""
+        message = FenceRequest(
+            attempt_id=action.attempt_id,
+            incarnation=action.incarnation,
+            cancel=action.cancel,
+        )
+        state = AttemptState.UNKNOWN
+        give_up_at_s = _now_s() + FENCE_LIMIT_S
+        while True:
+            try:
+                reply = await self._async_call_fence(action.address, message)
+            except CardamomnotchError as error:
+                _LOGGER.debug("attempt not fenced: %s", error)
+            else:
+                state = AttemptState(reply.state)
+                break
+            if _now_s() >= give_up_at_s:
+                break
+            await asyncio.sleep(REATTACH_PAUSE_S)
+        self._runner.dispatch(
+            events.AttemptFenced(
+                request_id=action.request_id, attempt_id=action.attempt_id, state=state
+            )
+        )
+
+    async def _async_call_fence(
+        self, address: str, message: FenceRequest
+    ) -> FenceReply:
+        url = f"http://{address}{PATH_FENCE}"
+        reply = await async_call(self._fresh_session, url, message, HEARTBEAT_TIMEOUT_S)
+        if not isinstance(reply, FenceReply) or reply.attempt_id != message.attempt_id:
+            raise ProtocolError("the answer is not to this fence request")
+        return reply
+
     async def _async_attempt(
-        self, action: actions.StartAttempt, exchange: CallerExchange
+        self,
+        action: actions.StartAttempt | actions.RejoinAttempt,
+        exchange: CallerExchange,
+        *,
+        rejoin: bool,
     ) -> None:
-        message = action.message
-        follower = _Follower(self._runner, exchange, message)
+        follower = AttemptFollower(self._runner, exchange, action.message)
         try:
-            async for frame in self._async_frames(action, exchange.body):
-                await follower.async_take(frame.message, frame.payload)
-        except aiohttp.ClientConnectorError:
-            follower.lose(ResultCode.SIDECAR_UNREACHABLE, sent=False)
-        except (aiohttp.ClientError, TimeoutError, ProtocolError) as error:
-            _LOGGER.debug("attempt %s lost: %r", message.attempt_id, error)
-            follower.lose(ResultCode.SIDECAR_UNREACHABLE)
+            if rejoin:
+                await self._async_reattach(action, follower)
+            else:
+                await self._async_send(action, exchange.body, follower)
         except CallerGoneError:
-            self._runner.dispatch(events.CallerGone(request_id=message.request_id))
-        else:
-            follower.lose(ResultCode.SHORT_ANSWER)
-
-    async def _async_frames(
-        self, action: actions.StartAttempt, body: bytes
-    ) -> AsyncIterator[Frame]:
-        decoder = FrameDecoder()
-        async with self._session.post(
+            self._runner.dispatch(
+                events.CallerGone(request_id=action.message.request_id)
+            )
+
+    async def _async_send(
+        self, action: actions.StartAttempt, body: bytes, follower: AttemptFollower
+    ) -> None:
+        call = self._session.post(
             f"http://{action.address}{PATH_ATTEMPTS}",
             data=codec.encode(action.message, body),
             headers=_HEADERS,
             timeout=_TIMEOUT,
-        ) as response:
-            if response.status != 200:
-                raise ProtocolError(f"status {response.status}")
-            async for data in response.content.iter_any():
-                for frame in decoder.feed(data):
-                    yield frame
-
-
-class _Follower:
-    """Passes one attempt's frames to the node and the caller."""
-
-    def __init__(
-        self, runner: NodeRunner, exchange: CallerExchange, request: AttemptRequest
-    ) -> None:
-        self._runner = runner
-        self._exchange = exchange
-        self._request = request
-        self._offset = 0
-        self._ended = False
-        exchange.restart_answer(
-            {HEADER_VERSION: f"{request.model}/{request.version}"}
-            if request.model
-            else {}
-        )
-
-    async def async_take(self, message: Message, payload: bytes) -> None:
-        """Handle one frame; raise ProtocolError if it is another attempt's."""
-        if message.attempt_id != self._request.attempt_id:
-            raise ProtocolError(code=ResultCode.CROSSED_ANSWER)
-        await self._async_handle(message, payload)
-
-    def lose(self, code: ResultCode, *, sent: bool = True) -> None:
-        """Tell the node that no last frame will come."""
-        if self._ended:
-            return
-        self._ended = True
-        self._runner.dispatch(
-            events.AttemptLost(
-                request_id=self._request.request_id,
-                attempt_id=self._request.attempt_id,
-                code=code,
-                sent=sent,
-            )
-        )
-
-    @singledispatchmethod
-    async def _async_handle(self, message: Message, payload: bytes) -> None:
-        raise ProtocolError(f"unexpected {message.message_type}")
-
-    @_async_handle.register
-    async def _(self, message: AttemptAccepted | KeepAlive, payload: bytes) -> None:
-        return
-
-    @_async_handle.register
-    async def _(self, message: AttemptRefused, payload: bytes) -> None:
-        self._ended = True
-        self._runner.dispatch(
-            events.AttemptTurnedDown(
-                request_id=self._request.request_id,
-                attempt_id=message.attempt_id,
-                code=message.code,
-                detail=message.detail,
-                retry_after_s=message.retry_after_s,
-                load=message.load,
-            )
         )
+        try:
+            await _async_follow(call, follower)
+        except aiohttp.ClientConnectorError:
+            follower.lose(ResultCode.SIDECAR_UNREACHABLE, sent=False)
+        except _BROKEN as error:
+            _LOGGER.debug("attempt %s: %r", action.message.attempt_id, error)
+            await self._async_reattach(action, follower)
 
-    @_async_handle.register
-    async def _(self, message: AnswerHead, payload: bytes) -> None:
-        await self._exchange.async_set_head(message.status, message.headers)
-
-    @_async_handle.register
-    async def _(self, message: AnswerChunk, payload: bytes) -> None:
-        if message.offset != self._offset:
-            raise ProtocolError(code=ResultCode.SHORT_ANSWER)
-        if not self._offset:
-            self._runner.dispatch(
-                events.AttemptAnswered(
-                    request_id=self._request.request_id,
-                    attempt_id=message.attempt_id,
-                )
-            )
-        self._offset += len(payload)
-        await self._exchange.async_write(payload)
-
-    @_async_handle.register
-    async def _(self, message: AttemptFinished, payload: bytes) -> None:
-        code = message.code
-        if code is ResultCode.OK and message.total_bytes != self._offset:
-            code = ResultCode.SHORT_ANSWER
-        self._ended = True
-        self._runner.dispatch(
-            events.AttemptEnded(
-                request_id=self._request.request_id,
-                attempt_id=message.attempt_id,
-                code=code,
-                detail=message.detail,
-                usage=message.usage,
-                load=message.load,
-                started=message.started,
+    async def _async_reattach(
+        self,
+        action: actions.StartAttempt | actions.RejoinAttempt,
+        follower: AttemptFollower,
+    ) -> None:
+        """Follow the answer from where it stopped, over new connections."""
+        give_up_at_s = _now_s() + REATTACH_LIMIT_S
+        while not follower.has_ended:
+            offset = follower.offset
+            call = self._fresh_session.get(
+                f"http://{action.address}{PATH_ATTEMPTS}/{action.message.attempt_id}",
+                params={"offset": str(offset)},
+                timeout=_TIMEOUT,
             )
-        )
+            try:
+                await _async_follow(call, follower)
+            except AttemptForgottenError as error:
+                follower.lose(error.code)
+            except _BROKEN:
+                if follower.offset > offset:
+                    give_up_at_s = _now_s() + REATTACH_LIMIT_S
+                elif _now_s() >= give_up_at_s:
+                    follower.lose(ResultCode.SIDECAR_UNREACHABLE)
+                await asyncio.sleep(REATTACH_PAUSE_S)
+
+
+async def _async_follow(
+    call: AbstractAsyncContextManager[aiohttp.ClientResponse],
+    follower: AttemptFollower,
+) -> None:
+    """Take frames until the attempt has ended.
+
+    Raises one of the broken-connection errors if they stop before.
+    """
+    async with call as response:
+        if response.status == _STATUS_NOT_FOUND:
+            raise AttemptForgottenError
+        if response.status != 200:
+            raise ProtocolError(f"status {response.status}")
+        async for frame in _async_frames(response):
+            await follower.async_take(frame.message, frame.payload)
+            if follower.has_ended:
+                return
+    raise ProtocolError("the answer ended before its last frame")
+
+
+async def _async_frames(response: aiohttp.ClientResponse) -> AsyncIterator[Frame]:
+    decoder = FrameDecoder()
+    async for data in response.content.iter_any():
+        for frame in decoder.feed(data):
+            yield frame
+
+
+def _now_s() -> float:
+    return asyncio.get_running_loop().time()
--- a/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/answer_buffer.py
+++ b/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/answer_buffer.py
@@ -1,6 +1,7 @@
 """The answer of one attempt, kept for readers that come back."""
 
 import asyncio
+import time
 from collections.abc import AsyncIterator, Mapping
 
 from cardamomnotch_protocol.codec import encode
@@ -26,6 +27,8 @@
         self._dropped_bytes = 0
         self._finished: AttemptFinished | None = None
         self._changed = asyncio.Event()
+        self._readers = 0
+        self._unread_since_s = time.monotonic()
 
     @property
     def total_bytes(self) -> int:
@@ -37,6 +40,15 @@
         """Return whether the attempt has ended."""
         return self._finished is not None
 
+    def unread_s(self) -> float:
+        """Return for how many seconds nobody has followed the answer."""
+        return 0.0 if self._readers else time.monotonic() - self._unread_since_s
+
+    def check_offset(self, offset: int) -> None:
+        """Raise CardamomnotchError with SHORT_ANSWER if bytes are gone."""
+        if not self._dropped_bytes <= offset <= self.total_bytes:
+            raise CardamomnotchError(code=ResultCode.SHORT_ANSWER)
+
     def set_head(self, status: int, headers: Mapping[str, str]) -> None:
         """Note status and headers of the upstream's answer."""
         self._head = AnswerHead(
@@ -63,6 +75,15 @@
 
         Raises CardamomnotchError with SHORT_ANSWER if those bytes are gone.
         """
+        self._readers += 1
+        try:
+            async for data in self._async_follow(offset):
+                yield data
+        finally:
+            self._readers -= 1
+            self._unread_since_s = time.monotonic()
+
+    async def _async_follow(self, offset: int) -> AsyncIterator[bytes]:
         head_sent = False
         while True:
             changed = self._changed
--- a/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/attempt_runner.py
+++ b/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/attempt_runner.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 
+from cardamomnotch_core.attempts.const import ORPHAN_AFTER_S
 from cardamomnotch_core.nodes import actions, events
 from cardamomnotch_protocol.models import AttemptFinished, AttemptRequest, Load
 from cardamomnotch_protocol.result_codes import ResultCode
@@ -30,6 +31,7 @@
         self._load = load
         self._buffers: dict[str, AnswerBuffer] = {}
         self._calls: dict[str, asyncio.Task] = {}
+        self._idempotent_ids: set[str] = set()
         runner.register(actions.CancelUpstreamCall, self._cancel)
 
     def buffer(self, attempt_id: str) -> AnswerBuffer | None:
@@ -42,8 +44,16 @@
         self._buffers[request.attempt_id] = buffer
         task = self._tasks.start(self._async_run(request, body, buffer))
         self._calls[request.attempt_id] = task
+        if request.idempotent:
+            self._idempotent_ids.add(request.attempt_id)
         return buffer
 
+    async def async_cancel_orphans(self) -> None:
+        """Cancel idempotent attempts that nobody follows any more."""
+        for attempt_id in tuple(self._idempotent_ids):
+            if self._buffers[attempt_id].unread_s() > ORPHAN_AFTER_S:
+                self._calls[attempt_id].cancel()
+
     def _cancel(self, action: actions.CancelUpstreamCall) -> None:
         task = self._calls.get(action.attempt_id)
         if task is not None:
@@ -61,6 +71,7 @@
         except asyncio.CancelledError:
             code = ResultCode.ATTEMPT_CANCELLED
         self._calls.pop(request.attempt_id, None)
+        self._idempotent_ids.discard(request.attempt_id)
         self._runner.dispatch(
             events.UpstreamCallEnded(
                 attempt_id=request.attempt_id,
--- a/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/composition.py
+++ b/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/composition.py
@@ -93,6 +93,7 @@
         coordinator = UpstreamCoordinator(self._runner, client)
         self._tasks.repeat(lambda: REPORT_INTERVAL_S, coordinator.async_poll)
         self._tasks.repeat(lambda: TIMER_INTERVAL_S, self._async_tick)
+        self._tasks.repeat(lambda: TIMER_INTERVAL_S, attempts.async_cancel_orphans)
 
     async def async_unload(self) -> None:
         """Finish what is in flight, then stop."""
--- a/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/const.py
+++ b/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/const.py
@@ -9,6 +9,8 @@
 
 # Silence after which a keep-alive frame is sent.
 KEEP_ALIVE_S: Final = 1.0
+# Time in which a reader's host must acknowledge what was sent.
+READER_SILENCE_MS: Final = 5000
 # Bytes of one answer that are kept for readers that come back.
 MAX_ANSWER_BUFFER_BYTES: Final = 2 * 1_048_576
 # How long an ended answer is kept.
--- a/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/inner/server.py
+++ b/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/inner/server.py
@@ -1,5 +1,8 @@
 """HTTP handlers for the inner protocol at the sidecar."""
 
+import socket
+from contextlib import aclosing
+
 from aiohttp import web
 
 from cardamomnotch_core.configuration.document import record_from_message
@@ -31,6 +34,7 @@
 
 from ..answer_buffer import AnswerBuffer
 from ..attempt_runner import AttemptRunner
+from ..const import READER_SILENCE_MS
 from .configuration import ConfigurationFetcher
 
 
@@ -111,6 +115,8 @@
         *,
         offset: int,
     ) -> web.StreamResponse:
+        buffer.check_offset(offset)
+        _bound_silence(request)
         response = web.StreamResponse(headers={"Content-Type": CONTENT_TYPE_FRAMES})
         await response.prepare(request)
         accepted = AttemptAccepted(
@@ -120,8 +126,9 @@
             load=Load(),
         )
         await response.write(codec.encode(accepted))
-        async for data in buffer.async_frames(offset):
-            await response.write(data)
+        async with aclosing(buffer.async_frames(offset)) as frames:
+            async for data in frames:
+                await response.write(data)
         await response.write_eof()
         return response
 
@@ -146,6 +153,13 @@
         return frame_response(ConfigurationReply(revision=self._fetcher.revision))
 
 
+def _bound_silence(request: web.Request) -> None:
+    """Have the kernel close the connection if the reader acknowledges nothing."""
+    bound = request.transport.get_extra_info("socket") if request.transport else None
+    if bound is not None:
+        bound.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, READER_SILENCE_MS)
+
+
 def _first(
     found: list[actions.Action], action_class: type[actions.Action]
 ) -> actions.Action:
--- /dev/null
+++ b/tests/entry/test_reattach.py
@@ -0,0 +1,112 @@
+"""Lost connections between entry and sidecar."""
+
+import asyncio
+
+import pytest
+
+from cardamomnotch_protocol.result_codes import ResultCode
+from cardamomnotch_runtime.tasks import async_wait_until
+
+from tests.fixtures.in_process import InProcessSystem
+from tests.fixtures.local_system import ZONES
+from tests.fixtures.relay import async_start_relay
+
+_MEMBER = {"Authorization": "Bearer member-key"}
+_TOKENS = 30
+
+
+@pytest.fixture
+async def relayed():
+    """Return an entry that reaches engine and service through relays."""
+    system = InProcessSystem()
+    await system.async_start_platform()
+    await system.async_add_engine("engine-0", ZONES[0])
+    await system.async_add_service("booking-0", ZONES[0])
+    relays = {
+        vm_id: await async_start_relay(gate.settings.node.inner_address)
+        for vm_id, gate in system.gates.items()
+    }
+    publish = system.publish_vm_list
+    system.publish_vm_list = lambda: publish(
+        **{vm_id: {"address": relay.address} for vm_id, relay in relays.items()}
+    )
+    await system.async_add_entry("entry-0", ZONES[0])
+    await system.async_wait_until_ready()
+    yield system, relays
+    for relay in relays.values():
+        await relay.async_stop()
+    await system.async_stop()
+
+
+def _post(http_session, system, path, body):
+    url = f"{system.entries['entry-0'].url}{path}"
+    return http_session.post(url, json=body, headers=_MEMBER)
+
+
+def _stream(http_session, system):
+    body = {
+        "model": "auto",
+        "messages": [{"role": "user", "content": "x"}],
+        "max_tokens": _TOKENS,
+        "stream": True,
+    }
+    return _post(http_session, system, "/v1/chat/completions", body)
+
+
+def _book(http_session, system):
+    return _post(http_session, system, "/services/booking/reservations", {"batch": "b"})
+
+
+@pytest.mark.parametrize("fault", ["silence", "cut"])
+async def test_stream_goes_on_over_a_new_connection(relayed, http_session, fault):
+    """A stream whose connection is lost midway arrives whole, from one run."""
+    system, relays = relayed
+    engine = system.gates["engine-0"].stand_in
+    engine.faults.active["token_s"] = 0.05
+    async with _stream(http_session, system) as response:
+        first = await response.content.readline()
+        getattr(relays["engine-0"], fault)()
+        body = first + await response.read()
+    words = [f'"w{index} "'.encode() for index in range(_TOKENS)]
+    assert [body.count(word) for word in words] == [1] * _TOKENS
+    assert body.endswith(b"data: [DONE]\n\n")
+    assert engine.faults.counts["started"] == 1
+
+
+@pytest.mark.parametrize("fault", ["silence", "cut"])
+async def test_booking_outlives_its_connection(relayed, http_session, fault):
+    """A booking whose connection is lost runs once, and its answer arrives."""
+    system, relays = relayed
+    service = system.gates["booking-0"].stand_in
+    service.faults.active["delay_s"] = 1.0
+    sidecar = system.gates["booking-0"].sidecar
+    call = asyncio.create_task(_book(http_session, system).__aenter__())
+    assert await async_wait_until(lambda: sidecar.node.attempts_in_flight, 5.0)
+    getattr(relays["booking-0"], fault)()
+    response = await call
+    assert response.status == 201
+    assert len(service.reservations) == 1
+
+
+async def test_sidecar_gone_leaves_a_booking_unknown(relayed, http_session):
+    """A booking whose sidecar vanishes ends as unknown, never as not run."""
+    system, relays = relayed
+    service = system.gates["booking-0"].stand_in
+    service.faults.active["silent_after_effect"] = True
+    call = asyncio.create_task(_book(http_session, system).__aenter__())
+    assert await async_wait_until(lambda: service.reservations, 5.0)
+    await relays["booking-0"].async_stop()
+    response = await call
+    code = response.headers["X-Cardamomnotch-Result-Code"]
+    assert code == str(int(ResultCode.OUTCOME_UNKNOWN))
+    assert response.headers["X-Cardamomnotch-Not-Run"] == "false"
+    assert len(service.reservations) == 1
+
+
+async def test_booking_without_upstream_is_not_run(relayed, http_session):
+    """A booking that reaches no sidecar says so, truthfully."""
+    system, relays = relayed
+    await relays["booking-0"].async_stop()
+    async with _book(http_session, system) as response:
+        assert response.headers["X-Cardamomnotch-Not-Run"] == "true"
+    assert not system.gates["booking-0"].stand_in.reservations
