--- a/packages/cardamomnotch-core/src/cardamomnotch_core/attempts/entry_table.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/attempts/entry_table.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from cardamomnotch_protocol.models import AttemptRequest
 from cardamomnotch_protocol.result_codes import ResultCode
 
 from ..routing.models import Demand, Route
@@ -12,6 +13,7 @@
 class RequestState(StrEnum):
     """State of one request at its entry."""
 
+    CLAIMING = "claiming"
     ATTEMPTING = "attempting"
     STREAMING = "streaming"
     ENDED = "ended"
@@ -58,6 +60,10 @@
     # Why the present attempt's answer was lost, and how often.
     lost_code: ResultCode = ResultCode.OK
     fences: int = 0
+    # The attempt whose claim this request may replace, as it never started.
+    replaces: str = ""
+    # The attempt as it was or will be sent.
+    message: AttemptRequest | None = None
 
 
 class RequestTable:
--- /dev/null
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/journal/__init__.py
@@ -0,0 +1,1 @@
+"""The request journal: claims, outcomes and bills, by partition."""
--- /dev/null
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/journal/claim_flow.py
@@ -0,0 +1,138 @@
+"""What an entry does with the journal's answer to a claim."""
+
+import attrs
+
+from cardamomnotch_protocol.exceptions import CardamomnotchError
+from cardamomnotch_protocol.models import (
+    JournalProposal,
+    JournalRecord,
+    JournalResult,
+    Usage,
+)
+from cardamomnotch_protocol.result_codes import ResultCode
+
+from ..attempts.entry_table import RequestRecord, RequestState, RequestTable
+from ..membership.models import Upstream
+from ..nodes import actions
+from ..nodes.actions import Action
+from .const import RETRY_AFTER_S
+from .models import ProposalOutcome, RecordState
+from .outcomes import call_fingerprint, claim_of, not_run_of, outcome_of
+
+
+class ClaimFlow:
+    """Claims a request key before its attempt leaves the entry."""
+
+    def __init__(self, requests: RequestTable) -> None:
+        self._requests = requests
+        self._by_outcome = {
+            ProposalOutcome.GRANTED: self._granted,
+            ProposalOutcome.FOUND: self._found,
+            ProposalOutcome.EXPIRED: self._expired,
+            ProposalOutcome.UNAVAILABLE: self._unavailable,
+        }
+        self._by_state = {
+            RecordState.CLAIMED: self._found_claim,
+            RecordState.DONE: self._found_outcome,
+            RecordState.NOT_RUN: self._found_not_run,
+        }
+
+    def claim(self, record: RequestRecord) -> Action:
+        """Return the action that claims ``record``'s present attempt."""
+        self._requests.put(attrs.evolve(record, state=RequestState.CLAIMING))
+        upstream = record.route.upstream
+        claim = claim_of(record.message, upstream.vm_id, upstream.address)
+        return actions.ClaimRequest(
+            request_id=record.request.request_id,
+            proposal=JournalProposal(record=claim, replaces=record.replaces),
+        )
+
+    def answered(self, record: RequestRecord, result: JournalResult) -> list[Action]:
+        """Return what follows; raise CardamomnotchError for a refusal."""
+        return self._by_outcome[ProposalOutcome(result.outcome)](record, result.record)
+
+    def _granted(self, record: RequestRecord, _: JournalRecord) -> list[Action]:
+        self._requests.put(attrs.evolve(record, state=RequestState.ATTEMPTING))
+        upstream = record.route.upstream
+        return [
+            actions.StartAttempt(
+                vm_id=upstream.vm_id, address=upstream.address, message=record.message
+            )
+        ]
+
+    def _found(self, record: RequestRecord, found: JournalRecord) -> list[Action]:
+        if found.attempt_id == record.attempt_id:
+            return self._granted(record, found)
+        own = call_fingerprint(record.message)
+        if found.fingerprint and found.fingerprint != own:
+            raise CardamomnotchError(code=ResultCode.KEY_REUSED)
+        return self._by_state[RecordState(found.state)](record, found)
+
+    def _found_claim(self, record: RequestRecord, found: JournalRecord) -> list[Action]:
+        upstream = Upstream(
+            vm_id=found.vm_id,
+            address=found.address,
+            zone="",
+            incarnation=found.incarnation,
+        )
+        message = attrs.evolve(
+            record.message, attempt_id=found.attempt_id, incarnation=found.incarnation
+        )
+        self._requests.put(
+            attrs.evolve(
+                record,
+                state=RequestState.ATTEMPTING,
+                attempt_id=found.attempt_id,
+                route=attrs.evolve(record.route, upstream=upstream),
+                message=message,
+            )
+        )
+        return [actions.RejoinAttempt(address=found.address, message=message)]
+
+    def _found_outcome(
+        self, record: RequestRecord, found: JournalRecord
+    ) -> list[Action]:
+        self._requests.end(record.request.request_id)
+        return [
+            actions.AnswerFromJournal(
+                request_id=record.request.request_id, record=found
+            )
+        ]
+
+    def _found_not_run(
+        self, record: RequestRecord, found: JournalRecord
+    ) -> list[Action]:
+        return [self.claim(attrs.evolve(record, replaces=found.attempt_id))]
+
+    def _expired(self, record: RequestRecord, _: JournalRecord) -> list[Action]:
+        raise CardamomnotchError(code=ResultCode.KEY_EXPIRED)
+
+    def _unavailable(self, record: RequestRecord, _: JournalRecord) -> list[Action]:
+        raise CardamomnotchError(
+            code=ResultCode.JOURNAL_UNAVAILABLE, retry_after_s=RETRY_AFTER_S
+        )
+
+
+def record_outcome(record: RequestRecord, code: ResultCode, usage: Usage) -> Action:
+    """Return the action that records how the present attempt ended."""
+    return actions.RecordOutcome(
+        request_id=record.request.request_id,
+        record=outcome_of(record.message, code, usage),
+        idempotent=record.route.idempotent,
+        address=record.route.upstream.address,
+    )
+
+
+def record_refusal(record: RequestRecord) -> list[Action]:
+    """Return what tells the journal that a claimed request has not run."""
+    claimed = record.replaces and record.message and not record.message.idempotent
+    if not claimed or record.maybe_ran:
+        return []
+    message = attrs.evolve(record.message, attempt_id=record.replaces)
+    return [
+        actions.RecordOutcome(
+            request_id=record.request.request_id,
+            record=not_run_of(message),
+            idempotent=False,
+        )
+    ]
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/actions.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/actions.py
@@ -7,6 +7,8 @@
     AttemptRequest,
     FenceReply,
     HeartbeatReply,
+    JournalProposal,
+    JournalRecord,
     Usage,
 )
 from cardamomnotch_protocol.result_codes import ResultCode
@@ -153,3 +155,39 @@
 
     address: str
     message: AttemptRequest
+
+
+@attrs.frozen(kw_only=True)
+class ClaimRequest(Action):
+    """Have the journal commit a claim before the attempt leaves."""
+
+    request_id: str
+    proposal: JournalProposal
+
+
+@attrs.frozen(kw_only=True)
+class RecordOutcome(Action):
+    """Bring an outcome to the journal, and hold it until it is committed.
+
+    ``address`` is the sidecar that holds a copy.
+    """
+
+    request_id: str
+    record: JournalRecord
+    idempotent: bool
+    address: str = ""
+
+
+@attrs.frozen(kw_only=True)
+class AnswerFromJournal(Action):
+    """Give the caller the answer that its request got the first time."""
+
+    request_id: str
+    record: JournalRecord
+
+
+@attrs.frozen(kw_only=True)
+class FetchOutcomes(Action):
+    """Fetch outcomes that a sidecar holds, and bring them to the journal."""
+
+    address: str
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/entry_node.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/entry_node.py
@@ -52,6 +52,10 @@
         """Return how many requests are being served."""
         return len(self._requests)
 
+    def is_serving(self, request_id: str) -> bool:
+        """Return whether the request is not ended yet."""
+        return self._requests.is_serving(request_id)
+
     @property
     def is_ready(self) -> bool:
         """Return whether the balancer should send callers here."""
@@ -117,9 +121,16 @@
     def _(self, event: events.HeartbeatAnswered, now_s: float) -> list[Action]:
         self._upstreams.take_heartbeat(event.vm_id, event.reply, now_s)
         upstream = self._upstreams.get(event.vm_id)
-        if upstream is None or event.reply.revision >= self._configuration.revision:
+        if upstream is None:
             return []
-        return [actions.SendConfiguration(vm_id=event.vm_id, address=upstream.address)]
+        result: list[Action] = []
+        if event.reply.outcomes_due:
+            result.append(actions.FetchOutcomes(address=upstream.address))
+        if event.reply.revision < self._configuration.revision:
+            result.append(
+                actions.SendConfiguration(vm_id=event.vm_id, address=upstream.address)
+            )
+        return result
 
     @handle.register
     def _(self, event: events.HeartbeatFailed, now_s: float) -> list[Action]:
@@ -133,5 +144,6 @@
     @handle.register(events.AttemptEnded)
     @handle.register(events.AttemptLost)
     @handle.register(events.AttemptFenced)
+    @handle.register(events.ClaimAnswered)
     def _(self, event: Event, now_s: float) -> list[Action]:
         return self._requests.handle(event, now_s)
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/events.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/events.py
@@ -7,6 +7,7 @@
     FenceRequest,
     HeartbeatReply,
     HeartbeatRequest,
+    JournalResult,
     Load,
     Usage,
 )
@@ -187,3 +188,12 @@
     request_id: str
     attempt_id: str
     state: AttemptState
+
+
+@attrs.frozen(kw_only=True)
+class ClaimAnswered(Event):
+    """The journal told what became of a claim."""
+
+    request_id: str
+    attempt_id: str
+    result: JournalResult
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/request_flow.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/request_flow.py
@@ -22,6 +22,7 @@
 from ..attempts.sidecar_table import AttemptState
 from ..configuration.holder import ConfigurationHolder
 from ..configuration.models import Configuration
+from ..journal.claim_flow import ClaimFlow, record_outcome, record_refusal
 from ..membership.table import UpstreamTable
 from ..routing.models import Demand, Route
 from ..routing.router import Router
@@ -35,6 +36,7 @@
 # Refusals after which another upstream may still take the request.
 _ELSEWHERE = frozenset(
     (
+        ResultCode.JOURNAL_UNAVAILABLE,
         ResultCode.ATTEMPT_FENCED,
         ResultCode.INCARNATION_MISMATCH,
         ResultCode.REVISION_BEHIND,
@@ -66,11 +68,16 @@
         self._upstreams = upstreams
         self._router = router
         self._requests = RequestTable()
+        self._claims = ClaimFlow(self._requests)
 
     def __len__(self) -> int:
         """Return how many requests are being served."""
         return len(self._requests)
 
+    def is_serving(self, request_id: str) -> bool:
+        """Return whether the request is not ended yet."""
+        return self._requests.get(request_id) is not None
+
     @singledispatchmethod
     def handle(self, event: Event, now_s: float) -> list[Action]:
         """Return the actions that follow from ``event``."""
@@ -132,8 +139,7 @@
                 raise CardamomnotchError(code=ResultCode.DEADLINE_PASSED)
             route = self._router.choose(configuration, record.demand, candidates)
         except CardamomnotchError as error:
-            self._requests.end(record.request.request_id)
-            return [_refusal(record, error)]
+            return self._end_refused(record, error)
         record = attrs.evolve(
             record,
             attempt_id=f"{record.request.request_id}-{record.attempts + 1}",
@@ -141,8 +147,10 @@
             route=route,
             state=RequestState.ATTEMPTING,
         )
+        start = self._start(record, route, now_s)
+        record = attrs.evolve(record, message=start.message)
         self._requests.put(record)
-        return [self._start(record, route, now_s)]
+        return [start] if route.idempotent else [self._claims.claim(record)]
 
     def _start(self, record: RequestRecord, route: Route, now_s: float) -> Action:
         request = record.request
@@ -192,12 +200,12 @@
             event.detail, code=event.code, retry_after_s=event.retry_after_s or None
         )
         may_go_on = record.attempts < MAX_ATTEMPTS_PER_REQUEST
-        if event.code not in _ELSEWHERE or not may_go_on:
-            self._requests.end(event.request_id)
-            return [_refusal(record, error)]
-        return self._next_attempt(
-            attrs.evolve(record, tried=record.tried | {vm_id}), now_s
+        record = attrs.evolve(
+            record, tried=record.tried | {vm_id}, replaces=event.attempt_id
         )
+        if event.code not in _ELSEWHERE or not may_go_on:
+            return self._end_refused(record, error)
+        return self._next_attempt(record, now_s)
 
     @handle.register
     def _(self, event: events.AttemptEnded, now_s: float) -> list[Action]:
@@ -208,7 +216,8 @@
         if event.code is ResultCode.OK:
             self._requests.end(event.request_id)
             return [
-                actions.CompleteRequest(request_id=event.request_id, usage=event.usage)
+                record_outcome(record, event.code, event.usage),
+                actions.CompleteRequest(request_id=event.request_id, usage=event.usage),
             ]
         error = CardamomnotchError(event.detail, code=event.code)
         return self._after_failure(record, error, now_s, started=event.started)
@@ -245,8 +254,7 @@
         if known and not record.route.idempotent and record.fences <= MAX_REJOINS:
             return [
                 actions.RejoinAttempt(
-                    address=record.route.upstream.address,
-                    message=self._start(record, record.route, now_s).message,
+                    address=record.route.upstream.address, message=record.message
                 )
             ]
         started = event.state is not AttemptState.NEVER_STARTED
@@ -272,10 +280,30 @@
             and record.state is RequestState.ATTEMPTING
             and record.attempts < MAX_ATTEMPTS_PER_REQUEST
         )
+        if not started:
+            record = attrs.evolve(record, replaces=record.attempt_id)
         if may_repeat:
             return self._next_attempt(record, now_s)
+        return self._end_refused(record, error)
+
+    def _end_refused(
+        self, record: RequestRecord, error: CardamomnotchError
+    ) -> list[Action]:
+        """End the request with its final error, and tell the journal."""
         self._requests.end(record.request.request_id)
-        return [_refusal(record, error)]
+        return [*record_refusal(record), _refusal(record, error)]
+
+    @handle.register
+    def _(self, event: events.ClaimAnswered, now_s: float) -> list[Action]:
+        record = self._current(event.request_id, event.attempt_id)
+        if record is None or record.state is not RequestState.CLAIMING:
+            return []
+        try:
+            return self._claims.answered(record, event.result)
+        except CardamomnotchError as error:
+            # The former claim stays as it is: it is not this request's own.
+            self._requests.end(event.request_id)
+            return [_refusal(record, error)]
 
     @handle.register
     def _(self, event: events.CallerGone, now_s: float) -> list[Action]:
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/sidecar_node.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/sidecar_node.py
@@ -12,12 +12,14 @@
     FenceReply,
     HeartbeatReply,
 )
+from cardamomnotch_protocol.result_codes import ResultCode
 
 from ..admission.gate import Gate, UpstreamHealth
 from ..admission.limiter import ConcurrencyLimiter
 from ..attempts.const import DEFAULT_RETRY_AFTER_S
 from ..attempts.sidecar_table import AttemptState, AttemptTable
 from ..configuration.holder import ConfigurationHolder
+from ..journal.holder import OutcomeHolder
 from . import actions, events
 from .actions import Action
 from .events import Event
@@ -31,6 +33,7 @@
         self._identity = identity
         self._limiter = limiter
         self._attempts = AttemptTable()
+        self._outcomes = OutcomeHolder()
         self._configuration = ConfigurationHolder()
         self._draining = False
         self._upstream = UpstreamHealth(reachable=bool(identity.services))
@@ -41,6 +44,11 @@
         """Return the configuration in force."""
         return self._configuration
 
+    @property
+    def outcomes(self) -> OutcomeHolder:
+        """Return the outcomes that the journal does not have yet."""
+        return self._outcomes
+
     @property
     def is_ready(self) -> bool:
         """Return whether attempts may be accepted."""
@@ -70,6 +78,7 @@
             "load": attrs.asdict(self._limiter.load),
             "attempts_running": list(self._attempts.running_ids),
             "attempts_remembered": len(self._attempts),
+            "outcomes_held": len(self._outcomes),
         }
 
     @singledispatchmethod
@@ -99,13 +108,13 @@
 
     @handle.register
     def _(self, event: events.HeartbeatArrived, now_s: float) -> list[Action]:
-        reply = actions.ReplyToHeartbeat(message=self._heartbeat_reply())
+        reply = actions.ReplyToHeartbeat(message=self._heartbeat_reply(now_s))
         if event.request.revision <= self._configuration.revision:
             return [reply]
         fetch = actions.FetchConfiguration(address=event.request.entry_address)
         return [reply, fetch]
 
-    def _heartbeat_reply(self) -> HeartbeatReply:
+    def _heartbeat_reply(self, now_s: float) -> HeartbeatReply:
         return HeartbeatReply(
             vm_id=self._identity.vm_id,
             zone=self._identity.zone,
@@ -115,6 +124,7 @@
             versions=self._upstream.versions,
             services=self._identity.services,
             load=self._limiter.load,
+            outcomes_due=self._outcomes.count_due(now_s),
         )
 
     @handle.register
@@ -129,6 +139,11 @@
                 actions.FetchConfiguration(address=request.entry_address, retry=request)
             ]
         try:
+            if self._outcomes.is_full:
+                raise CardamomnotchError(
+                    "too many outcomes wait for the journal",
+                    code=ResultCode.JOURNAL_UNAVAILABLE,
+                )
             self._gate.check(
                 request,
                 behind=behind,
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/caller/exchange.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/caller/exchange.py
@@ -1,7 +1,7 @@
 """One caller's request while it is being served."""
 
 import asyncio
-from collections.abc import Mapping
+from collections.abc import Awaitable, Callable, Mapping
 
 import attrs
 import orjson
@@ -50,6 +50,7 @@
         self._status = 200
         self._headers: dict[str, str] = {HEADER_REQUEST_ID: request_id}
         self._response: web.StreamResponse | None = None
+        self._abandoned = False
         self._outcome: asyncio.Future[Outcome] = (
             asyncio.get_running_loop().create_future()
         )
@@ -59,6 +60,21 @@
         """Return the request's body."""
         return self._body
 
+    @property
+    def status(self) -> int:
+        """Return the status of the answer so far."""
+        return self._status
+
+    @property
+    def content_type(self) -> str:
+        """Return the content type of the answer so far."""
+        return self._headers.get("Content-Type", "")
+
+    @property
+    def answer(self) -> bytes:
+        """Return the answer so far, if it is not a stream."""
+        return bytes(self._answer)
+
     def restart_answer(self, headers: Mapping[str, str]) -> None:
         """Forget what a former attempt answered, none of it passed on."""
         self._answer.clear()
@@ -83,16 +99,39 @@
         except ConnectionError as error:
             raise CallerGoneError from error
 
+    @property
+    def has_ended(self) -> bool:
+        """Return whether the outcome is known."""
+        return self._outcome.done()
+
+    @property
+    def is_abandoned(self) -> bool:
+        """Return whether the request goes on without its caller."""
+        return self._abandoned
+
+    def abandon(self) -> None:
+        """Note that the caller is gone while its request goes on."""
+        self._abandoned = True
+
+    def replay(self, status: int, content_type: str, answer: bytes) -> None:
+        """Take the answer that the first run got."""
+        self._status = status
+        self._headers["Content-Type"] = content_type
+        self._answer = bytearray(answer)
+
     def end(self, outcome: Outcome) -> None:
         """Note the end of the request."""
         if not self._outcome.done():
             self._outcome.set_result(outcome)
 
-    async def async_finish(self) -> web.StreamResponse:
+    async def async_finish(
+        self, before_last_byte: Callable[[str], Awaitable[None]]
+    ) -> web.StreamResponse:
         """Wait for the end, and return the caller's HTTP answer."""
         outcome = await self._outcome
         if outcome.error is not None:
             return await self._async_finish_with_error(outcome.error, outcome.not_run)
+        await before_last_byte(self._request_id)
         if self._stream and self._status == 200:
             response = self._response or await self._async_prepare()
             await response.write(_DONE_EVENT)
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/caller/server.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/caller/server.py
@@ -1,10 +1,12 @@
 """HTTP handlers for callers."""
 
 import asyncio
+from collections.abc import Awaitable, Callable
 
 from aiohttp import web
 
 from cardamomnotch_core.attempts.entry_table import CallerRequest
+from cardamomnotch_core.journal.outcomes import stored_answer
 from cardamomnotch_core.nodes import actions, events
 from cardamomnotch_core.nodes.entry_node import EntryNode
 from cardamomnotch_core.plans.allowance import versions_in_plan
@@ -36,8 +38,11 @@
         self._node = node
         self._runner = runner
         self._exchanges: dict[str, CallerExchange] = {}
+        # Awaited with the request's id before an answer is ended as whole.
+        self.before_last_byte: Callable[[str], Awaitable[None]] = _async_nothing
         runner.register(actions.RefuseRequest, self._refuse)
         runner.register(actions.CompleteRequest, self._complete)
+        runner.register(actions.AnswerFromJournal, self._answer_from_journal)
 
     def create_app(self) -> web.Application:
         """Return the application."""
@@ -73,12 +78,15 @@
         self._exchanges[request_id] = exchange
         try:
             self._runner.dispatch(events.RequestArrived(request=caller_request))
-            return await exchange.async_finish()
+            return await exchange.async_finish(self.before_last_byte)
         except (asyncio.CancelledError, ConnectionError):
             self._runner.dispatch(events.CallerGone(request_id=request_id))
             raise
         finally:
-            del self._exchanges[request_id]
+            if exchange.has_ended or not self._node.is_serving(request_id):
+                del self._exchanges[request_id]
+            else:
+                exchange.abandon()
 
     async def _async_models(self, request: web.Request) -> web.Response:
         digest = key_digest(request)
@@ -96,7 +104,7 @@
         return json_response({"object": "list", "data": data})
 
     def _refuse(self, action: actions.RefuseRequest) -> None:
-        exchange = self._exchanges.get(action.request_id)
+        exchange = self._ending(action.request_id)
         if exchange is None:
             return
         error = CardamomnotchError(
@@ -105,10 +113,37 @@
         exchange.end(Outcome(error=error, not_run=action.not_run))
 
     def _complete(self, action: actions.CompleteRequest) -> None:
-        exchange = self._exchanges.get(action.request_id)
+        exchange = self._ending(action.request_id)
         if exchange is not None:
             exchange.end(Outcome(usage=action.usage))
 
+    def _answer_from_journal(self, action: actions.AnswerFromJournal) -> None:
+        exchange = self._ending(action.request_id)
+        if exchange is None:
+            return
+        record = action.record
+        answer = stored_answer(record)
+        if record.code is not ResultCode.OK or answer is None:
+            detail = f"ended before, {record.answer_bytes} bytes not kept"
+            if record.code is not ResultCode.OK:
+                detail = ""
+            error = CardamomnotchError(detail, code=ResultCode.OUTCOME_UNKNOWN)
+            exchange.end(Outcome(error=error))
+            return
+        exchange.replay(record.status, record.content_type, answer)
+        exchange.end(Outcome(usage=record.usage))
+
+    def _ending(self, request_id: str) -> CallerExchange | None:
+        """Return the exchange, and forget it if its caller is gone."""
+        exchange = self._exchanges.get(request_id)
+        if exchange is not None and exchange.is_abandoned:
+            del self._exchanges[request_id]
+        return exchange
+
+
+async def _async_nothing(_: str) -> None:
+    return
+
 
 @web.middleware
 async def _error_middleware(
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/cli/__init__.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/cli/__init__.py
@@ -2,6 +2,7 @@
 
 import click
 
+from .bills import bills, outcome
 from .config import config
 from .inspection import state, status
 from .marks import version, vm, zone
@@ -14,5 +15,5 @@
     """Route requests to allowed models and versions."""
 
 
-for _command in (config, serve, state, status, version, vm, zone):
+for _command in (bills, config, outcome, serve, state, status, version, vm, zone):
     main.add_command(_command)
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/composition.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/composition.py
@@ -2,6 +2,7 @@
 
 import random
 import time
+from typing import Any
 
 import aiohttp
 
@@ -23,6 +24,7 @@
 from .coordinators.membership import MembershipCoordinator
 from .inner.attempt_client import AttemptClient
 from .inner.configuration import ConfigurationSender
+from .journal.journal import Journal
 from .lists.coordinator import ListsCoordinator
 from .metrics import EntryMetrics
 from .settings import EntrySettings
@@ -53,6 +55,11 @@
         """Return the node, for diagnostics."""
         return self._node
 
+    @property
+    def outcomes_held(self) -> int:
+        """Return how many outcomes the journal has not committed yet."""
+        return self._journal.outcomes_held
+
     async def async_setup(self) -> None:
         """Start serving."""
         platform_session = self._open_session({})
@@ -67,13 +74,24 @@
         sender = ConfigurationSender(
             inner_session, self._runner, self._tasks, self._node.configuration
         )
+        self._store = StoreClient(platform_session, self._settings.platform.store_url)
+        self._journal = Journal(
+            store=self._store,
+            address=self._identity.inner_address,
+            runner=self._runner,
+            callers=callers,
+            session=inner_session,
+            tasks=self._tasks,
+            random_source=self._random,
+        )
         metrics = EntryMetrics(self._node, self._runner)
         admin_app = create_admin_app(
             is_ready=lambda: self._node.is_ready,
-            diagnostics=self._node.diagnostics,
+            diagnostics=self._diagnostics,
             registry=metrics.registry,
         )
         inner_app = sender.create_app(self._settings.node.inner_keys)
+        self._journal.add_routes(inner_app)
         self._servers = [
             HttpServer(callers.create_app(), self._caller_socket),
             HttpServer(inner_app, self._inner_socket),
@@ -89,7 +107,8 @@
         inner_session: aiohttp.ClientSession,
     ) -> None:
         platform = self._settings.platform
-        store = StoreClient(platform_session, platform.store_url)
+        store = self._store
+        self._journal.start()
         configuration = ConfigurationCoordinator(store, self._runner, self._random)
         ListsCoordinator(store, self._runner, self._tasks, self._random)
         membership = MembershipCoordinator(
@@ -112,12 +131,16 @@
         await async_wait_until(
             lambda: not self._node.requests_in_flight, self._settings.drain_grace_s
         )
+        await self._journal.async_unload()
         for server in self._servers:
             await server.async_stop()
         await self._tasks.async_unload()
         for session in self._sessions:
             await session.close()
 
+    def _diagnostics(self) -> dict[str, Any]:
+        return {**self._node.diagnostics(), "journal": self._journal.diagnostics()}
+
     async def _async_tick(self) -> None:
         self._runner.dispatch(events.TimerDue())
 
--- a/packages/cardamomnotch-runtime/src/cardamomnotch_runtime/frames.py
+++ b/packages/cardamomnotch-runtime/src/cardamomnotch_runtime/frames.py
@@ -40,10 +40,31 @@
 
     Raises CardamomnotchError with SIDECAR_UNREACHABLE, or ProtocolError.
     """
+    data = codec.encode(message)
+    return await _async_exchange(session, "POST", url, timeout_s, data)
+
+
+async def async_fetch(
+    session: aiohttp.ClientSession, url: str, timeout_s: float
+) -> Message:
+    """Return the message at ``url``.
+
+    Raises CardamomnotchError with SIDECAR_UNREACHABLE, or ProtocolError.
+    """
+    return await _async_exchange(session, "GET", url, timeout_s)
+
+
+async def _async_exchange(
+    session: aiohttp.ClientSession,
+    method: str,
+    url: str,
+    timeout_s: float,
+    data: bytes | None = None,
+) -> Message:
     timeout = aiohttp.ClientTimeout(total=timeout_s)
     try:
-        async with session.post(
-            url, data=codec.encode(message), headers=_HEADERS, timeout=timeout
+        async with session.request(
+            method, url, data=data, headers=_HEADERS, timeout=timeout
         ) as response:
             body = await response.read()
             status = response.status
--- a/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/answer_buffer.py
+++ b/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/answer_buffer.py
@@ -35,6 +35,21 @@
         """Return how many bytes the answer has so far."""
         return self._dropped_bytes + len(self._data)
 
+    @property
+    def data(self) -> bytes:
+        """Return the bytes that are kept."""
+        return bytes(self._data)
+
+    @property
+    def status(self) -> int:
+        """Return the status of the answer; 0 if there is none yet."""
+        return self._head.status if self._head else 0
+
+    @property
+    def content_type(self) -> str:
+        """Return the content type of the answer."""
+        return self._head.headers.get("Content-Type", "") if self._head else ""
+
     @property
     def is_finished(self) -> bool:
         """Return whether the attempt has ended."""
--- a/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/attempt_runner.py
+++ b/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/attempt_runner.py
@@ -1,11 +1,19 @@
 """Runs accepted attempts against the upstream."""
 
 import asyncio
+import time
 from collections.abc import Callable
 
 from cardamomnotch_core.attempts.const import ORPHAN_AFTER_S
+from cardamomnotch_core.journal.holder import OutcomeHolder
+from cardamomnotch_core.journal.outcomes import outcome_of, with_answer
 from cardamomnotch_core.nodes import actions, events
-from cardamomnotch_protocol.models import AttemptFinished, AttemptRequest, Load
+from cardamomnotch_protocol.models import (
+    AttemptFinished,
+    AttemptRequest,
+    Load,
+    Usage,
+)
 from cardamomnotch_protocol.result_codes import ResultCode
 from cardamomnotch_runtime.runner import NodeRunner
 from cardamomnotch_runtime.tasks import TaskGroup
@@ -24,11 +32,13 @@
         client: UpstreamClient,
         tasks: TaskGroup,
         load: Callable[[], Load],
+        outcomes: OutcomeHolder,
     ) -> None:
         self._runner = runner
         self._client = client
         self._tasks = tasks
         self._load = load
+        self._outcomes = outcomes
         self._buffers: dict[str, AnswerBuffer] = {}
         self._calls: dict[str, asyncio.Task] = {}
         self._idempotent_ids: set[str] = set()
@@ -70,6 +80,7 @@
             code, detail, started = error.code, error.detail, error.started
         except asyncio.CancelledError:
             code = ResultCode.ATTEMPT_CANCELLED
+        self._hold_outcome(request, code, result.usage, buffer, started=started)
         self._calls.pop(request.attempt_id, None)
         self._idempotent_ids.discard(request.attempt_id)
         self._runner.dispatch(
@@ -94,3 +105,22 @@
         )
         loop = asyncio.get_running_loop()
         loop.call_later(ANSWER_RETENTION_S, self._buffers.pop, request.attempt_id, None)
+
+    def _hold_outcome(
+        self,
+        request: AttemptRequest,
+        code: ResultCode,
+        usage: Usage,
+        buffer: AnswerBuffer,
+        *,
+        started: bool,
+    ) -> None:
+        """Hold what the journal must learn: whole answers, and lost effects."""
+        if not started or (request.idempotent and code is not ResultCode.OK):
+            return
+        record = outcome_of(request, code, usage)
+        if not request.idempotent:
+            record = with_answer(
+                record, buffer.status, buffer.content_type, buffer.data
+            )
+        self._outcomes.add(record, time.monotonic())
--- /dev/null
+++ b/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/bills/__init__.py
@@ -0,0 +1,1 @@
+"""Outcomes that the journal does not have yet."""
--- a/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/composition.py
+++ b/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/composition.py
@@ -17,6 +17,7 @@
 from cardamomnotch_runtime.tasks import TaskGroup, async_wait_until
 
 from .attempt_runner import AttemptRunner
+from .bills.server import OutcomeServer
 from .const import CONF_ENGINE, CONF_SERVICE, REPORT_INTERVAL_S
 from .coordinator import UpstreamCoordinator
 from .inner.configuration import ConfigurationFetcher
@@ -67,7 +68,11 @@
         )
         metrics = SidecarMetrics(self._node, self._runner)
         attempts = AttemptRunner(
-            self._runner, client, self._tasks, lambda: self._limiter.load
+            self._runner,
+            client,
+            self._tasks,
+            lambda: self._limiter.load,
+            self._node.outcomes,
         )
         fetcher = ConfigurationFetcher(
             inner_session, self._runner, self._tasks, self._node.configuration
@@ -76,6 +81,7 @@
             runner=self._runner,
             attempts=attempts,
             fetcher=fetcher,
+            outcomes=OutcomeServer(self._node.outcomes),
             incarnation=self._identity.incarnation,
             inner_keys=self._settings.node.inner_keys,
         )
--- a/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/inner/server.py
+++ b/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/inner/server.py
@@ -34,6 +34,7 @@
 
 from ..answer_buffer import AnswerBuffer
 from ..attempt_runner import AttemptRunner
+from ..bills.server import OutcomeServer
 from ..const import READER_SILENCE_MS
 from .configuration import ConfigurationFetcher
 
@@ -47,12 +48,14 @@
         runner: NodeRunner,
         attempts: AttemptRunner,
         fetcher: ConfigurationFetcher,
+        outcomes: OutcomeServer,
         incarnation: str,
         inner_keys: tuple[str, ...],
     ) -> None:
         self._runner = runner
         self._attempts = attempts
         self._fetcher = fetcher
+        self._outcomes = outcomes
         self._incarnation = incarnation
         self._inner_keys = inner_keys
 
@@ -67,6 +70,7 @@
         app.router.add_post(PATH_FENCE, self._async_fence)
         app.router.add_post(PATH_HEARTBEAT, self._async_heartbeat)
         app.router.add_post(PATH_CONFIGURATION, self._async_configuration)
+        self._outcomes.add_routes(app)
         return app
 
     async def _async_attempt(self, request: web.Request) -> web.StreamResponse:
