--- a/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/entry_node.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/entry_node.py
@@ -139,6 +139,7 @@
     @handle.register(events.AttemptTurnedDown)
     @handle.register(events.AttemptEnded)
     @handle.register(events.AttemptLost)
+    @handle.register(events.AttemptFenced)
     def _(self, event: Event, now_s: float) -> list[Action]:
         result = self._requests.handle(event, now_s)
         self._observer.observe(event, result, now_s)
