Spread revisions among entries and judge what the store says

Entries exchange revisions with up to four others, chosen by rendezvous hash over the zones, and fetch from whoever is ahead, sidecars included. A state table says what the revision in force rests on; an older copy in the store is reported and not believed. An entry that was paused refuses until somebody has answered a question asked since.

Seen to fail first: with the exchange disabled, an entry with a dead watch and one started with the store down did not catch up; with the store's revision not compared, the older-copy cases failed; with every answer fetched, the sidecar case failed. The dead-watch test passed at first with the exchange disabled, because sidecars carried the news; it now runs without sidecars.

--- a/packages/cardamomnotch-core/src/cardamomnotch_core/membership/table.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/membership/table.py
@@ -6,12 +6,9 @@
 
 from cardamomnotch_protocol.models import HeartbeatReply, Load
 
+from .const import ROLE_UPSTREAM, SILENT_AFTER_S
 from .models import Upstream, Vm
 
-ROLE_UPSTREAM = "upstream"
-# An upstream silent for this long gets no new work.
-SILENT_AFTER_S = 3.0
-
 
 class UpstreamTable:
     """Merges the VM list, heartbeats and what attempts find out."""
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/actions.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/actions.py
@@ -132,3 +132,16 @@
 
     change: ListsChange
     reason: str
+
+
+@attrs.frozen(kw_only=True)
+class TellPeer(Action):
+    """Exchange revisions with another entry."""
+
+    vm_id: str
+    address: str
+
+
+@attrs.frozen(kw_only=True)
+class RefreshConfiguration(Action):
+    """Read the lists from the store now, not when the watch is due."""
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/entry_node.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/entry_node.py
@@ -6,6 +6,10 @@
 
 import attrs
 
+from cardamomnotch_protocol.result_codes import ResultCode
+
+from ..attempts.const import DEFAULT_RETRY_AFTER_S
+from ..configuration.follower import ConfigurationFollower
 from ..configuration.holder import ConfigurationHolder
 from ..membership.models import Upstream
 from ..membership.table import UpstreamTable
@@ -24,6 +28,7 @@
         self._identity = identity
         self._random = random_source
         self._configuration = ConfigurationHolder()
+        self._follower = ConfigurationFollower(identity.vm_id, self._configuration)
         self._upstreams = UpstreamTable()
         self._requests = RequestFlow(
             identity,
@@ -38,6 +43,11 @@
         """Return the configuration in force."""
         return self._configuration
 
+    @property
+    def follower(self) -> ConfigurationFollower:
+        """Return what the configuration in force rests on."""
+        return self._follower
+
     @property
     def upstreams(self) -> tuple[Upstream, ...]:
         """Return the upstreams that heartbeats go to."""
@@ -56,7 +66,7 @@
     def is_ready(self) -> bool:
         """Return whether the balancer should send callers here."""
         record = self._configuration.record
-        if record is None or self._draining:
+        if record is None or self._draining or not self._follower.may_serve:
             return False
         marks = record.configuration.marks
         return (
@@ -69,6 +79,7 @@
         return {
             "identity": attrs.asdict(self._identity),
             "revision": self._configuration.revision,
+            "configuration": self._follower.diagnostics(),
             "draining": self._draining,
             "ready": self.is_ready,
             "requests_in_flight": len(self._requests),
@@ -82,17 +93,16 @@
 
     @handle.register
     def _(self, event: events.ConfigurationOffered, now_s: float) -> list[Action]:
-        if not self._configuration.offer(event.record):
-            return []
-        change = actions.ReportChange(
-            text=f"revision {event.record.revision} in force from {event.source}"
-        )
+        former = self._configuration.revision
+        followed = self._follower.follow(event, now_s)
+        if self._configuration.revision == former:
+            return followed
         behind = [
             actions.SendConfiguration(vm_id=item.vm_id, address=item.address)
             for item in self.upstreams
             if item.is_known
         ]
-        return [change, *behind]
+        return [*followed, *behind]
 
     @handle.register
     def _(self, event: events.DrainStarted, now_s: float) -> list[Action]:
@@ -101,12 +111,19 @@
 
     @handle.register
     def _(self, event: events.TimerDue, now_s: float) -> list[Action]:
-        return []
+        return self._follower.follow(event, now_s)
 
     @handle.register
     def _(self, event: events.VmListReceived, now_s: float) -> list[Action]:
+        followed = self._follower.follow(event, now_s)
         unknown = self._upstreams.take_vm_list(event.vms)
-        return [actions.SendHeartbeat(vm_id=vm_id) for vm_id in unknown]
+        return [*followed, *(actions.SendHeartbeat(vm_id=item) for item in unknown)]
+
+    @handle.register(events.StoreAnswered)
+    @handle.register(events.StoreSilent)
+    @handle.register(events.PeerTold)
+    def _(self, event: Event, now_s: float) -> list[Action]:
+        return self._follower.follow(event, now_s)
 
     @handle.register
     def _(self, event: events.ConfigurationTaken, now_s: float) -> list[Action]:
@@ -117,8 +134,13 @@
     def _(self, event: events.HeartbeatAnswered, now_s: float) -> list[Action]:
         self._upstreams.take_heartbeat(event.vm_id, event.reply, now_s)
         upstream = self._upstreams.get(event.vm_id)
-        if upstream is None or event.reply.revision >= self._configuration.revision:
+        if upstream is None:
             return []
+        if event.reply.revision >= self._configuration.revision:
+            # A sidecar may have heard of a change before any entry nearby.
+            return self._follower.fetch_if_behind(
+                upstream.address, event.reply.revision
+            )
         return [actions.SendConfiguration(vm_id=event.vm_id, address=upstream.address)]
 
     @handle.register
@@ -126,7 +148,19 @@
         self._upstreams.mark_unreachable(event.vm_id)
         return []
 
-    @handle.register(events.RequestArrived)
+    @handle.register
+    def _(self, event: events.RequestArrived, now_s: float) -> list[Action]:
+        if self._follower.is_catching_up(now_s):
+            return [
+                actions.RefuseRequest(
+                    request_id=event.request.request_id,
+                    code=ResultCode.NOT_READY,
+                    detail="catching up after a pause",
+                    retry_after_s=DEFAULT_RETRY_AFTER_S,
+                )
+            ]
+        return self._requests.handle(event, now_s)
+
     @handle.register(events.CallerGone)
     @handle.register(events.AttemptAnswered)
     @handle.register(events.AttemptTurnedDown)
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/events.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/events.py
@@ -177,3 +177,30 @@
 @attrs.frozen(kw_only=True)
 class UpstreamUnreachable(Event):
     """The upstream did not tell its load."""
+
+
+@attrs.frozen(kw_only=True)
+class StoreAnswered(Event):
+    """The store told the revision of the lists; 0 means that it has none.
+
+    ``asked_revision`` is what this process acted on when it asked.
+    """
+
+    revision: int
+    asked_revision: int
+    asked_at_s: float
+
+
+@attrs.frozen(kw_only=True)
+class StoreSilent(Event):
+    """The store did not answer."""
+
+
+@attrs.frozen(kw_only=True)
+class PeerTold(Event):
+    """Another entry told its revision, asked or of its own accord."""
+
+    vm_id: str
+    address: str
+    revision: int
+    asked_at_s: float
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/composition.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/composition.py
@@ -4,6 +4,7 @@
 import time
 
 import aiohttp
+from aiohttp import web
 
 from cardamomnotch_core.nodes import events
 from cardamomnotch_core.nodes.entry_node import EntryNode
@@ -11,7 +12,11 @@
 from cardamomnotch_platform.store.client import StoreClient
 from cardamomnotch_platform.vm_list.client import VmListClient
 from cardamomnotch_runtime.admin import create_admin_app
-from cardamomnotch_runtime.auth import inner_headers
+from cardamomnotch_runtime.auth import inner_headers, inner_key_middleware
+from cardamomnotch_runtime.configuration import (
+    ConfigurationFetcher,
+    ConfigurationSource,
+)
 from cardamomnotch_runtime.const import TIMER_INTERVAL_S
 from cardamomnotch_runtime.runner import NodeRunner
 from cardamomnotch_runtime.server import HttpServer, bind
@@ -25,6 +30,7 @@
 from .inner.configuration import ConfigurationSender
 from .lists.coordinator import ListsCoordinator
 from .metrics import EntryMetrics
+from .peers.coordinator import PeersCoordinator
 from .settings import EntrySettings
 
 
@@ -61,16 +67,23 @@
         )
         callers = CallerServer(self._node, self._runner)
         AttemptClient(inner_session, self._runner, callers, self._tasks)
-        sender = ConfigurationSender(
+        source = ConfigurationSource(self._node.configuration)
+        ConfigurationSender(inner_session, self._runner, self._tasks, source)
+        ConfigurationFetcher(
             inner_session, self._runner, self._tasks, self._node.configuration
         )
+        peers = self._create_peers(inner_session)
         metrics = EntryMetrics(self._node, self._runner)
         admin_app = create_admin_app(
             is_ready=lambda: self._node.is_ready,
             diagnostics=self._node.diagnostics,
             registry=metrics.registry,
         )
-        inner_app = sender.create_app(self._settings.node.inner_keys)
+        inner_app = web.Application(
+            middlewares=[inner_key_middleware(self._settings.node.inner_keys)]
+        )
+        source.add_routes(inner_app)
+        peers.add_routes(inner_app)
         self._servers = [
             HttpServer(callers.create_app(), self._caller_socket),
             HttpServer(inner_app, self._inner_socket),
@@ -79,6 +92,18 @@
         for server in self._servers:
             await server.async_start()
         self._start_coordinators(platform_session, inner_session)
+        self._tasks.repeat(peers.interval_s, peers.async_exchange)
+
+    def _create_peers(self, session: aiohttp.ClientSession) -> PeersCoordinator:
+        return PeersCoordinator(
+            node=self._node,
+            identity=self._identity,
+            runner=self._runner,
+            session=session,
+            tasks=self._tasks,
+            random_source=self._random,
+            clock=time.monotonic,
+        )
 
     def _start_coordinators(
         self,
@@ -86,8 +111,15 @@
         inner_session: aiohttp.ClientSession,
     ) -> None:
         platform = self._settings.platform
-        store = StoreClient(platform_session, platform.store_url)
-        configuration = ConfigurationCoordinator(store, self._runner, self._random)
+        store = self.store = StoreClient(platform_session, platform.store_url)
+        configuration = ConfigurationCoordinator(
+            store,
+            self._runner,
+            self._random,
+            holder=self._node.configuration,
+            tasks=self._tasks,
+            clock=time.monotonic,
+        )
         ListsCoordinator(store, self._runner, self._tasks, self._random)
         membership = MembershipCoordinator(
             node=self._node,
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/coordinators/configuration.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/coordinators/configuration.py
@@ -3,9 +3,11 @@
 import asyncio
 import logging
 import random
+from collections.abc import Callable
 
 from cardamomnotch_core.configuration.document import record_from_message
-from cardamomnotch_core.nodes import events
+from cardamomnotch_core.configuration.holder import ConfigurationHolder
+from cardamomnotch_core.nodes import actions, events
 from cardamomnotch_platform.exceptions import StoreError
 from cardamomnotch_platform.store.client import StoreClient
 from cardamomnotch_platform.store.configuration import (
@@ -16,6 +18,7 @@
 )
 from cardamomnotch_protocol.exceptions import CardamomnotchError
 from cardamomnotch_runtime.runner import NodeRunner
+from cardamomnotch_runtime.tasks import TaskGroup
 
 from ..const import WATCH_RENEWAL_S, WATCH_RETRY_S
 
@@ -26,27 +29,60 @@
     """Reads the lists, then waits for changes, again and again."""
 
     def __init__(
-        self, store: StoreClient, runner: NodeRunner, random_source: random.Random
+        self,
+        store: StoreClient,
+        runner: NodeRunner,
+        random_source: random.Random,
+        *,
+        holder: ConfigurationHolder,
+        tasks: TaskGroup,
+        clock: Callable[[], float],
     ) -> None:
         self._store = store
         self._runner = runner
         self._random = random_source
+        self._holder = holder
+        self._tasks = tasks
+        self._clock = clock
         self._store_available = True
+        runner.register(actions.RefreshConfiguration, self._refresh)
 
     async def async_follow(self) -> None:
         """Read once, then watch until the watch is due for renewal."""
         try:
-            stored = await async_read_configuration(self._store)
-            self._note_store(available=True)
-            self._offer(stored)
+            stored = await self._async_read()
             async with asyncio.timeout(self._jittered(WATCH_RENEWAL_S)):
                 await self._async_watch(stored.mod_revision + 1)
         except TimeoutError:
             return
         except StoreError:
             self._note_store(available=False)
+            self._runner.dispatch(events.StoreSilent())
             await asyncio.sleep(self._jittered(WATCH_RETRY_S))
 
+    async def _async_read(self) -> StoredConfiguration:
+        asked_revision, asked_at_s = self._holder.revision, self._clock()
+        stored = await async_read_configuration(self._store)
+        self._note_store(available=True)
+        self._runner.dispatch(
+            events.StoreAnswered(
+                revision=stored.message.revision if stored.message else 0,
+                asked_revision=asked_revision,
+                asked_at_s=asked_at_s,
+            )
+        )
+        self._offer(stored)
+        return stored
+
+    def _refresh(self, action: actions.RefreshConfiguration) -> None:
+        self._tasks.start(self._async_refresh())
+
+    async def _async_refresh(self) -> None:
+        try:
+            await self._async_read()
+        except StoreError:
+            self._runner.dispatch(events.StoreSilent())
+
     async def _async_watch(self, from_revision: int) -> None:
         async for entry in self._store.async_watch(CONFIGURATION_KEY, from_revision):
             self._offer(read_entry(entry))
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/metrics.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/metrics.py
@@ -2,6 +2,7 @@
 
 from prometheus_client import CollectorRegistry, Counter, Gauge
 
+from cardamomnotch_core.configuration.belief import BeliefState
 from cardamomnotch_core.nodes import actions
 from cardamomnotch_core.nodes.entry_node import EntryNode
 from cardamomnotch_runtime.runner import NodeRunner
@@ -35,6 +36,16 @@
             registry=self.registry,
         )
         revision.set_function(lambda: node.configuration.revision)
+        belief = Gauge(
+            "cardamomnotch_configuration_state",
+            "What the configuration in force rests on; 1 for the present state.",
+            ["state"],
+            registry=self.registry,
+        )
+        for state in BeliefState:
+            belief.labels(state=state.value).set_function(
+                lambda state=state: float(node.follower.state is state)
+            )
         runner.observe(actions.RefuseRequest, self._count_refusal)
         runner.observe(actions.CompleteRequest, self._count_completion)
 
--- /dev/null
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Exchanging revisions with other entries."""
--- /dev/null
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/peers/const.py
@@ -0,0 +1,8 @@
+"""Constants of the exchange with peers."""
+
+from typing import Final
+
+PEER_INTERVAL_S: Final = 2.0
+PEER_TIMEOUT_S: Final = 1.0
+# A change is told within this time, each peer at a moment of its own.
+TELL_WITHIN_S: Final = 0.2
--- a/packages/cardamomnotch-protocol/src/cardamomnotch_protocol/models.py
+++ b/packages/cardamomnotch-protocol/src/cardamomnotch_protocol/models.py
@@ -224,3 +224,13 @@
     """The revision that is in force at the receiver."""
 
     revision: int
+
+
+@_message("peer_revision")
+@attrs.frozen(kw_only=True)
+class PeerRevision(Message):
+    """An entry tells another one its revision; the answer is of this class."""
+
+    entry_id: str
+    entry_address: str
+    revision: int
--- a/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/composition.py
+++ b/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/composition.py
@@ -11,6 +11,10 @@
 from cardamomnotch_core.nodes.sidecar_node import SidecarNode
 from cardamomnotch_runtime.admin import create_admin_app
 from cardamomnotch_runtime.auth import inner_headers
+from cardamomnotch_runtime.configuration import (
+    ConfigurationFetcher,
+    ConfigurationSource,
+)
 from cardamomnotch_runtime.const import TIMER_INTERVAL_S
 from cardamomnotch_runtime.runner import NodeRunner
 from cardamomnotch_runtime.server import HttpServer, bind
@@ -19,7 +23,6 @@
 from .attempt_runner import AttemptRunner
 from .const import CONF_ENGINE, CONF_SERVICE, REPORT_INTERVAL_S
 from .coordinator import UpstreamCoordinator
-from .inner.configuration import ConfigurationFetcher
 from .inner.server import InnerServer
 from .metrics import SidecarMetrics
 from .settings import SidecarSettings
@@ -76,6 +79,7 @@
             runner=self._runner,
             attempts=attempts,
             fetcher=fetcher,
+            source=ConfigurationSource(self._node.configuration),
             incarnation=self._identity.incarnation,
             inner_keys=self._settings.node.inner_keys,
         )
--- a/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/inner/server.py
+++ b/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/inner/server.py
@@ -24,6 +24,10 @@
 )
 from cardamomnotch_protocol.result_codes import ResultCode
 from cardamomnotch_runtime.auth import inner_key_middleware
+from cardamomnotch_runtime.configuration import (
+    ConfigurationFetcher,
+    ConfigurationSource,
+)
 from cardamomnotch_runtime.const import MAX_BODY_BYTES
 from cardamomnotch_runtime.frames import async_read_frame, frame_response
 from cardamomnotch_runtime.responses import error_response
@@ -31,7 +35,6 @@
 
 from ..answer_buffer import AnswerBuffer
 from ..attempt_runner import AttemptRunner
-from .configuration import ConfigurationFetcher
 
 
 class InnerServer:
@@ -43,12 +46,14 @@
         runner: NodeRunner,
         attempts: AttemptRunner,
         fetcher: ConfigurationFetcher,
+        source: ConfigurationSource,
         incarnation: str,
         inner_keys: tuple[str, ...],
     ) -> None:
         self._runner = runner
         self._attempts = attempts
         self._fetcher = fetcher
+        self._source = source
         self._incarnation = incarnation
         self._inner_keys = inner_keys
 
@@ -63,6 +68,7 @@
         app.router.add_post(PATH_FENCE, self._async_fence)
         app.router.add_post(PATH_HEARTBEAT, self._async_heartbeat)
         app.router.add_post(PATH_CONFIGURATION, self._async_configuration)
+        self._source.add_routes(app)
         return app
 
     async def _async_attempt(self, request: web.Request) -> web.StreamResponse:
--- /dev/null
+++ b/tests/entry/test_configuration_spread.py
@@ -0,0 +1,128 @@
+"""How a revision reaches processes that the store does not."""
+
+import pytest
+
+from cardamomnotch_core.configuration.belief import BeliefState
+from cardamomnotch_core.configuration.marks import MarkKind, set_mark
+from cardamomnotch_runtime.tasks import async_wait_until
+
+from tests.fixtures.in_process import InProcessSystem
+from tests.fixtures.local_system import ZONES
+
+# The aim for one change, from accepted to in force at all.
+_IN_FORCE_WITHIN_S = 3.0
+
+
+async def _async_start_fleet(engines):
+    system = InProcessSystem()
+    await system.async_start_platform()
+    for index, zone in enumerate(ZONES[:engines]):
+        await system.async_add_engine(f"engine-{index}", zone)
+    for index, zone in enumerate(ZONES):
+        await system.async_add_entry(f"entry-{index}", zone)
+    await system.async_wait_until_ready()
+    return system
+
+
+@pytest.fixture
+async def fleet():
+    """Return three entries before two engines, the lists at revision 1."""
+    system = await _async_start_fleet(engines=2)
+    yield system
+    await system.async_stop()
+
+
+@pytest.fixture
+async def entries_only():
+    """Return three entries that no sidecar can tell anything."""
+    system = await _async_start_fleet(engines=0)
+    yield system
+    await system.async_stop()
+
+
+def _node(system, vm_id):
+    return system.entries[vm_id].entry.node
+
+
+def _put_changed(system, revision):
+    record = _node(system, "entry-0").configuration.record
+    lists = set_mark(record.configuration, MarkKind.VM, f"vm-{revision}", out=True)
+    system.put_lists(lists, revision=revision)
+
+
+def _everywhere(system, revision):
+    nodes = [item.entry.node for item in system.entries.values()]
+    nodes += [gate.sidecar.node for gate in system.gates.values()]
+    return all(node.configuration.revision == revision for node in nodes)
+
+
+async def test_change_is_in_force_everywhere(fleet):
+    """An accepted change reaches every entry and sidecar."""
+    _put_changed(fleet, 2)
+    assert await async_wait_until(lambda: _everywhere(fleet, 2), _IN_FORCE_WITHIN_S)
+
+
+async def test_new_entry_takes_its_peers_highest(fleet):
+    """With the store down, a new entry acts on what its peers hold."""
+    fleet.store.faults.active["down"] = True
+    fresh = (await fleet.async_add_entry("entry-3", ZONES[0])).entry.node
+    assert await async_wait_until(
+        lambda: fresh.follower.state is BeliefState.FOLLOWING_PEERS, 5.0
+    )
+    assert fresh.is_ready
+    assert fresh.configuration.revision == 1
+
+
+async def test_entry_without_store_and_peers_is_not_ready(serve_app):
+    """With nobody to ask, an entry holds nothing and says so."""
+    system = InProcessSystem()
+    await system.async_start_platform()
+    system.store.faults.active["down"] = True
+    node = (await system.async_add_entry("entry-0", ZONES[0])).entry.node
+    assert not await async_wait_until(lambda: node.is_ready, 1.5)
+    assert node.follower.state is BeliefState.EMPTY
+    await system.async_stop()
+
+
+async def test_entry_with_a_dead_watch_hears_from_peers(entries_only, monkeypatch):
+    """One entry that reads the store is enough for all."""
+
+    async def hang(*_):
+        await async_wait_until(lambda: False, 60.0)
+        yield
+
+    store = entries_only.entries["entry-2"].entry.store
+    monkeypatch.setattr(store, "async_watch", hang)
+    entries_only.store.faults.active["drop_watches"] = 3
+    assert await async_wait_until(
+        lambda: not entries_only.store.faults.active["drop_watches"], 5.0
+    )
+    _put_changed(entries_only, 2)
+    assert await async_wait_until(
+        lambda: _everywhere(entries_only, 2), _IN_FORCE_WITHIN_S
+    )
+
+
+async def test_older_copy_in_the_store_is_not_believed(fleet):
+    """A store restored from an older copy changes nothing, and is reported."""
+    _put_changed(fleet, 4)
+    assert await async_wait_until(lambda: _everywhere(fleet, 4), _IN_FORCE_WITHIN_S)
+    _put_changed(fleet, 3)
+    fleet.store.faults.active["drop_watches"] = 3
+    nodes = [item.entry.node for item in fleet.entries.values()]
+    assert await async_wait_until(
+        lambda: all(node.follower.state is BeliefState.STORE_BEHIND for node in nodes),
+        5.0,
+    )
+    assert _everywhere(fleet, 4)
+    assert nodes[0].diagnostics()["configuration"]["store_revision"] == 3
+
+
+async def test_entry_learns_of_a_newer_revision_from_a_sidecar(fleet):
+    """An entry that no store and no peer tells still hears from a gate."""
+    fleet.store.faults.active["down"] = True
+    _put_changed(fleet, 2)
+    message = fleet.store.entries[b"cardamomnotch/configuration"]["value"]
+    gate = fleet.gates["engine-0"]
+    await fleet.async_post_inner(gate, "/inner/v1/configuration", message)
+    assert await async_wait_until(lambda: _everywhere(fleet, 2), _IN_FORCE_WITHIN_S)
--- /dev/null
+++ b/tests/runtime/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the shared parts."""
