Limit cold upstreams by work that they have completed

An engine that has just started, or turned cold, got max_concurrency at once. The limiter keeps a cold limit until some answers are whole, then grows by slow start while at least half of it is used, and is cut on engine refusals, silence, 5xx or first tokens far above the learnt latency. A restart is seen by a new start id, a refused or a broken connection. Refusals say when to come back, from the completion rate; Retry-After of the engine is honoured; low priority leaves the last slots.

--- a/packages/cardamomnotch-core/src/cardamomnotch_core/admission/gate.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/admission/gate.py
@@ -23,6 +23,8 @@
     reachable: bool
     start_id: str = ""
     versions: tuple[str, ...] = ()
+    # Until then the upstream has asked for no new work.
+    busy_until_s: float = float("-inf")
 
 
 class Gate:
@@ -41,7 +43,13 @@
         self._upstream = upstream
 
     def check(
-        self, request: AttemptRequest, *, behind: bool, draining: bool, known: bool
+        self,
+        request: AttemptRequest,
+        now_s: float,
+        *,
+        behind: bool,
+        draining: bool,
+        known: bool,
     ) -> None:
         """Raise GateError or PlanError unless the attempt may run now.
 
@@ -62,8 +70,23 @@
             raise GateError(code=ResultCode.UPSTREAM_UNREACHABLE)
         self._check_marks()
         self._check_plan(request)
-        if not self._limiter.admit(request.attempt_id, request.expected_tokens):
-            raise GateError(code=ResultCode.UPSTREAM_FULL)
+        self._check_limit(request, now_s)
+
+    def _check_limit(self, request: AttemptRequest, now_s: float) -> None:
+        busy_s = self._upstream.busy_until_s - now_s
+        if busy_s > 0:
+            raise GateError(code=ResultCode.UPSTREAM_FULL, retry_after_s=busy_s)
+        admitted = self._limiter.admit(
+            request.attempt_id,
+            request.expected_tokens,
+            priority=request.priority,
+            streamed=request.stream,
+        )
+        if not admitted:
+            raise GateError(
+                code=ResultCode.UPSTREAM_FULL,
+                retry_after_s=self._limiter.retry_after_s(now_s),
+            )
 
     def _check_marks(self) -> None:
         marks = self._configuration.record.configuration.marks
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/sidecar_node.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/sidecar_node.py
@@ -13,8 +13,11 @@
     HeartbeatReply,
 )
 
+from ..admission.const import MAX_RETRY_AFTER_S
 from ..admission.gate import Gate, UpstreamHealth
 from ..admission.limiter import ConcurrencyLimiter
+from ..admission.models import Sign
+from ..admission.signs import sign_of_end
 from ..attempts.const import DEFAULT_RETRY_AFTER_S
 from ..attempts.sidecar_table import AttemptState, AttemptTable
 from ..configuration.holder import ConfigurationHolder
@@ -68,6 +71,7 @@
                 "versions": list(self._upstream.versions),
             },
             "load": attrs.asdict(self._limiter.load),
+            "warmth": self._limiter.warmth.value,
             "attempts_running": list(self._attempts.running_ids),
             "attempts_remembered": len(self._attempts),
         }
@@ -131,6 +135,7 @@
         try:
             self._gate.check(
                 request,
+                now_s,
                 behind=behind,
                 draining=self._draining,
                 known=known is not None,
@@ -154,7 +159,12 @@
 
     @handle.register
     def _(self, event: events.UpstreamCallEnded, now_s: float) -> list[Action]:
-        self._limiter.release(event.attempt_id)
+        sign = sign_of_end(event.code, connection_lost=event.connection_lost)
+        self._limiter.release(event.attempt_id, sign, now_s, event.first_token_ms)
+        if event.retry_after_s:
+            self._upstream.busy_until_s = now_s + min(
+                MAX_RETRY_AFTER_S, event.retry_after_s
+            )
         self._attempts.finish(event.attempt_id, event.code, event.usage, now_s)
         return []
 
@@ -188,6 +198,8 @@
     def _(self, event: events.UpstreamReported, now_s: float) -> list[Action]:
         changed = event.start_id != self._upstream.start_id
         came_back = not self._upstream.reachable
+        if changed or came_back:
+            self._limiter.observe(Sign.RESTARTED)
         self._upstream.start_id = event.start_id
         self._upstream.reachable = True
         self._upstream.versions = event.versions
--- a/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/attempt_runner.py
+++ b/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/attempt_runner.py
@@ -54,10 +54,13 @@
     ) -> None:
         result = CallResult()
         code, detail, started = ResultCode.OK, "", True
+        connection_lost, retry_after_s = False, 0.0
         try:
             result = await self._client.async_call(request, body, buffer)
         except UpstreamError as error:
             code, detail, started = error.code, error.detail, error.started
+            connection_lost = error.connection_lost
+            retry_after_s = error.retry_after_s or 0.0
         except asyncio.CancelledError:
             code = ResultCode.ATTEMPT_CANCELLED
         self._calls.pop(request.attempt_id, None)
@@ -68,6 +71,8 @@
                 detail=detail,
                 usage=result.usage,
                 first_token_ms=result.first_token_ms,
+                connection_lost=connection_lost,
+                retry_after_s=retry_after_s,
             )
         )
         buffer.finish(
--- a/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/composition.py
+++ b/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/composition.py
@@ -39,7 +39,7 @@
         self._sessions: list[aiohttp.ClientSession] = []
         self._servers: list[HttpServer] = []
         self._tasks = TaskGroup()
-        limiter = ConcurrencyLimiter(limit=settings.upstream.max_concurrency)
+        limiter = ConcurrencyLimiter(settings=settings.upstream.limiter)
         self._limiter = limiter
         self._identity = SidecarIdentity(
             vm_id=settings.node.vm_id,
--- a/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/const.py
+++ b/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/const.py
@@ -2,6 +2,8 @@
 
 from typing import Final
 
+from cardamomnotch_core.admission import const as admission
+
 CONF_ENGINE: Final = "engine"
 CONF_SERVICE: Final = "service"
 
@@ -14,6 +16,8 @@
 # How long an ended answer is kept.
 ANSWER_RETENTION_S: Final = 60.0
 REPORT_INTERVAL_S: Final = 0.5
+DEFAULT_COLD_CONCURRENCY: Final = admission.DEFAULT_COLD_LIMIT
+DEFAULT_WARM_UP_COMPLETIONS: Final = admission.DEFAULT_WARM_UP_COMPLETIONS
 # Time that a planned stop gives to attempts in flight.
 DEFAULT_DRAIN_GRACE_S: Final = 300.0
 # Silence of the upstream after which a call is given up.
--- a/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/upstream/engine.py
+++ b/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/upstream/engine.py
@@ -12,7 +12,7 @@
 from ..const import HEADER_REQUEST_ID
 from .models import CallResult, UpstreamError, UpstreamReport
 from .sse import CompletionStream, usage_from_json
-from .transport import call_timeout, upstream_errors
+from .transport import call_timeout, retry_after_s, upstream_errors
 
 _COMPLETIONS_PATH = "/v1/chat/completions"
 _LOAD_PATH = "/load"
@@ -80,7 +80,10 @@
         raise UpstreamError(code=ResultCode.CROSSED_ANSWER)
     if response.status in _BUSY_STATUSES:
         raise UpstreamError(
-            "the engine is busy", code=ResultCode.UPSTREAM_FULL, started=False
+            "the engine is busy",
+            code=ResultCode.UPSTREAM_FULL,
+            started=False,
+            retry_after_s=retry_after_s(response),
         )
     if response.status >= 500:
         raise UpstreamError(
--- a/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/upstream/models.py
+++ b/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/upstream/models.py
@@ -31,16 +31,24 @@
 class UpstreamError(CardamomnotchError):
     """A call to the upstream failed.
 
-    ``started`` tells whether the upstream may have run the request.
+    ``started`` tells whether the upstream may have run the request,
+    ``connection_lost`` whether its connection broke or was refused.
     """
 
     code = ResultCode.UPSTREAM_FAILED
 
     def __init__(
-        self, detail: str = "", *, code: ResultCode, started: bool = True
+        self,
+        detail: str = "",
+        *,
+        code: ResultCode,
+        started: bool = True,
+        connection_lost: bool = False,
+        retry_after_s: float | None = None,
     ) -> None:
         self.started = started
-        super().__init__(detail, code=code)
+        self.connection_lost = connection_lost
+        super().__init__(detail, code=code, retry_after_s=retry_after_s)
 
 
 class UpstreamClient(Protocol):
--- a/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/upstream/transport.py
+++ b/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/upstream/transport.py
@@ -17,10 +17,23 @@
         yield
     except aiohttp.ClientConnectorError as error:
         raise UpstreamError(
-            type(error).__name__, code=ResultCode.UPSTREAM_UNREACHABLE, started=False
+            type(error).__name__,
+            code=ResultCode.UPSTREAM_UNREACHABLE,
+            started=False,
+            connection_lost=True,
         ) from error
     except aiohttp.ClientPayloadError as error:
-        raise UpstreamError(str(error), code=ResultCode.SHORT_ANSWER) from error
+        raise UpstreamError(
+            str(error), code=ResultCode.SHORT_ANSWER, connection_lost=True
+        ) from error
+    except (
+        aiohttp.ClientOSError,
+        aiohttp.ServerDisconnectedError,
+        ConnectionError,
+    ) as error:
+        raise UpstreamError(
+            type(error).__name__, code=ResultCode.UPSTREAM_FAILED, connection_lost=True
+        ) from error
     except TimeoutError as error:
         raise UpstreamError(code=ResultCode.UPSTREAM_SILENT) from error
     except (aiohttp.ClientError, OSError) as error:
@@ -29,6 +42,15 @@
         ) from error
 
 
+def retry_after_s(response: aiohttp.ClientResponse) -> float:
+    """Return the seconds in Retry-After; 0 without a number of seconds."""
+    value = response.headers.get("Retry-After", "")
+    try:
+        return max(0.0, float(value))
+    except ValueError:
+        return 0.0
+
+
 def call_timeout(timeout_ms: int, silence_s: float) -> aiohttp.ClientTimeout:
     """Return aiohttp's timeouts for a call with ``timeout_ms`` left."""
     return aiohttp.ClientTimeout(
--- a/tests/stand_ins/engine.py
+++ b/tests/stand_ins/engine.py
@@ -2,7 +2,11 @@
 
 Faults: ``crash_on`` (text in the prompt), ``silent_after`` (tokens),
 ``short_after`` (tokens), ``crossed``, ``refuse``, ``cold_limit`` (collapses
-above), ``ignore_fencing``, ``lag_s`` of the load report, ``token_s``.
+above) until ``warm_after`` answers since the start, ``ignore_fencing``,
+``lag_s`` of the load report, ``token_s``.
+
+Its own record: ``most_running``, ``most_running_cold``, ``collapses``, and
+``priority_<number>`` for each priority seen.
 """
 
 import asyncio
@@ -16,6 +20,8 @@
 from .faults import Faults, async_silence
 
 _DEFAULT_TOKENS = 8
+# A collapsed engine takes this many times as long for each token.
+_COLLAPSE_SLOWDOWN = 10
 
 
 class EngineStandIn:
@@ -27,6 +33,7 @@
         self.start_id = uuid.uuid4().hex
         self._token_s = token_s
         self._running = 0
+        self._done_since_start = 0
         self._fencing = 0
         self._reports: list[tuple[float, int]] = []
 
@@ -74,6 +81,7 @@
     def restart(self) -> None:
         """Start over cold, as after a crash."""
         self.start_id = uuid.uuid4().hex
+        self._done_since_start = 0
         self.faults.count("crashes")
 
     async def _async_completion(self, request: web.Request) -> web.StreamResponse:
@@ -85,6 +93,7 @@
             return web.json_response({"error": "model not loaded"}, status=404)
         self._check_crash(request, body)
         self.faults.count("started")
+        self.faults.count(f"priority_{body.get('priority', 0)}")
         self._running += 1
         self._note_concurrency()
         try:
@@ -95,10 +104,20 @@
     def _note_concurrency(self) -> None:
         most = max(self.faults.counts.get("most_running", 0), self._running)
         self.faults.counts["most_running"] = most
-        cold_limit = self.faults.get("cold_limit")
-        if cold_limit and self._running > cold_limit:
+        if not self._is_cold:
+            return
+        most_cold = max(self.faults.counts.get("most_running_cold", 0), self._running)
+        self.faults.counts["most_running_cold"] = most_cold
+        if self._running > self.faults.get("cold_limit"):
             self.faults.count("collapses")
 
+    @property
+    def _is_cold(self) -> bool:
+        if not self.faults.get("cold_limit"):
+            return False
+        warm_after = self.faults.get("warm_after")
+        return warm_after is None or self._done_since_start < warm_after
+
     def _check_crash(self, request: web.Request, body: dict[str, Any]) -> None:
         text = self.faults.get("crash_on")
         if text and text in orjson.dumps(body["messages"]).decode():
@@ -185,8 +204,11 @@
         return response
 
     def _pace_s(self) -> float:
-        return self.faults.get("token_s") or self._token_s
+        pace_s = self.faults.get("token_s") or self._token_s
+        collapsed = self._is_cold and self._running > self.faults.get("cold_limit")
+        return pace_s * _COLLAPSE_SLOWDOWN if collapsed else pace_s
 
     def _count_done(self, usage: dict[str, int]) -> None:
         self.faults.count("done")
+        self._done_since_start += 1
         self.faults.count("completion_tokens", usage["completion_tokens"])
