--- a/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/actions.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/actions.py
@@ -191,3 +191,16 @@
     """Fetch outcomes that a sidecar holds, and bring them to the journal."""
 
     address: str
+
+
+@attrs.frozen(kw_only=True)
+class TellPeer(Action):
+    """Exchange revisions with another entry."""
+
+    vm_id: str
+    address: str
+
+
+@attrs.frozen(kw_only=True)
+class RefreshConfiguration(Action):
+    """Read the lists from the store now, not when the watch is due."""
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/events.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/events.py
@@ -165,6 +165,10 @@
     detail: str = ""
     usage: Usage = Usage()
     first_token_ms: float = 0.0
+    # The connection broke or was refused, so the upstream may have restarted.
+    connection_lost: bool = False
+    # How long the upstream asks to be left alone.
+    retry_after_s: float = 0.0
 
 
 @attrs.frozen(kw_only=True)
@@ -197,3 +201,30 @@
     request_id: str
     attempt_id: str
     result: JournalResult
+
+
+@attrs.frozen(kw_only=True)
+class StoreAnswered(Event):
+    """The store told the revision of the lists; 0 means that it has none.
+
+    ``asked_revision`` is what this process acted on when it asked.
+    """
+
+    revision: int
+    asked_revision: int
+    asked_at_s: float
+
+
+@attrs.frozen(kw_only=True)
+class StoreSilent(Event):
+    """The store did not answer."""
+
+
+@attrs.frozen(kw_only=True)
+class PeerTold(Event):
+    """Another entry told its revision, asked or of its own accord."""
+
+    vm_id: str
+    address: str
+    revision: int
+    asked_at_s: float
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/request_flow.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/request_flow.py
@@ -51,6 +51,11 @@
     )
 )
 
+# Ends of attempts that another entry caused; their upstream may be used.
+_UPSTREAM_NOT_AT_FAULT = frozenset(
+    (ResultCode.ATTEMPT_FENCED, ResultCode.ATTEMPT_UNKNOWN)
+)
+
 
 class RequestFlow:
     """Decides which attempt a request is given, and how it ends."""
@@ -121,6 +126,7 @@
                 service=request.service,
                 method=request.method,
                 path=request.path,
+                request_id=request.request_id,
             ),
             workspace=workspace.name,
             request_key=f"{workspace.name}:{key}",
@@ -128,16 +134,12 @@
         )
 
     def _next_attempt(self, record: RequestRecord, now_s: float) -> list[Action]:
-        configuration = self._configuration.record.configuration
-        candidates = [
-            upstream
-            for upstream in self._upstreams.usable(now_s)
-            if upstream.vm_id not in record.tried
-        ]
         try:
             if now_s >= record.deadline_s:
                 raise CardamomnotchError(code=ResultCode.DEADLINE_PASSED)
-            route = self._router.choose(configuration, record.demand, candidates)
+            route = self._router.choose(
+                self._configuration.record, record.demand, record.tried, now_s
+            )
         except CardamomnotchError as error:
             return self._end_refused(record, error)
         record = attrs.evolve(
@@ -200,9 +202,8 @@
             event.detail, code=event.code, retry_after_s=event.retry_after_s or None
         )
         may_go_on = record.attempts < MAX_ATTEMPTS_PER_REQUEST
-        record = attrs.evolve(
-            record, tried=record.tried | {vm_id}, replaces=event.attempt_id
-        )
+        record = attrs.evolve(record, replaces=event.attempt_id)
+        record = _note_tried(record, event.code)
         if event.code not in _ELSEWHERE or not may_go_on:
             return self._end_refused(record, error)
         return self._next_attempt(record, now_s)
@@ -228,7 +229,8 @@
         if record is None:
             return []
         upstream = record.route.upstream
-        self._upstreams.mark_unreachable(upstream.vm_id)
+        if event.code is not ResultCode.ATTEMPT_UNKNOWN:
+            self._upstreams.mark_unreachable(upstream.vm_id)
         error = CardamomnotchError(code=event.code)
         if not event.sent:
             return self._after_failure(record, error, now_s, started=False)
@@ -270,11 +272,8 @@
         started: bool,
     ) -> list[Action]:
         """Retry what may be repeated, or end the request truthfully."""
-        record = attrs.evolve(
-            record,
-            maybe_ran=record.maybe_ran or started,
-            tried=record.tried | {record.route.upstream.vm_id},
-        )
+        record = attrs.evolve(record, maybe_ran=record.maybe_ran or started)
+        record = _note_tried(record, error.code)
         may_repeat = (
             (record.route.idempotent or not record.maybe_ran)
             and record.state is RequestState.ATTEMPTING
@@ -338,6 +337,13 @@
     return request_class.deadline_s if request_class else DEFAULT_DEADLINE_S
 
 
+def _note_tried(record: RequestRecord, code: ResultCode) -> RequestRecord:
+    """Return ``record`` with its present upstream among those not to try again."""
+    if code in _UPSTREAM_NOT_AT_FAULT:
+        return record
+    return attrs.evolve(record, tried=record.tried | {record.route.upstream.vm_id})
+
+
 def _refusal(record: RequestRecord, error: CardamomnotchError) -> Action:
     """Return the final answer to a request that is given up."""
     code, detail = error.code, error.detail
--- a/packages/cardamomnotch-protocol/src/cardamomnotch_protocol/models.py
+++ b/packages/cardamomnotch-protocol/src/cardamomnotch_protocol/models.py
@@ -324,3 +324,13 @@
     """How many outcomes a sidecar still holds."""
 
     held: int = 0
+
+
+@_message("peer_revision")
+@attrs.frozen(kw_only=True)
+class PeerRevision(Message):
+    """An entry tells another one its revision; the answer is of this class."""
+
+    entry_id: str
+    entry_address: str
+    revision: int
--- a/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/composition.py
+++ b/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/composition.py
@@ -11,6 +11,10 @@
 from cardamomnotch_core.nodes.sidecar_node import SidecarNode
 from cardamomnotch_runtime.admin import create_admin_app
 from cardamomnotch_runtime.auth import inner_headers
+from cardamomnotch_runtime.configuration import (
+    ConfigurationFetcher,
+    ConfigurationSource,
+)
 from cardamomnotch_runtime.const import TIMER_INTERVAL_S
 from cardamomnotch_runtime.runner import NodeRunner
 from cardamomnotch_runtime.server import HttpServer, bind
@@ -20,7 +24,6 @@
 from .bills.server import OutcomeServer
 from .const import CONF_ENGINE, CONF_SERVICE, REPORT_INTERVAL_S
 from .coordinator import UpstreamCoordinator
-from .inner.configuration import ConfigurationFetcher
 from .inner.server import InnerServer
 from .metrics import SidecarMetrics
 from .settings import SidecarSettings
@@ -40,7 +43,7 @@
         self._sessions: list[aiohttp.ClientSession] = []
         self._servers: list[HttpServer] = []
         self._tasks = TaskGroup()
-        limiter = ConcurrencyLimiter(limit=settings.upstream.max_concurrency)
+        limiter = ConcurrencyLimiter(settings=settings.upstream.limiter)
         self._limiter = limiter
         self._identity = SidecarIdentity(
             vm_id=settings.node.vm_id,
@@ -82,6 +85,7 @@
             attempts=attempts,
             fetcher=fetcher,
             outcomes=OutcomeServer(self._node.outcomes),
+            source=ConfigurationSource(self._node.configuration),
             incarnation=self._identity.incarnation,
             inner_keys=self._settings.node.inner_keys,
         )
--- a/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/inner/server.py
+++ b/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/inner/server.py
@@ -27,6 +27,10 @@
 )
 from cardamomnotch_protocol.result_codes import ResultCode
 from cardamomnotch_runtime.auth import inner_key_middleware
+from cardamomnotch_runtime.configuration import (
+    ConfigurationFetcher,
+    ConfigurationSource,
+)
 from cardamomnotch_runtime.const import MAX_BODY_BYTES
 from cardamomnotch_runtime.frames import async_read_frame, frame_response
 from cardamomnotch_runtime.responses import error_response
@@ -36,7 +40,6 @@
 from ..attempt_runner import AttemptRunner
 from ..bills.server import OutcomeServer
 from ..const import READER_SILENCE_MS
-from .configuration import ConfigurationFetcher
 
 
 class InnerServer:
@@ -49,6 +52,7 @@
         attempts: AttemptRunner,
         fetcher: ConfigurationFetcher,
         outcomes: OutcomeServer,
+        source: ConfigurationSource,
         incarnation: str,
         inner_keys: tuple[str, ...],
     ) -> None:
@@ -56,6 +60,7 @@
         self._attempts = attempts
         self._fetcher = fetcher
         self._outcomes = outcomes
+        self._source = source
         self._incarnation = incarnation
         self._inner_keys = inner_keys
 
@@ -71,6 +76,7 @@
         app.router.add_post(PATH_HEARTBEAT, self._async_heartbeat)
         app.router.add_post(PATH_CONFIGURATION, self._async_configuration)
         self._outcomes.add_routes(app)
+        self._source.add_routes(app)
         return app
 
     async def _async_attempt(self, request: web.Request) -> web.StreamResponse:
