Choose the cheapest version whose lower bound meets the target

Cause: the operators' figures were taken as exact and for ever, and the ranking was computed anew at each decision.

The figure of the lists now counts as quality_answers ratings, blended with what the rating service finds; Wilson's interval gives the lower bound. The ranking is cached by plan, class and model, and renewed with a revision, a withdrawal, or half a second after ratings. A class explores with a stated share or never, and refuses below its target unless it says otherwise. A session keeps its version or is refused; only a withdrawn version is replaced. A version in roll-out takes a share by hash of the routing key. The last 256 decisions are in the state dump, by request id.

Seen to fail with each mechanism out: target, exploration share, session first, withdrawn filter, hash, forgetting, refusal below target.

--- a/packages/cardamomnotch-core/src/cardamomnotch_core/configuration/checks.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/configuration/checks.py
@@ -49,6 +49,22 @@
                     yield f"{path}.quality.{class_name}: class is not listed"
 
 
+def _check_shares(configuration: Configuration) -> Iterator[str]:
+    for model in configuration.models:
+        for version in model.versions:
+            path = f"models[{model.name}].versions[{version.name}]"
+            if not 0 <= version.rollout_share <= 1:
+                yield f"{path}.rollout_share: must lie from 0 to 1"
+            if version.quality_answers < 1:
+                yield f"{path}.quality_answers: must be at least 1"
+    for item in configuration.classes:
+        for key in ("quality_target", "explore_share", "bad_below"):
+            if not 0 <= getattr(item, key) <= 1:
+                yield f"classes[{item.name}].{key}: must lie from 0 to 1"
+        if not 0 < item.bad_share < 1:
+            yield f"classes[{item.name}].bad_share: must lie between 0 and 1"
+
+
 def _check_plan(configuration: Configuration, plan: Plan) -> Iterator[str]:
     path = f"plans[{plan.name}]"
     for allowed in plan.models:
@@ -97,6 +113,7 @@
 _CHECKS = (
     _check_names,
     _check_quality,
+    _check_shares,
     _check_plans,
     _check_workspaces,
     _check_marks,
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/configuration/models.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/configuration/models.py
@@ -10,12 +10,16 @@
 class Version:
     """One version of a model.
 
-    ``quality`` maps a request class to the expected score from 0 to 1.
+    ``quality`` maps a request class to the expected score from 0 to 1, and
+    counts as much as ``quality_answers`` rated answers. ``rollout_share`` is
+    the share of requests that a version in roll-out takes.
     """
 
     name: str
     cost_per_1k_tokens: float
     quality: Mapping[str, float] = attrs.field(factory=dict)
+    quality_answers: int = 200
+    rollout_share: float = 1.0
 
 
 @attrs.frozen(kw_only=True)
@@ -28,12 +32,25 @@
 
 @attrs.frozen(kw_only=True)
 class RequestClass:
-    """What a kind of request needs; a lower priority number goes first."""
+    """What a kind of request needs; a lower priority number goes first.
+
+    A version is bad for the class if more than ``bad_share`` of its answers
+    score under ``bad_below``.
+    """
 
     name: str
     quality_target: float = 0.0
     priority: int = 1
     deadline_s: float = 120.0
+    # Whether a small share may go to cheaper versions of unsure quality.
+    explore: bool = True
+    explore_share: float = 0.02
+    # Whether a poor answer that is not streamed moves up to a better version.
+    cascade: bool = False
+    # Serve the best version, and say so, where none meets the target.
+    serve_below_target: bool = False
+    bad_below: float = 0.5
+    bad_share: float = 0.01
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/entry_node.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/entry_node.py
@@ -26,13 +26,13 @@
         self._random = random_source
         self._configuration = ConfigurationHolder()
         self._upstreams = UpstreamTable()
-        router = Router(identity.zone, self._upstreams, random_source)
-        self._observer = AttemptObserver(router, self._upstreams)
+        self._router = Router(identity.zone, self._upstreams, random_source)
+        self._observer = AttemptObserver(self._router, self._upstreams)
         self._requests = RequestFlow(
             identity,
             configuration=self._configuration,
             upstreams=self._upstreams,
-            router=router,
+            router=self._router,
         )
         self._draining = False
 
@@ -76,6 +76,7 @@
             "ready": self.is_ready,
             "requests_in_flight": len(self._requests),
             "upstreams": [attrs.asdict(item) for item in self.upstreams],
+            "routing": self._router.diagnostics(),
         }
 
     @singledispatchmethod
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/request_flow.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/request_flow.py
@@ -102,6 +102,7 @@
                 method=request.method,
                 path=request.path,
                 request_id=request.request_id,
+                routing_key=key,
             ),
             workspace=workspace.name,
             request_key=f"{workspace.name}:{key}",
--- /dev/null
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/rollout/__init__.py
@@ -0,0 +1,1 @@
+"""Bringing new versions in, and bad ones out."""
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/routing/models.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/routing/models.py
@@ -15,6 +15,10 @@
     service: str = ""
     idempotent: bool = True
     priority: int = 1
+    # The session's version, if this route had to replace it.
+    replaced_version: str = ""
+    # Whether no version meets the target, and the class allows that.
+    below_target: bool = False
 
 
 @attrs.frozen(kw_only=True)
@@ -29,6 +33,8 @@
     method: str = ""
     path: str = ""
     request_id: str = ""
+    # Decides the side of a roll-out's share: session or request key.
+    routing_key: str = ""
 
 
 @attrs.frozen
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/routing/router.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/routing/router.py
@@ -1,21 +1,26 @@
 """Choice of version and upstream."""
 
 import random
-from collections.abc import Collection
+from collections.abc import Collection, Iterator
+from typing import Any
 
 from cardamomnotch_protocol.exceptions import CardamomnotchError
 from cardamomnotch_protocol.result_codes import ResultCode
 
-from ..configuration.models import Configuration, ConfigurationRecord
+from ..configuration.models import ConfigurationRecord
 from ..membership.models import Upstream
 from ..membership.table import UpstreamTable
-from ..plans.allowance import AllowedVersion, allowed_route, allowed_versions
+from ..plans.allowance import allowed_route
+from ..quality.book import QualityBook
+from ..rollout.share import is_in_share
 from .const import RETRY_AFTER_S
+from .decisions import Decision, DecisionLog, Reason
 from .health import HealthBook
 from .index import UpstreamIndex
 from .load import LoadBook
 from .models import Demand, Route
 from .picker import UpstreamPicker
+from .ranking import RankedVersion, Ranking, RankingCache, RankingError
 
 
 class RoutingError(CardamomnotchError):
@@ -28,13 +33,27 @@
     """Chooses among what is allowed, in service and reachable."""
 
     def __init__(
-        self, zone: str, table: UpstreamTable, random_source: random.Random
+        self,
+        zone: str,
+        table: UpstreamTable,
+        random_source: random.Random,
+        quality: QualityBook | None = None,
     ) -> None:
         self.health = HealthBook()
         self.loads = LoadBook()
+        self.decisions = DecisionLog()
+        self.rankings = RankingCache(quality or QualityBook())
+        self._random = random_source
         self._index = UpstreamIndex(zone, table)
         self._picker = UpstreamPicker(table, self.health, self.loads, random_source)
 
+    def diagnostics(self) -> dict[str, Any]:
+        """Return the state for the dump."""
+        return {
+            "withdrawn_here": sorted(self.rankings.withdrawn),
+            "recent_decisions": self.decisions.diagnostics(),
+        }
+
     def choose(
         self,
         record: ConfigurationRecord,
@@ -44,11 +63,12 @@
     ) -> Route:
         """Return the route for ``demand``, on a VM that is not in ``tried``.
 
-        Raises PlanError or RoutingError if there is none.
+        Raises PlanError, RankingError or RoutingError if there is none.
         """
-        if demand.service:
-            return self._choose_service(record, demand, tried, now_s)
-        return self._choose_model(record, demand, tried, now_s)
+        choose = self._choose_service if demand.service else self._choose_model
+        decision = choose(record, demand, tried, now_s)
+        self.decisions.add(decision)
+        return decision.route
 
     def _choose_service(
         self,
@@ -56,7 +76,7 @@
         demand: Demand,
         tried: Collection[str],
         now_s: float,
-    ) -> Route:
+    ) -> Decision:
         allowed = allowed_route(
             record.configuration,
             demand.workspace,
@@ -69,12 +89,13 @@
             raise RoutingError(
                 f"no upstream for {demand.service}", retry_after_s=RETRY_AFTER_S
             )
-        return Route(
+        route = Route(
             upstream=upstream,
             service=demand.service,
             idempotent=allowed.route.idempotent,
             priority=0,
         )
+        return Decision(at_s=now_s, demand=demand, route=route, reason=Reason.SERVICE)
 
     def _choose_model(
         self,
@@ -82,22 +103,67 @@
         demand: Demand,
         tried: Collection[str],
         now_s: float,
-    ) -> Route:
-        configuration = record.configuration
-        request_class = configuration.classes_by_name.get(demand.request_class)
-        for item in _candidates(configuration, demand):
+    ) -> Decision:
+        ranking = self.rankings.get(record, demand, now_s)
+        passed_over: list[str] = []
+        for item, reason in self._preferences(ranking, demand):
             upstream = self._pick(record, item.full_name, tried, now_s)
-            if upstream is not None:
-                return Route(
-                    upstream=upstream,
-                    model=item.model,
-                    version=item.version.name,
-                    priority=request_class.priority if request_class else 1,
-                )
+            if upstream is None:
+                passed_over.append(item.full_name)
+                continue
+            return Decision(
+                at_s=now_s,
+                demand=demand,
+                route=_route(item, upstream, ranking, demand, reason),
+                reason=reason,
+                ranking=ranking,
+                without_upstream=tuple(passed_over),
+            )
+        if not passed_over:
+            raise RankingError(
+                f"no version meets the target of {demand.request_class}",
+                retry_after_s=RETRY_AFTER_S,
+            )
         raise RoutingError(
-            f"no upstream for {demand.model}", retry_after_s=RETRY_AFTER_S
+            f"no upstream for {', '.join(passed_over)}", retry_after_s=RETRY_AFTER_S
         )
 
+    def _preferences(
+        self, ranking: Ranking, demand: Demand
+    ) -> Iterator[tuple[RankedVersion, Reason]]:
+        """Yield the versions to try, the preferred one first."""
+        bound = ranking.find(demand.session_version)
+        if bound is not None:
+            yield bound, Reason.SESSION
+            return
+        explored = self._explored(ranking, demand)
+        if explored is not None:
+            yield explored, Reason.EXPLORED
+        for item in ranking.meeting:
+            if item.rollout_share >= 1:
+                yield item, Reason.CHEAPEST
+            elif is_in_share(item.full_name, demand.routing_key, item.rollout_share):
+                yield item, Reason.ROLLED_OUT
+        if not ranking.meeting and _may_go_below(ranking):
+            best = max(ranking.versions, key=_lower_bound)
+            yield best, Reason.BELOW_TARGET
+
+    def _explored(self, ranking: Ranking, demand: Demand) -> RankedVersion | None:
+        """Return a cheaper version to learn about, for a small share."""
+        request_class = ranking.request_class
+        if request_class is None or not request_class.explore or not ranking.uncertain:
+            return None
+        if self._random.random() >= request_class.explore_share:
+            return None
+        dearest = ranking.meeting[0].cost if ranking.meeting else float("inf")
+        cheaper = [
+            item
+            for item in ranking.uncertain
+            if item.cost < dearest
+            and is_in_share(item.full_name, demand.routing_key, item.rollout_share)
+        ]
+        return self._random.choice(cheaper) if cheaper else None
+
     def _pick(
         self,
         record: ConfigurationRecord,
@@ -110,42 +176,28 @@
         return found.upstream if found else None
 
 
-def _candidates(configuration: Configuration, demand: Demand) -> list[AllowedVersion]:
-    request_class = configuration.classes_by_name.get(demand.request_class)
-    if demand.request_class and request_class is None:
-        raise RoutingError(
-            f"no class {demand.request_class}", code=ResultCode.UNKNOWN_CLASS
-        )
-    allowed = allowed_versions(configuration, demand.workspace, demand.model)
-    if request_class is not None:
-        allowed = _meeting_target(
-            allowed, request_class.name, request_class.quality_target
-        )
-    return _by_preference(allowed, demand.session_version)
+def _may_go_below(ranking: Ranking) -> bool:
+    request_class = ranking.request_class
+    return request_class is not None and request_class.serve_below_target
 
 
-def _meeting_target(
-    allowed: tuple[AllowedVersion, ...], class_name: str, target: float
-) -> tuple[AllowedVersion, ...]:
-    good = tuple(
-        item for item in allowed if item.version.quality.get(class_name, 0.0) >= target
-    )
-    if good:
-        return good
-    raise RoutingError(
-        f"no allowed version reaches {target} for {class_name}",
-        code=ResultCode.QUALITY_NOT_AVAILABLE,
-    )
+def _lower_bound(item: RankedVersion) -> float:
+    return item.estimate.lower if item.estimate else 0.0
 
 
-def _by_preference(
-    allowed: tuple[AllowedVersion, ...], session_version: str
-) -> list[AllowedVersion]:
-    return sorted(
-        allowed,
-        key=lambda item: (
-            item.full_name != session_version,
-            item.version.cost_per_1k_tokens,
-            item.full_name,
-        ),
+def _route(
+    item: RankedVersion,
+    upstream: Upstream,
+    ranking: Ranking,
+    demand: Demand,
+    reason: Reason,
+) -> Route:
+    replaced = "" if reason is Reason.SESSION else demand.session_version
+    return Route(
+        upstream=upstream,
+        model=item.allowed.model,
+        version=item.allowed.version.name,
+        priority=ranking.request_class.priority if ranking.request_class else 1,
+        replaced_version=replaced,
+        below_target=reason is Reason.BELOW_TARGET,
     )
--- a/script/benchmarks/decision_time.py
+++ b/script/benchmarks/decision_time.py
@@ -3,6 +3,7 @@
 import random
 import statistics
 import time
+from collections import deque
 
 from cardamomnotch_core.configuration.models import (
     Configuration,
@@ -25,6 +26,8 @@
 _ZONES = ("a", "b", "c")
 _LIMIT = 64
 _DECISIONS = 4_000
+_INTERVAL_S = 0.0001
+_OPEN = 64
 _REPEATS = 5
 _SIZES = ((19, 20), (190, 20), (19, 200), (190, 200))
 
@@ -91,29 +94,52 @@
     return table
 
 
-def _measure_us(router: Router, record: ConfigurationRecord) -> float:
-    """Return microseconds a decision, loads and ends noted as in service."""
-    open_vm_ids: list[str] = []
-    started_s = time.perf_counter()
-    for index in range(_DECISIONS):
-        demand = Demand(
-            workspace="w", model="auto", request_class="quick", request_id=str(index)
-        )
-        vm_id = router.choose(record, demand, (), 0.0).upstream.vm_id
-        router.loads.note_started(vm_id)
-        open_vm_ids.append(vm_id)
-        if len(open_vm_ids) > _LIMIT:
-            router.loads.note_ended(open_vm_ids.pop(0))
-    return (time.perf_counter() - started_s) / _DECISIONS * 1e6
+class _Caller:
+    """Sends requests one after the other; answers bring load reports."""
+
+    def __init__(self, versions: int, upstreams: int) -> None:
+        self._record = _record(versions)
+        self._table = _table(versions, upstreams)
+        self._router = Router("a", self._table, random.Random(1))
+        self._open: deque[str] = deque()
+        self._now_s = 0.0
+
+    def measure_us(self) -> float:
+        """Return microseconds a decision."""
+        spent_s = 0.0
+        for index in range(_DECISIONS):
+            self._now_s += _INTERVAL_S
+            demand = Demand(
+                workspace="w",
+                model="auto",
+                request_class="quick",
+                request_id=str(index),
+                routing_key=str(index),
+            )
+            started_s = time.perf_counter()
+            route = self._router.choose(self._record, demand, (), self._now_s)
+            spent_s += time.perf_counter() - started_s
+            self._start(route.upstream.vm_id)
+        return spent_s / _DECISIONS * 1e6
+
+    def _start(self, vm_id: str) -> None:
+        self._router.loads.note_started(vm_id)
+        self._open.append(vm_id)
+        if len(self._open) <= _OPEN:
+            return
+        ended = self._open.popleft()
+        self._router.loads.note_ended(ended)
+        in_flight = self._open.count(ended)
+        load = Load(in_flight=in_flight, limit=_LIMIT)
+        self._table.take_load(ended, load, self._now_s)
 
 
 def run() -> Report:
     """Return the time of a decision at each size."""
     rows = []
     for versions, upstreams in _SIZES:
-        record = _record(versions)
-        router = Router("a", _table(versions, upstreams), random.Random(1))
-        figures = sorted(_measure_us(router, record) for _ in range(_REPEATS))
+        caller = _Caller(versions, upstreams)
+        figures = sorted(caller.measure_us() for _ in range(_REPEATS))
         rows.append(
             Row(
                 what=f"{versions} versions by {upstreams} upstreams each",
--- /dev/null
+++ b/tests/core/quality/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of quality."""
