Bind sessions to their version by a signed token

Cause: a caller had no way to keep its version; entries keep nothing.

Each model answer carries X-Cardamomnotch-Session, an HMAC over workspace and version; the caller sends it back, at any entry. The first key signs and all listed keys are read; without a [sessions] table the keys are derived from the inner keys. A token that is forged or another workspace's is refused with code 112 rather than ignored, since ignoring it would move the session. The answer names the version that a withdrawal replaced, and X-Cardamomnotch- Below-Target says where a class lets its target be missed.

Seen to fail: reading with the first key only, signing with the last, no check of the MAC; and before the wiring the header was missing.

--- a/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/actions.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/actions.py
@@ -25,6 +25,8 @@
     vm_id: str
     address: str
     message: AttemptRequest
+    # Whether the version misses the class's target, which the answer says.
+    below_target: bool = False
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/request_flow.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/request_flow.py
@@ -154,7 +154,10 @@
             fingerprint=request.fingerprint,
         )
         return actions.StartAttempt(
-            vm_id=route.upstream.vm_id, address=route.upstream.address, message=message
+            vm_id=route.upstream.vm_id,
+            address=route.upstream.address,
+            message=message,
+            below_target=route.below_target,
         )
 
     @handle.register
--- /dev/null
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/sessions/__init__.py
@@ -0,0 +1,1 @@
+"""Sessions, which keep their version."""
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/caller/exchange.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/caller/exchange.py
@@ -13,6 +13,7 @@
 from cardamomnotch_runtime.responses import error_body, error_response
 
 from ..const import HEADER_REQUEST_ID, HEADER_RESULT_CODE
+from ..sessions.caller_sessions import CallerSession
 
 _DONE_EVENT = b"data: [DONE]\n\n"
 _KEPT_HEADERS = ("Content-Type",)
@@ -39,11 +40,18 @@
     """
 
     def __init__(
-        self, http_request: web.Request, request_id: str, body: bytes, *, stream: bool
+        self,
+        http_request: web.Request,
+        request_id: str,
+        body: bytes,
+        *,
+        stream: bool,
+        session: CallerSession | None = None,
     ) -> None:
         self._http_request = http_request
         self._request_id = request_id
         self._stream = stream
+        self._session = session
         self._body = body
         self._answer = bytearray()
         self._status = 200
@@ -62,6 +70,8 @@
         """Forget what a former attempt answered, none of it passed on."""
         self._answer.clear()
         self._headers.update(headers)
+        if self._session is not None:
+            self._headers.update(self._session.answer_headers(headers))
 
     async def async_set_head(self, status: int, headers: Mapping[str, str]) -> None:
         """Take the answer's status and headers."""
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/caller/server.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/caller/server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import attrs
 from aiohttp import web
 
 from cardamomnotch_core.attempts.entry_table import CallerRequest
@@ -16,10 +17,12 @@
 
 from ..const import (
     HEADER_RESULT_CODE,
+    HEADER_SESSION,
     PATH_COMPLETIONS,
     PATH_MODELS,
     PATH_SERVICES,
 )
+from ..sessions.caller_sessions import CallerSession, CallerSessions
 from .exchange import CallerExchange, Outcome
 from .requests import (
     async_read_body,
@@ -32,8 +35,11 @@
 class CallerServer:
     """Turns callers' requests into events, and actions into answers."""
 
-    def __init__(self, node: EntryNode, runner: NodeRunner) -> None:
+    def __init__(
+        self, node: EntryNode, runner: NodeRunner, sessions: CallerSessions
+    ) -> None:
         self._node = node
+        self._sessions = sessions
         self._runner = runner
         self._exchanges: dict[str, CallerExchange] = {}
         runner.register(actions.RefuseRequest, self._refuse)
@@ -56,7 +62,13 @@
     async def _async_completion(self, request: web.Request) -> web.StreamResponse:
         body = await async_read_body(request)
         caller_request = read_completion(request, body)
-        return await self._async_serve(request, caller_request, body)
+        token = request.headers.get(HEADER_SESSION, "")
+        session = self._sessions.read(caller_request, token)
+        if session is not None:
+            caller_request = attrs.evolve(
+                caller_request, session_version=session.version
+            )
+        return await self._async_serve(request, caller_request, body, session)
 
     async def _async_service(self, request: web.Request) -> web.StreamResponse:
         body = await async_read_body(request)
@@ -64,11 +76,19 @@
         return await self._async_serve(request, caller_request, body)
 
     async def _async_serve(
-        self, request: web.Request, caller_request: CallerRequest, body: bytes
+        self,
+        request: web.Request,
+        caller_request: CallerRequest,
+        body: bytes,
+        session: CallerSession | None = None,
     ) -> web.StreamResponse:
         request_id = caller_request.request_id
         exchange = CallerExchange(
-            request, request_id, body, stream=caller_request.stream
+            request,
+            request_id,
+            body,
+            stream=caller_request.stream,
+            session=session,
         )
         self._exchanges[request_id] = exchange
         try:
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/composition.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/composition.py
@@ -8,6 +8,7 @@
 from cardamomnotch_core.nodes import events
 from cardamomnotch_core.nodes.entry_node import EntryNode
 from cardamomnotch_core.nodes.identity import EntryIdentity
+from cardamomnotch_core.sessions.token import SessionSigner, derived_keys
 from cardamomnotch_platform.store.client import StoreClient
 from cardamomnotch_platform.vm_list.client import VmListClient
 from cardamomnotch_runtime.admin import create_admin_app
@@ -25,6 +26,7 @@
 from .inner.configuration import ConfigurationSender
 from .lists.coordinator import ListsCoordinator
 from .metrics import EntryMetrics
+from .sessions.caller_sessions import CallerSessions
 from .settings import EntrySettings
 
 
@@ -59,7 +61,11 @@
         inner_session = self._open_session(
             inner_headers(self._settings.node.inner_keys)
         )
-        callers = CallerServer(self._node, self._runner)
+        session_keys = self._settings.sessions.keys or derived_keys(
+            self._settings.node.inner_keys
+        )
+        sessions = CallerSessions(SessionSigner(session_keys), self._node.configuration)
+        callers = CallerServer(self._node, self._runner, sessions)
         AttemptClient(inner_session, self._runner, callers, self._tasks)
         sender = ConfigurationSender(
             inner_session, self._runner, self._tasks, self._node.configuration
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/const.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/const.py
@@ -2,10 +2,13 @@
 
 from typing import Final
 
+HEADER_BELOW_TARGET: Final = "X-Cardamomnotch-Below-Target"
 HEADER_CLASS: Final = "X-Cardamomnotch-Class"
 HEADER_IDEMPOTENCY_KEY: Final = "Idempotency-Key"
 HEADER_REQUEST_ID: Final = "X-Cardamomnotch-Request-Id"
 HEADER_RESULT_CODE: Final = "X-Cardamomnotch-Result-Code"
+HEADER_SESSION: Final = "X-Cardamomnotch-Session"
+HEADER_SESSION_REPLACED: Final = "X-Cardamomnotch-Session-Replaced"
 HEADER_TIMEOUT: Final = "X-Cardamomnotch-Timeout-S"
 HEADER_VERSION: Final = "X-Cardamomnotch-Version"
 
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/inner/attempt_client.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/inner/attempt_client.py
@@ -36,6 +36,7 @@
 from ..const import (
     ATTEMPT_CONNECT_S,
     ATTEMPT_SILENCE_S,
+    HEADER_BELOW_TARGET,
     HEADER_VERSION,
     HEARTBEAT_TIMEOUT_S,
 )
@@ -86,6 +87,8 @@
         self, action: actions.StartAttempt, exchange: CallerExchange
     ) -> None:
         message = action.message
+        if action.below_target:
+            exchange.restart_answer({HEADER_BELOW_TARGET: "true"})
         follower = _Follower(self._runner, exchange, message)
         try:
             async for frame in self._async_frames(action, exchange.body):
--- /dev/null
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/sessions/__init__.py
@@ -0,0 +1,1 @@
+"""Session tokens between callers and the entry."""
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/settings.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/settings.py
@@ -28,6 +28,17 @@
     address: str = address_field()
 
 
+@attrs.frozen(kw_only=True)
+class SessionSettings:
+    """Table ``sessions``: keys of session tokens.
+
+    The first signs, all are read, so two are listed during a change. Without
+    any the keys are derived from the inner keys.
+    """
+
+    keys: tuple[str, ...] = attrs.field(default=(), repr=False)
+
+
 @attrs.frozen(kw_only=True)
 class EntrySettings:
     """All tables of the entry's settings file."""
@@ -35,6 +46,7 @@
     node: NodeSettings
     caller: CallerSettings
     platform: PlatformSettings
+    sessions: SessionSettings = attrs.field(factory=SessionSettings)
     log: LogSettings = attrs.field(factory=LogSettings)
     drain_grace_s: float = attrs.field(
         default=DEFAULT_DRAIN_GRACE_S, validator=attrs.validators.ge(0)
