--- a/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/events.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/events.py
@@ -13,6 +13,7 @@
 from cardamomnotch_protocol.result_codes import ResultCode
 
 from ..attempts.entry_table import CallerRequest
+from ..attempts.sidecar_table import AttemptState
 from ..configuration.models import ConfigurationRecord
 from ..membership.models import Vm
 
@@ -163,6 +164,10 @@
     detail: str = ""
     usage: Usage = Usage()
     first_token_ms: float = 0.0
+    # The connection broke or was refused, so the upstream may have restarted.
+    connection_lost: bool = False
+    # How long the upstream asks to be left alone.
+    retry_after_s: float = 0.0
 
 
 @attrs.frozen(kw_only=True)
@@ -191,3 +196,39 @@
     version: str
     request_class: str
     score: float
+
+
+@attrs.frozen(kw_only=True)
+class AttemptFenced(Event):
+    """A sidecar told whether an attempt has started; it cannot any more."""
+
+    request_id: str
+    attempt_id: str
+    state: AttemptState
+
+
+@attrs.frozen(kw_only=True)
+class StoreAnswered(Event):
+    """The store told the revision of the lists; 0 means that it has none.
+
+    ``asked_revision`` is what this process acted on when it asked.
+    """
+
+    revision: int
+    asked_revision: int
+    asked_at_s: float
+
+
+@attrs.frozen(kw_only=True)
+class StoreSilent(Event):
+    """The store did not answer."""
+
+
+@attrs.frozen(kw_only=True)
+class PeerTold(Event):
+    """Another entry told its revision, asked or of its own accord."""
+
+    vm_id: str
+    address: str
+    revision: int
+    asked_at_s: float
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/composition.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/composition.py
@@ -4,6 +4,7 @@
 import time
 
 import aiohttp
+from aiohttp import web
 
 from cardamomnotch_core.nodes import events
 from cardamomnotch_core.nodes.entry_node import EntryNode
@@ -13,7 +14,11 @@
 from cardamomnotch_platform.store.client import StoreClient
 from cardamomnotch_platform.vm_list.client import VmListClient
 from cardamomnotch_runtime.admin import create_admin_app
-from cardamomnotch_runtime.auth import inner_headers
+from cardamomnotch_runtime.auth import inner_headers, inner_key_middleware
+from cardamomnotch_runtime.configuration import (
+    ConfigurationFetcher,
+    ConfigurationSource,
+)
 from cardamomnotch_runtime.const import TIMER_INTERVAL_S
 from cardamomnotch_runtime.runner import NodeRunner
 from cardamomnotch_runtime.server import HttpServer, bind
@@ -27,6 +32,7 @@
 from .inner.configuration import ConfigurationSender
 from .lists.coordinator import ListsCoordinator
 from .metrics import EntryMetrics
+from .peers.coordinator import PeersCoordinator
 from .ratings.coordinator import RatingCoordinator
 from .sessions.caller_sessions import CallerSessions
 from .settings import EntrySettings
@@ -68,17 +74,27 @@
         )
         sessions = CallerSessions(SessionSigner(session_keys), self._node.configuration)
         callers = CallerServer(self._node, self._runner, sessions)
-        AttemptClient(inner_session, self._runner, callers, self._tasks)
-        sender = ConfigurationSender(
+        fresh_session = self._open_session(
+            inner_headers(self._settings.node.inner_keys), reuse=False
+        )
+        AttemptClient(inner_session, fresh_session, self._runner, callers, self._tasks)
+        source = ConfigurationSource(self._node.configuration)
+        ConfigurationSender(inner_session, self._runner, self._tasks, source)
+        ConfigurationFetcher(
             inner_session, self._runner, self._tasks, self._node.configuration
         )
+        peers = self._create_peers(inner_session)
         metrics = EntryMetrics(self._node, self._runner)
         admin_app = create_admin_app(
             is_ready=lambda: self._node.is_ready,
             diagnostics=self._node.diagnostics,
             registry=metrics.registry,
         )
-        inner_app = sender.create_app(self._settings.node.inner_keys)
+        inner_app = web.Application(
+            middlewares=[inner_key_middleware(self._settings.node.inner_keys)]
+        )
+        source.add_routes(inner_app)
+        peers.add_routes(inner_app)
         self._servers = [
             HttpServer(callers.create_app(), self._caller_socket),
             HttpServer(inner_app, self._inner_socket),
@@ -88,6 +104,18 @@
         for server in self._servers:
             await server.async_start()
         self._start_coordinators(platform_session, inner_session)
+        self._tasks.repeat(peers.interval_s, peers.async_exchange)
+
+    def _create_peers(self, session: aiohttp.ClientSession) -> PeersCoordinator:
+        return PeersCoordinator(
+            node=self._node,
+            identity=self._identity,
+            runner=self._runner,
+            session=session,
+            tasks=self._tasks,
+            random_source=self._random,
+            clock=time.monotonic,
+        )
 
     def _start_ratings(
         self, session: aiohttp.ClientSession, callers: CallerServer
@@ -111,8 +139,15 @@
         inner_session: aiohttp.ClientSession,
     ) -> None:
         platform = self._settings.platform
-        store = StoreClient(platform_session, platform.store_url)
-        configuration = ConfigurationCoordinator(store, self._runner, self._random)
+        store = self.store = StoreClient(platform_session, platform.store_url)
+        configuration = ConfigurationCoordinator(
+            store,
+            self._runner,
+            self._random,
+            holder=self._node.configuration,
+            tasks=self._tasks,
+            clock=time.monotonic,
+        )
         ListsCoordinator(store, self._runner, self._tasks, self._random)
         membership = MembershipCoordinator(
             node=self._node,
@@ -143,10 +178,11 @@
     async def _async_tick(self) -> None:
         self._runner.dispatch(events.TimerDue())
 
-    def _open_session(self, headers: dict[str, str]) -> aiohttp.ClientSession:
+    def _open_session(
+        self, headers: dict[str, str], *, reuse: bool = True
+    ) -> aiohttp.ClientSession:
         # The nodes limit concurrency; the connector must not queue as well.
-        session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0), headers=headers
-        )
+        connector = aiohttp.TCPConnector(limit=0, force_close=not reuse)
+        session = aiohttp.ClientSession(connector=connector, headers=headers)
         self._sessions.append(session)
         return session
--- a/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/inner/server.py
+++ b/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/inner/server.py
@@ -1,5 +1,8 @@
 """HTTP handlers for the inner protocol at the sidecar."""
 
+import socket
+from contextlib import aclosing
+
 from aiohttp import web
 
 from cardamomnotch_core.configuration.document import record_from_message
@@ -24,6 +27,10 @@
 )
 from cardamomnotch_protocol.result_codes import ResultCode
 from cardamomnotch_runtime.auth import inner_key_middleware
+from cardamomnotch_runtime.configuration import (
+    ConfigurationFetcher,
+    ConfigurationSource,
+)
 from cardamomnotch_runtime.const import MAX_BODY_BYTES
 from cardamomnotch_runtime.frames import async_read_frame, frame_response
 from cardamomnotch_runtime.responses import error_response
@@ -31,7 +38,7 @@
 
 from ..answer_buffer import AnswerBuffer
 from ..attempt_runner import AttemptRunner
-from .configuration import ConfigurationFetcher
+from ..const import READER_SILENCE_MS
 
 
 class InnerServer:
@@ -43,12 +50,14 @@
         runner: NodeRunner,
         attempts: AttemptRunner,
         fetcher: ConfigurationFetcher,
+        source: ConfigurationSource,
         incarnation: str,
         inner_keys: tuple[str, ...],
     ) -> None:
         self._runner = runner
         self._attempts = attempts
         self._fetcher = fetcher
+        self._source = source
         self._incarnation = incarnation
         self._inner_keys = inner_keys
 
@@ -63,6 +72,7 @@
         app.router.add_post(PATH_FENCE, self._async_fence)
         app.router.add_post(PATH_HEARTBEAT, self._async_heartbeat)
         app.router.add_post(PATH_CONFIGURATION, self._async_configuration)
+        self._source.add_routes(app)
         return app
 
     async def _async_attempt(self, request: web.Request) -> web.StreamResponse:
@@ -111,6 +121,8 @@
         *,
         offset: int,
     ) -> web.StreamResponse:
+        buffer.check_offset(offset)
+        _bound_silence(request)
         response = web.StreamResponse(headers={"Content-Type": CONTENT_TYPE_FRAMES})
         await response.prepare(request)
         accepted = AttemptAccepted(
@@ -120,8 +132,9 @@
             load=Load(),
         )
         await response.write(codec.encode(accepted))
-        async for data in buffer.async_frames(offset):
-            await response.write(data)
+        async with aclosing(buffer.async_frames(offset)) as frames:
+            async for data in frames:
+                await response.write(data)
         await response.write_eof()
         return response
 
@@ -146,6 +159,13 @@
         return frame_response(ConfigurationReply(revision=self._fetcher.revision))
 
 
+def _bound_silence(request: web.Request) -> None:
+    """Have the kernel close the connection if the reader acknowledges nothing."""
+    bound = request.transport.get_extra_info("socket") if request.transport else None
+    if bound is not None:
+        bound.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, READER_SILENCE_MS)
+
+
 def _first(
     found: list[actions.Action], action_class: type[actions.Action]
 ) -> actions.Action:
