--- a/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/entry_node.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/entry_node.py
@@ -13,6 +13,8 @@
 from ..configuration.holder import ConfigurationHolder
 from ..membership.models import Upstream
 from ..membership.table import UpstreamTable
+from ..quality.book import QualityBook
+from ..rollout.flow import EvidenceFlow
 from ..routing.observer import AttemptObserver
 from ..routing.router import Router
 from . import actions, events
@@ -31,13 +33,17 @@
         self._configuration = ConfigurationHolder()
         self._follower = ConfigurationFollower(identity.vm_id, self._configuration)
         self._upstreams = UpstreamTable()
-        router = Router(identity.zone, self._upstreams, random_source)
-        self._observer = AttemptObserver(router, self._upstreams)
+        quality = QualityBook()
+        self._router = Router(identity.zone, self._upstreams, random_source, quality)
+        self._evidence = EvidenceFlow(
+            self._configuration, quality, self._router.rankings, random_source
+        )
+        self._observer = AttemptObserver(self._router, self._upstreams)
         self._requests = RequestFlow(
             identity,
             configuration=self._configuration,
             upstreams=self._upstreams,
-            router=router,
+            router=self._router,
         )
         self._draining = False
 
@@ -60,6 +66,11 @@
         """Return the upstream on ``vm_id``."""
         return self._upstreams.get(vm_id)
 
+    @property
+    def evidence(self) -> EvidenceFlow:
+        """Return the ratings pooled with other entries."""
+        return self._evidence
+
     @property
     def requests_in_flight(self) -> int:
         """Return how many requests are being served."""
@@ -91,6 +102,8 @@
             "ready": self.is_ready,
             "requests_in_flight": len(self._requests),
             "upstreams": [attrs.asdict(item) for item in self.upstreams],
+            "routing": self._router.diagnostics(),
+            "rollout": self._evidence.diagnostics(),
         }
 
     @singledispatchmethod
@@ -105,12 +118,13 @@
         if self._configuration.revision == former:
             return followed
         self._observer.observe(event, (), now_s)
+        follow_up = self._evidence.handle(event, now_s)
         behind = [
             actions.SendConfiguration(vm_id=item.vm_id, address=item.address)
             for item in self.upstreams
             if item.is_known
         ]
-        return [*followed, *behind]
+        return [*followed, *behind, *follow_up]
 
     @handle.register
     def _(self, event: events.DrainStarted, now_s: float) -> list[Action]:
@@ -119,13 +133,21 @@
 
     @handle.register
     def _(self, event: events.TimerDue, now_s: float) -> list[Action]:
-        return self._follower.follow(event, now_s)
+        return [
+            *self._follower.follow(event, now_s),
+            *self._evidence.handle(event, now_s),
+        ]
+
+    @handle.register
+    def _(self, event: events.AnswerRated, now_s: float) -> list[Action]:
+        return self._evidence.handle(event, now_s)
 
     @handle.register
     def _(self, event: events.VmListReceived, now_s: float) -> list[Action]:
         followed = self._follower.follow(event, now_s)
         unknown = self._upstreams.take_vm_list(event.vms)
         self._observer.observe(event, (), now_s)
+        self._evidence.handle(event, now_s)
         return [*followed, *(actions.SendHeartbeat(vm_id=item) for item in unknown)]
 
     @handle.register(events.StoreAnswered)
@@ -143,19 +165,22 @@
     def _(self, event: events.HeartbeatAnswered, now_s: float) -> list[Action]:
         self._upstreams.take_heartbeat(event.vm_id, event.reply, now_s)
         self._observer.observe(event, (), now_s)
+        result = self._evidence.handle(event, now_s)
         upstream = self._upstreams.get(event.vm_id)
         if upstream is None:
-            return []
-        result: list[Action] = []
+            return result
         if event.reply.outcomes_due:
-            result.append(actions.FetchOutcomes(address=upstream.address))
+            result = [*result, actions.FetchOutcomes(address=upstream.address)]
         if event.reply.revision >= self._configuration.revision:
             # A sidecar may have heard of a change before any entry nearby.
-            return result + self._follower.fetch_if_behind(
+            fetch = self._follower.fetch_if_behind(
                 upstream.address, event.reply.revision
             )
-        send = actions.SendConfiguration(vm_id=event.vm_id, address=upstream.address)
-        return [*result, send]
+            return [*result, *fetch]
+        return [
+            *result,
+            actions.SendConfiguration(vm_id=event.vm_id, address=upstream.address),
+        ]
 
     @handle.register
     def _(self, event: events.HeartbeatFailed, now_s: float) -> list[Action]:
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/composition.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/composition.py
@@ -10,6 +10,8 @@
 from cardamomnotch_core.nodes import events
 from cardamomnotch_core.nodes.entry_node import EntryNode
 from cardamomnotch_core.nodes.identity import EntryIdentity
+from cardamomnotch_core.sessions.token import SessionSigner, derived_keys
+from cardamomnotch_platform.rating.client import RatingClient
 from cardamomnotch_platform.store.client import StoreClient
 from cardamomnotch_platform.vm_list.client import VmListClient
 from cardamomnotch_runtime.admin import create_admin_app
@@ -33,6 +35,8 @@
 from .lists.coordinator import ListsCoordinator
 from .metrics import EntryMetrics
 from .peers.coordinator import PeersCoordinator
+from .ratings.coordinator import RatingCoordinator
+from .sessions.caller_sessions import CallerSessions
 from .settings import EntrySettings
 
 
@@ -72,7 +76,11 @@
         inner_session = self._open_session(
             inner_headers(self._settings.node.inner_keys)
         )
-        callers = CallerServer(self._node, self._runner)
+        session_keys = self._settings.sessions.keys or derived_keys(
+            self._settings.node.inner_keys
+        )
+        sessions = CallerSessions(SessionSigner(session_keys), self._node.configuration)
+        callers = CallerServer(self._node, self._runner, sessions)
         fresh_session = self._open_session(
             inner_headers(self._settings.node.inner_keys), reuse=False
         )
@@ -110,6 +118,7 @@
             HttpServer(inner_app, self._inner_socket),
             HttpServer(admin_app, self._admin_socket),
         ]
+        self._start_ratings(platform_session, callers)
         for server in self._servers:
             await server.async_start()
         self._start_coordinators(platform_session, inner_session)
@@ -126,6 +135,22 @@
             clock=time.monotonic,
         )
 
+    def _start_ratings(
+        self, session: aiohttp.ClientSession, callers: CallerServer
+    ) -> None:
+        url = self._settings.platform.rating_url
+        if not url:
+            return
+        RatingCoordinator(
+            client=RatingClient(session, url),
+            node=self._node,
+            runner=self._runner,
+            callers=callers,
+            tasks=self._tasks,
+            random_source=self._random,
+            share=self._settings.ratings.share,
+        )
+
     def _start_coordinators(
         self,
         platform_session: aiohttp.ClientSession,
