Find the request that crashes upstreams, and quarantine it

One request sent again and again crashed every engine that ran it, and took what ran beside it along. Each request in flight at a crash (broken connection, then another start id or no answer) is now a suspect; it runs once more on another upstream, alone among suspects, since the attempt carries what it crashed with and a gate runs one suspect at a time. A second crash there convicts it; its neighbours are acquitted. The crash and the quarantine travel through the lists, so that every entry and gate knows within one store write, and a resend is refused at once with a time.

--- a/packages/cardamomnotch-core/src/cardamomnotch_core/admission/gate.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/admission/gate.py
@@ -9,6 +9,9 @@
 from ..configuration.holder import ConfigurationHolder
 from ..nodes.identity import SidecarIdentity
 from ..plans.allowance import allowed_route, allowed_versions
+from ..quarantine.book import QuarantineBook
+from ..quarantine.models import fingerprint_key
+from ..quarantine.watch import CrashWatch
 from .limiter import ConcurrencyLimiter
 
 
@@ -36,11 +39,16 @@
         configuration: ConfigurationHolder,
         limiter: ConcurrencyLimiter,
         upstream: UpstreamHealth,
+        *,
+        crashes: CrashWatch,
+        quarantine: QuarantineBook,
     ) -> None:
         self._identity = identity
         self._configuration = configuration
         self._limiter = limiter
         self._upstream = upstream
+        self._crashes = crashes
+        self._quarantine = quarantine
 
     def check(
         self,
@@ -70,8 +78,14 @@
             raise GateError(code=ResultCode.UPSTREAM_UNREACHABLE)
         self._check_marks()
         self._check_plan(request)
+        self._check_crashes(request, now_s)
         self._check_limit(request, now_s)
 
+    def _check_crashes(self, request: AttemptRequest, now_s: float) -> None:
+        key = fingerprint_key(request.workspace, request.fingerprint)
+        self._quarantine.check(key, now_s)
+        self._crashes.check(request, now_s)
+
     def _check_limit(self, request: AttemptRequest, now_s: float) -> None:
         busy_s = self._upstream.busy_until_s - now_s
         if busy_s > 0:
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/admission/limiter.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/admission/limiter.py
@@ -102,6 +102,12 @@
         del self._tickets[attempt_id]
         self._tokens -= ticket.expected_tokens
 
+    def note_restart(self, attempt_id: str) -> None:
+        """Turn cold if the attempt was admitted since the last cold start."""
+        ticket = self._tickets.get(attempt_id)
+        if ticket is not None and ticket.start == self._start:
+            self.observe(Sign.RESTARTED)
+
     def observe(self, sign: Sign) -> None:
         """Change the limit as ``sign`` asks."""
         change = _CHANGES.get((self._warmth, sign))
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/configuration/models.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/configuration/models.py
@@ -95,6 +95,23 @@
     vms_out: tuple[str, ...] = ()
 
 
+@attrs.frozen(kw_only=True)
+class QuarantinedRequest:
+    """A request that crashed upstreams; ``until_s`` is wall-clock time."""
+
+    fingerprint: str
+    until_s: float
+
+
+@attrs.frozen(kw_only=True)
+class UpstreamCrash:
+    """Requests that were in flight at a crash, until a verdict is due."""
+
+    vm_id: str
+    fingerprints: tuple[str, ...]
+    until_s: float
+
+
 @attrs.define(kw_only=True, frozen=True, slots=False)
 class Configuration:
     """The whole of the operators' lists."""
@@ -105,6 +122,13 @@
     plans: tuple[Plan, ...] = ()
     workspaces: tuple[Workspace, ...] = ()
     marks: Marks = Marks()
+    quarantined: tuple[QuarantinedRequest, ...] = ()
+    crashes: tuple[UpstreamCrash, ...] = ()
+
+    @cached_property
+    def quarantined_until(self) -> Mapping[str, float]:
+        """Return the wall-clock end of each quarantine, by fingerprint."""
+        return {item.fingerprint: item.until_s for item in self.quarantined}
 
     @cached_property
     def models_by_name(self) -> Mapping[str, Model]:
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/actions.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/actions.py
@@ -153,3 +153,11 @@
 
     address: str
     message: AttemptRequest
+
+
+@attrs.frozen(kw_only=True)
+class BlameAttempt(Action):
+    """Tell the attempt's entry that the upstream crashed under it."""
+
+    attempt_id: str
+    co_suspects: tuple[str, ...]
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/entry_node.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/entry_node.py
@@ -9,6 +9,7 @@
 from ..configuration.holder import ConfigurationHolder
 from ..membership.models import Upstream
 from ..membership.table import UpstreamTable
+from ..quarantine.book import QuarantineBook
 from ..routing.observer import AttemptObserver
 from ..routing.router import Router
 from . import actions, events
@@ -21,18 +22,25 @@
 class EntryNode:
     """Turns events into actions; holds no socket and reads no clock."""
 
-    def __init__(self, identity: EntryIdentity, random_source: random.Random) -> None:
+    def __init__(
+        self,
+        identity: EntryIdentity,
+        random_source: random.Random,
+        wall_offset_s: float = 0.0,
+    ) -> None:
         self._identity = identity
         self._random = random_source
         self._configuration = ConfigurationHolder()
         self._upstreams = UpstreamTable()
         router = Router(identity.zone, self._upstreams, random_source)
         self._observer = AttemptObserver(router, self._upstreams)
+        self._quarantine = QuarantineBook(self._configuration, wall_offset_s)
         self._requests = RequestFlow(
             identity,
             configuration=self._configuration,
             upstreams=self._upstreams,
             router=router,
+            quarantine=self._quarantine,
         )
         self._draining = False
 
@@ -75,6 +83,8 @@
             "draining": self._draining,
             "ready": self.is_ready,
             "requests_in_flight": len(self._requests),
+            "suspects": list(self._requests.suspects.fingerprints),
+            "quarantined": list(self._quarantine.fingerprints),
             "upstreams": [attrs.asdict(item) for item in self.upstreams],
         }
 
@@ -87,6 +97,7 @@
     def _(self, event: events.ConfigurationOffered, now_s: float) -> list[Action]:
         if not self._configuration.offer(event.record):
             return []
+        self._requests.suspects.take_listed(event.record.configuration, now_s)
         self._observer.observe(event, (), now_s)
         change = actions.ReportChange(
             text=f"revision {event.record.revision} in force from {event.source}"
@@ -105,6 +116,7 @@
 
     @handle.register
     def _(self, event: events.TimerDue, now_s: float) -> list[Action]:
+        self._requests.suspects.expire(now_s)
         return []
 
     @handle.register
@@ -121,6 +133,7 @@
     @handle.register
     def _(self, event: events.HeartbeatAnswered, now_s: float) -> list[Action]:
         self._upstreams.take_heartbeat(event.vm_id, event.reply, now_s)
+        self._requests.suspects.take_reported(event.vm_id, event.reply.suspects, now_s)
         self._observer.observe(event, (), now_s)
         upstream = self._upstreams.get(event.vm_id)
         if upstream is None or event.reply.revision >= self._configuration.revision:
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/events.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/events.py
@@ -115,6 +115,8 @@
     usage: Usage = Usage()
     load: Load = Load()
     started: bool = True
+    # Fingerprints in flight when the upstream crashed under the attempt.
+    co_suspects: tuple[str, ...] = ()
 
 
 @attrs.frozen(kw_only=True)
@@ -191,3 +193,10 @@
     request_id: str
     attempt_id: str
     state: AttemptState
+
+
+@attrs.frozen(kw_only=True)
+class UpstreamConnectionBroke(Event):
+    """A call's connection broke; the upstream will be asked why."""
+
+    attempt_id: str
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/request_flow.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/request_flow.py
@@ -23,6 +23,10 @@
 from ..configuration.holder import ConfigurationHolder
 from ..configuration.models import Configuration
 from ..membership.table import UpstreamTable
+from ..quarantine.book import QuarantineBook
+from ..quarantine.changes import QuarantineChange
+from ..quarantine.models import fingerprint_key
+from ..quarantine.tracker import SuspectTracker
 from ..routing.models import Demand, Route
 from ..routing.router import Router
 from . import actions, events
@@ -40,6 +44,7 @@
         ResultCode.REVISION_BEHIND,
         ResultCode.SIDECAR_DRAINING,
         ResultCode.SIDECAR_UNREACHABLE,
+        ResultCode.SUSPECT_BUSY,
         ResultCode.UPSTREAM_FULL,
         ResultCode.UPSTREAM_UNREACHABLE,
         ResultCode.VERSION_NOT_LOADED,
@@ -60,12 +65,16 @@
         configuration: ConfigurationHolder,
         upstreams: UpstreamTable,
         router: Router,
+        quarantine: QuarantineBook,
     ) -> None:
         self._identity = identity
         self._configuration = configuration
         self._upstreams = upstreams
         self._router = router
         self._requests = RequestTable()
+        self.suspects = SuspectTracker(
+            quarantine, lambda request_id: self._requests.get(request_id) is not None
+        )
 
     def __len__(self) -> int:
         """Return how many requests are being served."""
@@ -103,6 +112,7 @@
         workspace = configuration.workspaces_by_digest.get(request.key_digest)
         if workspace is None:
             raise CardamomnotchError(code=ResultCode.UNKNOWN_KEY)
+        self.suspects.check(_suspect_key(workspace.name, request), now_s)
         key = request.idempotency_key or request.request_id
         return RequestRecord(
             request=request,
@@ -126,7 +136,10 @@
             if now_s >= record.deadline_s:
                 raise CardamomnotchError(code=ResultCode.DEADLINE_PASSED)
             route = self._router.choose(
-                self._configuration.record, record.demand, record.tried, now_s
+                self._configuration.record,
+                record.demand,
+                record.tried | self._crashed_vms(record, now_s),
+                now_s,
             )
         except CardamomnotchError as error:
             self._requests.end(record.request.request_id)
@@ -141,8 +154,14 @@
         self._requests.put(record)
         return [self._start(record, route, now_s)]
 
+    def _crashed_vms(self, record: RequestRecord, now_s: float) -> frozenset[str]:
+        return self.suspects.crashed_vms(
+            _key_of(record), record.request.request_id, now_s
+        )
+
     def _start(self, record: RequestRecord, route: Route, now_s: float) -> Action:
         request = record.request
+        suspicion = self.suspects.claim(_key_of(record), request.request_id, now_s)
         message = AttemptRequest(
             attempt_id=record.attempt_id,
             request_id=request.request_id,
@@ -164,6 +183,8 @@
             stream=request.stream,
             expected_tokens=request.expected_tokens,
             fingerprint=request.fingerprint,
+            suspected_crashes=suspicion.crashes,
+            co_suspects=suspicion.co_suspects,
         )
         return actions.StartAttempt(
             vm_id=route.upstream.vm_id, address=route.upstream.address, message=message
@@ -203,13 +224,39 @@
             return []
         self._upstreams.take_load(record.route.upstream.vm_id, event.load, now_s)
         if event.code is ResultCode.OK:
+            self.suspects.clear(_key_of(record))
             self._requests.end(event.request_id)
             return [
                 actions.CompleteRequest(request_id=event.request_id, usage=event.usage)
             ]
+        if event.co_suspects:
+            return self._after_crash(record, event, now_s)
         error = CardamomnotchError(event.detail, code=event.code)
         return self._after_failure(record, error, now_s, started=event.started)
 
+    def _after_crash(
+        self, record: RequestRecord, event: events.AttemptEnded, now_s: float
+    ) -> list[Action]:
+        """Give the request up at once if it is the one that crashes upstreams."""
+        vm_id = record.route.upstream.vm_id
+        change = self.suspects.judge(
+            _key_of(record), event.request_id, vm_id, event.co_suspects, now_s
+        )
+        told = []
+        if change is not None:
+            reason = f"crash of the upstream on {vm_id}"
+            told = [actions.ChangeLists(change=change, reason=reason)]
+        error = CardamomnotchError(event.detail, code=event.code)
+        if not isinstance(change, QuarantineChange):
+            failed = self._after_failure(record, error, now_s, started=event.started)
+            return [*told, *failed]
+        self._requests.end(event.request_id)
+        error = CardamomnotchError(
+            code=ResultCode.REQUEST_QUARANTINED,
+            retry_after_s=change.until_s - change.made_at_s,
+        )
+        return [_refusal(attrs.evolve(record, maybe_ran=True), error), *told]
+
     @handle.register
     def _(self, event: events.AttemptLost, now_s: float) -> list[Action]:
         record = self._current(event.request_id, event.attempt_id)
@@ -297,6 +344,15 @@
         return record
 
 
+def _suspect_key(workspace: str, request: CallerRequest) -> str:
+    """Return the fingerprint; plain services' calls have none."""
+    return "" if request.service else fingerprint_key(workspace, request.fingerprint)
+
+
+def _key_of(record: RequestRecord) -> str:
+    return _suspect_key(record.workspace, record.request)
+
+
 def _time_allowed_s(configuration: Configuration, request: CallerRequest) -> float:
     if request.timeout_s:
         return request.timeout_s
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/sidecar_node.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/sidecar_node.py
@@ -21,6 +21,8 @@
 from ..attempts.const import DEFAULT_RETRY_AFTER_S
 from ..attempts.sidecar_table import AttemptState, AttemptTable
 from ..configuration.holder import ConfigurationHolder
+from ..quarantine.book import QuarantineBook
+from ..quarantine.watch import CrashWatch
 from . import actions, events
 from .actions import Action
 from .events import Event
@@ -30,14 +32,28 @@
 class SidecarNode:
     """Turns events into actions; holds no socket and reads no clock."""
 
-    def __init__(self, identity: SidecarIdentity, limiter: ConcurrencyLimiter) -> None:
+    def __init__(
+        self,
+        identity: SidecarIdentity,
+        limiter: ConcurrencyLimiter,
+        wall_offset_s: float = 0.0,
+    ) -> None:
         self._identity = identity
         self._limiter = limiter
         self._attempts = AttemptTable()
         self._configuration = ConfigurationHolder()
         self._draining = False
         self._upstream = UpstreamHealth(reachable=bool(identity.services))
-        self._gate = Gate(identity, self._configuration, limiter, self._upstream)
+        self._quarantine = QuarantineBook(self._configuration, wall_offset_s)
+        self._crashes = CrashWatch(self._quarantine)
+        self._gate = Gate(
+            identity,
+            self._configuration,
+            limiter,
+            self._upstream,
+            crashes=self._crashes,
+            quarantine=self._quarantine,
+        )
 
     @property
     def configuration(self) -> ConfigurationHolder:
@@ -71,6 +87,7 @@
                 "versions": list(self._upstream.versions),
             },
             "load": attrs.asdict(self._limiter.load),
+            "quarantined": list(self._quarantine.fingerprints),
             "warmth": self._limiter.warmth.value,
             "attempts_running": list(self._attempts.running_ids),
             "attempts_remembered": len(self._attempts),
@@ -85,6 +102,7 @@
     def _(self, event: events.ConfigurationOffered, now_s: float) -> list[Action]:
         if not self._configuration.offer(event.record):
             return []
+        self._crashes.take_listed(event.record.configuration, now_s)
         return [
             actions.ReportChange(
                 text=f"revision {event.record.revision} in force from {event.source}"
@@ -103,13 +121,13 @@
 
     @handle.register
     def _(self, event: events.HeartbeatArrived, now_s: float) -> list[Action]:
-        reply = actions.ReplyToHeartbeat(message=self._heartbeat_reply())
+        reply = actions.ReplyToHeartbeat(message=self._heartbeat_reply(now_s))
         if event.request.revision <= self._configuration.revision:
             return [reply]
         fetch = actions.FetchConfiguration(address=event.request.entry_address)
         return [reply, fetch]
 
-    def _heartbeat_reply(self) -> HeartbeatReply:
+    def _heartbeat_reply(self, now_s: float) -> HeartbeatReply:
         return HeartbeatReply(
             vm_id=self._identity.vm_id,
             zone=self._identity.zone,
@@ -119,6 +137,7 @@
             versions=self._upstream.versions,
             services=self._identity.services,
             load=self._limiter.load,
+            suspects=self._crashes.reported(now_s),
         )
 
     @handle.register
@@ -143,6 +162,7 @@
         except CardamomnotchError as error:
             return [self._refusal(request, error)]
         self._attempts.start(request.attempt_id)
+        self._crashes.start(request, self._upstream.start_id, now_s)
         return [actions.AcceptAttempt(message=request)]
 
     def _refusal(self, request: AttemptRequest, error: CardamomnotchError) -> Action:
@@ -165,7 +185,22 @@
             self._upstream.busy_until_s = now_s + min(
                 MAX_RETRY_AFTER_S, event.retry_after_s
             )
+        together = self._crashes.end(
+            event.attempt_id,
+            connection_lost=event.connection_lost,
+            start_id=self._upstream.start_id if self._upstream.reachable else "",
+            now_s=now_s,
+        )
         self._attempts.finish(event.attempt_id, event.code, event.usage, now_s)
+        if not together:
+            return []
+        blame = actions.BlameAttempt(attempt_id=event.attempt_id, co_suspects=together)
+        return [blame]
+
+    @handle.register
+    def _(self, event: events.UpstreamConnectionBroke, now_s: float) -> list[Action]:
+        self._crashes.note_break(event.attempt_id)
+        self._limiter.note_restart(event.attempt_id)
         return []
 
     @handle.register
--- /dev/null
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/quarantine/__init__.py
@@ -0,0 +1,1 @@
+"""Requests that crash the upstreams which run them."""
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/cli/config.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/cli/config.py
@@ -2,6 +2,7 @@
 
 from pathlib import Path
 
+import attrs
 import click
 import orjson
 
@@ -71,4 +72,13 @@
     settings_path: Path, configuration: Configuration, based_on: int | None
 ) -> int:
     async with async_open_store(settings_path) as store:
-        return await async_replace(store, lambda _: configuration, based_on)
+        # What entries have found out stays when operators apply a file.
+        return await async_replace(
+            store,
+            lambda current: attrs.evolve(
+                configuration,
+                quarantined=current.quarantined,
+                crashes=current.crashes,
+            ),
+            based_on,
+        )
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/composition.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/composition.py
@@ -45,7 +45,11 @@
             zone=settings.node.zone,
             inner_address=settings.node.inner_address,
         )
-        self._node = EntryNode(self._identity, self._random)
+        self._node = EntryNode(
+            self._identity,
+            self._random,
+            wall_offset_s=time.time() - time.monotonic(),
+        )
         self._runner = NodeRunner(self._node, time.monotonic)
 
     @property
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/inner/follower.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/inner/follower.py
@@ -128,5 +128,6 @@
                 usage=message.usage,
                 load=message.load,
                 started=message.started,
+                co_suspects=message.co_suspects,
             )
         )
--- a/packages/cardamomnotch-protocol/src/cardamomnotch_protocol/models.py
+++ b/packages/cardamomnotch-protocol/src/cardamomnotch_protocol/models.py
@@ -85,6 +85,8 @@
     fingerprint: str = ""
     # Crashes in which this request was already a suspect.
     suspected_crashes: int = 0
+    # Fingerprints that were in flight with it at those crashes.
+    co_suspects: tuple[str, ...] = ()
 
 
 @_message("attempt_accepted")
@@ -156,6 +158,8 @@
     load: Load = Load()
     # Whether the upstream may have run the request.
     started: bool = True
+    # Fingerprints in flight when the upstream crashed under this attempt.
+    co_suspects: tuple[str, ...] = ()
 
 
 @_message("fence_request")
@@ -205,6 +209,8 @@
     versions: tuple[str, ...] = ()
     services: tuple[str, ...] = ()
     load: Load = Load()
+    # Fingerprints in flight at recent crashes of the upstream.
+    suspects: tuple[str, ...] = ()
 
 
 @_message("configuration")
--- a/packages/cardamomnotch-protocol/src/cardamomnotch_protocol/result_codes.py
+++ b/packages/cardamomnotch-protocol/src/cardamomnotch_protocol/result_codes.py
@@ -52,6 +52,7 @@
     VERSION_NOT_LOADED = 316
     ATTEMPT_UNKNOWN = 317
     ATTEMPT_CANCELLED = 318
+    SUSPECT_BUSY = 319
     JOURNAL_UNAVAILABLE = 401
     KEY_EXPIRED = 402
     KEY_REUSED = 403
@@ -136,6 +137,12 @@
         (ResultCode.VERSION_NOT_LOADED, 503, "The engine lacks the version.", True),
         (ResultCode.ATTEMPT_UNKNOWN, 404, "The attempt is not known.", False),
         (ResultCode.ATTEMPT_CANCELLED, 503, "The attempt was cancelled.", True),
+        (
+            ResultCode.SUSPECT_BUSY,
+            503,
+            "The request waits for a verdict after an upstream crash.",
+            True,
+        ),
         (ResultCode.JOURNAL_UNAVAILABLE, 503, "The journal is unavailable.", True),
         (ResultCode.KEY_EXPIRED, 410, "The idempotency key has expired.", False),
         (ResultCode.KEY_REUSED, 422, "The key was used with another body.", False),
--- a/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/attempt_runner.py
+++ b/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/attempt_runner.py
@@ -1,7 +1,7 @@
 """Runs accepted attempts against the upstream."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from cardamomnotch_core.attempts.const import ORPHAN_AFTER_S
 from cardamomnotch_core.nodes import actions, events
@@ -24,11 +24,13 @@
         client: UpstreamClient,
         tasks: TaskGroup,
         load: Callable[[], Load],
+        async_report: Callable[[], Awaitable[None]],
     ) -> None:
         self._runner = runner
         self._client = client
         self._tasks = tasks
         self._load = load
+        self._async_report = async_report
         self._buffers: dict[str, AnswerBuffer] = {}
         self._calls: dict[str, asyncio.Task] = {}
         self._idempotent_ids: set[str] = set()
@@ -75,7 +77,12 @@
             code = ResultCode.ATTEMPT_CANCELLED
         self._calls.pop(request.attempt_id, None)
         self._idempotent_ids.discard(request.attempt_id)
-        self._runner.dispatch(
+        if connection_lost:
+            broke = events.UpstreamConnectionBroke(attempt_id=request.attempt_id)
+            self._runner.dispatch(broke)
+            # Only the upstream's next report tells a crash from a lost connection.
+            await self._async_report()
+        found = self._runner.dispatch(
             events.UpstreamCallEnded(
                 attempt_id=request.attempt_id,
                 code=code,
@@ -95,7 +102,13 @@
                 usage=result.usage,
                 load=self._load(),
                 started=started,
+                co_suspects=_co_suspects(found),
             )
         )
         loop = asyncio.get_running_loop()
         loop.call_later(ANSWER_RETENTION_S, self._buffers.pop, request.attempt_id, None)
+
+
+def _co_suspects(found: list[actions.Action]) -> tuple[str, ...]:
+    blames = [item for item in found if isinstance(item, actions.BlameAttempt)]
+    return blames[0].co_suspects if blames else ()
--- a/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/composition.py
+++ b/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/composition.py
@@ -47,7 +47,9 @@
             incarnation=uuid.uuid4().hex,
             services=settings.upstream.services,
         )
-        self._node = SidecarNode(self._identity, limiter)
+        self._node = SidecarNode(
+            self._identity, limiter, wall_offset_s=time.time() - time.monotonic()
+        )
         self._runner = NodeRunner(self._node, time.monotonic)
 
     @property
@@ -66,8 +68,13 @@
             upstream_session, upstream.url, upstream.silence_s
         )
         metrics = SidecarMetrics(self._node, self._runner)
+        coordinator = UpstreamCoordinator(self._runner, client)
         attempts = AttemptRunner(
-            self._runner, client, self._tasks, lambda: self._limiter.load
+            self._runner,
+            client,
+            self._tasks,
+            lambda: self._limiter.load,
+            coordinator.async_poll,
         )
         fetcher = ConfigurationFetcher(
             inner_session, self._runner, self._tasks, self._node.configuration
@@ -90,7 +97,6 @@
         ]
         for server in self._servers:
             await server.async_start()
-        coordinator = UpstreamCoordinator(self._runner, client)
         self._tasks.repeat(lambda: REPORT_INTERVAL_S, coordinator.async_poll)
         self._tasks.repeat(lambda: TIMER_INTERVAL_S, self._async_tick)
         self._tasks.repeat(lambda: TIMER_INTERVAL_S, attempts.async_cancel_orphans)
--- /dev/null
+++ b/tests/core/quarantine/test_tracker.py
@@ -0,0 +1,116 @@
+"""An entry lets a suspect run once more, then clears or quarantines it."""
+
+import pytest
+
+from cardamomnotch_core.configuration.holder import ConfigurationHolder
+from cardamomnotch_core.quarantine.book import QuarantineBook
+from cardamomnotch_core.quarantine.changes import CrashChange
+from cardamomnotch_core.quarantine.const import (
+    QUARANTINE_S,
+    SUSPECT_RETENTION_S,
+    VERDICT_WAIT_S,
+)
+from cardamomnotch_core.quarantine.tracker import SuspectTracker
+from cardamomnotch_protocol.exceptions import CardamomnotchError
+from cardamomnotch_protocol.result_codes import ResultCode
+
+_POISON, _INNOCENT = "crates:poison", "crates:innocent"
+_TOGETHER = (_INNOCENT, _POISON)
+_WALL_OFFSET_S = 1_000_000.0
+
+
+@pytest.fixture
+def served():
+    """Return the ids of requests that the entry serves."""
+    return {"first", "second"}
+
+
+@pytest.fixture
+def tracker(served):
+    """Return a tracker that has seen one crash, on engine-0."""
+    book = QuarantineBook(ConfigurationHolder(), _WALL_OFFSET_S)
+    tracker = SuspectTracker(book, served.__contains__)
+    assert tracker.judge(_POISON, "first", "engine-0", _TOGETHER, 0.0) is None
+    told = tracker.judge(_INNOCENT, "second", "engine-0", _TOGETHER, 0.0)
+    assert told.crash.fingerprints == _TOGETHER
+    return tracker
+
+
+def _refusal(tracker, fingerprint, now_s=1.0):
+    with pytest.raises(CardamomnotchError) as caught:
+        tracker.check(fingerprint, now_s)
+    return caught.value
+
+
+def test_every_request_in_flight_is_a_suspect(tracker):
+    """Both are kept away from the crashed VM, and told of to the next gate."""
+    for fingerprint in _TOGETHER:
+        assert tracker.crashed_vms(fingerprint, "first", 1.0) == {"engine-0"}
+        suspicion = tracker.claim(fingerprint, "first", 1.0)
+        assert (suspicion.crashes, suspicion.co_suspects) == (1, _TOGETHER)
+
+
+def test_second_crash_elsewhere_is_the_verdict(tracker):
+    """The rerun's crash on another upstream puts it into quarantine at once."""
+    tracker.claim(_POISON, "first", 1.0)
+    verdict = tracker.judge(_POISON, "first", "engine-1", (_POISON,), 2.0)
+    assert verdict.fingerprint == _POISON
+    assert verdict.until_s == 2.0 + _WALL_OFFSET_S + QUARANTINE_S
+    refusal = _refusal(tracker, _POISON, 12.0)
+    assert refusal.code is ResultCode.REQUEST_QUARANTINED
+    assert refusal.retry_after_s == pytest.approx(QUARANTINE_S - 10.0)
+
+
+def test_verdict_acquits_the_neighbours(tracker):
+    """What crashed together with the guilty request is free again."""
+    tracker.claim(_POISON, "first", 1.0)
+    tracker.judge(_POISON, "first", "engine-1", (_POISON,), 2.0)
+    tracker.check(_INNOCENT, 2.0)
+    assert tracker.claim(_INNOCENT, "second", 2.0).crashes == 0
+
+
+@pytest.mark.parametrize(
+    ("request_id", "vm_id"),
+    [
+        pytest.param("first", "engine-0", id="same upstream"),
+        pytest.param("second", "engine-1", id="not the isolated run"),
+    ],
+)
+def test_other_crashes_settle_nothing(tracker, request_id, vm_id):
+    """Only the isolated run on another upstream convicts."""
+    tracker.claim(_INNOCENT, "first", 1.0)
+    change = tracker.judge(_INNOCENT, request_id, vm_id, _TOGETHER, 2.0)
+    assert isinstance(change, CrashChange)
+
+
+def test_resend_waits_for_the_verdict(tracker, served):
+    """A resend is refused while the rerun is served, and becomes it after."""
+    tracker.claim(_POISON, "first", 1.0)
+    refusal = _refusal(tracker, _POISON)
+    assert refusal.code is ResultCode.SUSPECT_BUSY
+    assert refusal.retry_after_s > 0
+    with pytest.raises(CardamomnotchError):
+        tracker.crashed_vms(_POISON, "second", 1.0)
+    served.remove("first")
+    tracker.check(_POISON, 1.0)
+
+
+def test_whole_answer_clears(tracker):
+    """A suspect that completes is free."""
+    tracker.clear(_INNOCENT)
+    assert tracker.crashed_vms(_INNOCENT, "first", 1.0) == frozenset()
+
+
+def test_suspicion_ends_by_itself(tracker):
+    """What nobody sends again is forgotten."""
+    tracker.expire(SUSPECT_RETENTION_S + 1.0)
+    assert tracker.fingerprints == ()
+
+
+def test_other_entries_leave_the_verdict_to_the_first(tracker):
+    """A suspect told of by a sidecar waits, then runs as a suspect."""
+    tracker.take_reported("engine-2", ("crates:other",), 1.0)
+    assert _refusal(tracker, "crates:other").code is ResultCode.SUSPECT_BUSY
+    later_s = 1.0 + VERDICT_WAIT_S
+    tracker.check("crates:other", later_s)
+    assert tracker.claim("crates:other", "second", later_s).crashes == 1
--- a/tests/stand_ins/engine.py
+++ b/tests/stand_ins/engine.py
@@ -34,6 +34,7 @@
         self._token_s = token_s
         self._running = 0
         self._done_since_start = 0
+        self._transports: set[asyncio.Transport] = set()
         self._fencing = 0
         self._reports: list[tuple[float, int]] = []
 
@@ -79,11 +80,18 @@
         return web.json_response({"start_id": self.start_id})
 
     def restart(self) -> None:
-        """Start over cold, as after a crash."""
+        """Start over cold, as after a crash; every connection breaks."""
         self.start_id = uuid.uuid4().hex
         self._done_since_start = 0
+        self._running = 0
+        for transport in self._transports:
+            transport.abort()
         self.faults.count("crashes")
 
+    def turn_cold(self) -> None:
+        """Become cold without a restart, and without a word."""
+        self._done_since_start = 0
+
     async def _async_completion(self, request: web.Request) -> web.StreamResponse:
         body = orjson.loads(await request.read())
         request_id = request.headers.get("X-Request-Id", "")
@@ -96,10 +104,16 @@
         self.faults.count(f"priority_{body.get('priority', 0)}")
         self._running += 1
         self._note_concurrency()
+        self._transports.add(request.transport)
+        transport, start_id = request.transport, self.start_id
         try:
-            return await self._async_answer(request, body, request_id)
+            answer = await self._async_answer(request, body, request_id)
+            self._done_since_start += start_id == self.start_id
+            return answer
         finally:
-            self._running -= 1
+            self._transports.discard(transport)
+            # A restart has set the count to zero already.
+            self._running -= start_id == self.start_id
 
     def _note_concurrency(self) -> None:
         most = max(self.faults.counts.get("most_running", 0), self._running)
@@ -210,5 +224,4 @@
 
     def _count_done(self, usage: dict[str, int]) -> None:
         self.faults.count("done")
-        self._done_since_start += 1
         self.faults.count("completion_tokens", usage["completion_tokens"])
