--- a/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/actions.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/actions.py
@@ -161,3 +161,16 @@
 
     attempt_id: str
     co_suspects: tuple[str, ...]
+
+
+@attrs.frozen(kw_only=True)
+class TellPeer(Action):
+    """Exchange revisions with another entry."""
+
+    vm_id: str
+    address: str
+
+
+@attrs.frozen(kw_only=True)
+class RefreshConfiguration(Action):
+    """Read the lists from the store now, not when the watch is due."""
