--- a/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/sidecar_node.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/sidecar_node.py
@@ -24,6 +24,8 @@
 from ..attempts.sidecar_table import AttemptState, AttemptTable
 from ..configuration.holder import ConfigurationHolder
 from ..quality.evidence import SidecarEvidence
+from ..quarantine.book import QuarantineBook
+from ..quarantine.watch import CrashWatch
 from . import actions, events
 from .actions import Action
 from .events import Event
@@ -33,7 +35,12 @@
 class SidecarNode:
     """Turns events into actions; holds no socket and reads no clock."""
 
-    def __init__(self, identity: SidecarIdentity, limiter: ConcurrencyLimiter) -> None:
+    def __init__(
+        self,
+        identity: SidecarIdentity,
+        limiter: ConcurrencyLimiter,
+        wall_offset_s: float = 0.0,
+    ) -> None:
         self._identity = identity
         self._limiter = limiter
         self._attempts = AttemptTable()
@@ -41,7 +48,16 @@
         self._draining = False
         self._evidence = SidecarEvidence()
         self._upstream = UpstreamHealth(reachable=bool(identity.services))
-        self._gate = Gate(identity, self._configuration, limiter, self._upstream)
+        self._quarantine = QuarantineBook(self._configuration, wall_offset_s)
+        self._crashes = CrashWatch(self._quarantine)
+        self._gate = Gate(
+            identity,
+            self._configuration,
+            limiter,
+            self._upstream,
+            crashes=self._crashes,
+            quarantine=self._quarantine,
+        )
 
     @property
     def configuration(self) -> ConfigurationHolder:
@@ -75,6 +91,7 @@
                 "versions": list(self._upstream.versions),
             },
             "load": attrs.asdict(self._limiter.load),
+            "quarantined": list(self._quarantine.fingerprints),
             "warmth": self._limiter.warmth.value,
             "attempts_running": list(self._attempts.running_ids),
             "attempts_remembered": len(self._attempts),
@@ -89,6 +106,7 @@
     def _(self, event: events.ConfigurationOffered, now_s: float) -> list[Action]:
         if not self._configuration.offer(event.record):
             return []
+        self._crashes.take_listed(event.record.configuration, now_s)
         return [
             actions.ReportChange(
                 text=f"revision {event.record.revision} in force from {event.source}"
@@ -108,7 +126,8 @@
     @handle.register
     def _(self, event: events.HeartbeatArrived, now_s: float) -> list[Action]:
         message = attrs.evolve(
-            self._heartbeat_reply(), ratings=self._pool_ratings(event.request, now_s)
+            self._heartbeat_reply(now_s),
+            ratings=self._pool_ratings(event.request, now_s),
         )
         reply = actions.ReplyToHeartbeat(message=message)
         if event.request.revision <= self._configuration.revision:
@@ -123,7 +142,7 @@
         out = record.configuration.marks.versions_out if record else ()
         return self._evidence.exchange(request.entry_epoch, request.ratings, out, now_s)
 
-    def _heartbeat_reply(self) -> HeartbeatReply:
+    def _heartbeat_reply(self, now_s: float) -> HeartbeatReply:
         return HeartbeatReply(
             vm_id=self._identity.vm_id,
             zone=self._identity.zone,
@@ -133,6 +152,7 @@
             versions=self._upstream.versions,
             services=self._identity.services,
             load=self._limiter.load,
+            suspects=self._crashes.reported(now_s),
         )
 
     @handle.register
@@ -157,6 +177,7 @@
         except CardamomnotchError as error:
             return [self._refusal(request, error)]
         self._attempts.start(request.attempt_id)
+        self._crashes.start(request, self._upstream.start_id, now_s)
         return [actions.AcceptAttempt(message=request)]
 
     def _refusal(self, request: AttemptRequest, error: CardamomnotchError) -> Action:
@@ -179,7 +200,22 @@
             self._upstream.busy_until_s = now_s + min(
                 MAX_RETRY_AFTER_S, event.retry_after_s
             )
+        together = self._crashes.end(
+            event.attempt_id,
+            connection_lost=event.connection_lost,
+            start_id=self._upstream.start_id if self._upstream.reachable else "",
+            now_s=now_s,
+        )
         self._attempts.finish(event.attempt_id, event.code, event.usage, now_s)
+        if not together:
+            return []
+        blame = actions.BlameAttempt(attempt_id=event.attempt_id, co_suspects=together)
+        return [blame]
+
+    @handle.register
+    def _(self, event: events.UpstreamConnectionBroke, now_s: float) -> list[Action]:
+        self._crashes.note_break(event.attempt_id)
+        self._limiter.note_restart(event.attempt_id)
         return []
 
     @handle.register
