--- a/script/benchmarks/__main__.py
+++ b/script/benchmarks/__main__.py
@@ -10,7 +10,11 @@
 
 def _names() -> list[str]:
     modules = pkgutil.iter_modules([str(Path(__file__).parent)])
-    return sorted(item.name for item in modules if item.name not in _NOT_MEASUREMENTS)
+    return sorted(
+        item.name
+        for item in modules
+        if item.name not in _NOT_MEASUREMENTS and not item.name.startswith("_")
+    )
 
 
 def main() -> int:
--- a/script/benchmarks/report.py
+++ b/script/benchmarks/report.py
@@ -41,6 +41,7 @@
 
     def save(self, name: str) -> Path:
         """Write the page under docs/measurements and return its path."""
+        _DIRECTORY.mkdir(exist_ok=True)
         path = _DIRECTORY / f"{datetime.now(UTC):%Y-%m-%d}-{name}.md"
         path.write_text(self.as_markdown(), encoding="utf-8")
         return path
