--- a/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/actions.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/actions.py
@@ -25,6 +25,8 @@
     vm_id: str
     address: str
     message: AttemptRequest
+    # Whether the version misses the class's target, which the answer says.
+    below_target: bool = False
 
 
 @attrs.frozen(kw_only=True)
@@ -35,6 +37,8 @@
     code: ResultCode
     detail: str = ""
     retry_after_s: float | None = None
+    # Whether it is certain that the request has not run and will not.
+    not_run: bool = False
 
 
 @attrs.frozen(kw_only=True)
@@ -132,3 +136,35 @@
 
     change: ListsChange
     reason: str
+
+
+@attrs.frozen(kw_only=True)
+class FenceAttempt(Action):
+    """Ask a sidecar whether the attempt started, and that it never will."""
+
+    request_id: str
+    attempt_id: str
+    address: str
+    incarnation: str
+    cancel: bool = False
+
+
+@attrs.frozen(kw_only=True)
+class RejoinAttempt(Action):
+    """Follow the answer of an attempt that has started already."""
+
+    address: str
+    message: AttemptRequest
+
+
+@attrs.frozen(kw_only=True)
+class TellPeer(Action):
+    """Exchange revisions with another entry."""
+
+    vm_id: str
+    address: str
+
+
+@attrs.frozen(kw_only=True)
+class RefreshConfiguration(Action):
+    """Read the lists from the store now, not when the watch is due."""
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/sidecar_node.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/sidecar_node.py
@@ -11,13 +11,19 @@
     AttemptRequest,
     FenceReply,
     HeartbeatReply,
+    HeartbeatRequest,
+    RatingTotals,
 )
 
+from ..admission.const import MAX_RETRY_AFTER_S
 from ..admission.gate import Gate, UpstreamHealth
 from ..admission.limiter import ConcurrencyLimiter
+from ..admission.models import Sign
+from ..admission.signs import sign_of_end
 from ..attempts.const import DEFAULT_RETRY_AFTER_S
 from ..attempts.sidecar_table import AttemptState, AttemptTable
 from ..configuration.holder import ConfigurationHolder
+from ..quality.evidence import SidecarEvidence
 from . import actions, events
 from .actions import Action
 from .events import Event
@@ -33,6 +39,7 @@
         self._attempts = AttemptTable()
         self._configuration = ConfigurationHolder()
         self._draining = False
+        self._evidence = SidecarEvidence()
         self._upstream = UpstreamHealth(reachable=bool(identity.services))
         self._gate = Gate(identity, self._configuration, limiter, self._upstream)
 
@@ -68,6 +75,7 @@
                 "versions": list(self._upstream.versions),
             },
             "load": attrs.asdict(self._limiter.load),
+            "warmth": self._limiter.warmth.value,
             "attempts_running": list(self._attempts.running_ids),
             "attempts_remembered": len(self._attempts),
         }
@@ -99,12 +107,22 @@
 
     @handle.register
     def _(self, event: events.HeartbeatArrived, now_s: float) -> list[Action]:
-        reply = actions.ReplyToHeartbeat(message=self._heartbeat_reply())
+        message = attrs.evolve(
+            self._heartbeat_reply(), ratings=self._pool_ratings(event.request, now_s)
+        )
+        reply = actions.ReplyToHeartbeat(message=message)
         if event.request.revision <= self._configuration.revision:
             return [reply]
         fetch = actions.FetchConfiguration(address=event.request.entry_address)
         return [reply, fetch]
 
+    def _pool_ratings(
+        self, request: HeartbeatRequest, now_s: float
+    ) -> tuple[RatingTotals, ...]:
+        record = self._configuration.record
+        out = record.configuration.marks.versions_out if record else ()
+        return self._evidence.exchange(request.entry_epoch, request.ratings, out, now_s)
+
     def _heartbeat_reply(self) -> HeartbeatReply:
         return HeartbeatReply(
             vm_id=self._identity.vm_id,
@@ -131,6 +149,7 @@
         try:
             self._gate.check(
                 request,
+                now_s,
                 behind=behind,
                 draining=self._draining,
                 known=known is not None,
@@ -154,7 +173,12 @@
 
     @handle.register
     def _(self, event: events.UpstreamCallEnded, now_s: float) -> list[Action]:
-        self._limiter.release(event.attempt_id)
+        sign = sign_of_end(event.code, connection_lost=event.connection_lost)
+        self._limiter.release(event.attempt_id, sign, now_s, event.first_token_ms)
+        if event.retry_after_s:
+            self._upstream.busy_until_s = now_s + min(
+                MAX_RETRY_AFTER_S, event.retry_after_s
+            )
         self._attempts.finish(event.attempt_id, event.code, event.usage, now_s)
         return []
 
@@ -188,6 +212,8 @@
     def _(self, event: events.UpstreamReported, now_s: float) -> list[Action]:
         changed = event.start_id != self._upstream.start_id
         came_back = not self._upstream.reachable
+        if changed or came_back:
+            self._limiter.observe(Sign.RESTARTED)
         self._upstream.start_id = event.start_id
         self._upstream.reachable = True
         self._upstream.versions = event.versions
