--- a/packages/cardamomnotch-core/src/cardamomnotch_core/journal/claim_flow.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/journal/claim_flow.py
@@ -56,7 +56,10 @@
         upstream = record.route.upstream
         return [
             actions.StartAttempt(
-                vm_id=upstream.vm_id, address=upstream.address, message=record.message
+                vm_id=upstream.vm_id,
+                address=upstream.address,
+                message=record.message,
+                below_target=record.route.below_target,
             )
         ]
 
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/events.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/events.py
@@ -116,6 +116,8 @@
     usage: Usage = Usage()
     load: Load = Load()
     started: bool = True
+    # Fingerprints in flight when the upstream crashed under the attempt.
+    co_suspects: tuple[str, ...] = ()
 
 
 @attrs.frozen(kw_only=True)
@@ -217,6 +219,13 @@
     result: JournalResult
 
 
+@attrs.frozen(kw_only=True)
+class UpstreamConnectionBroke(Event):
+    """A call's connection broke; the upstream will be asked why."""
+
+    attempt_id: str
+
+
 @attrs.frozen(kw_only=True)
 class StoreAnswered(Event):
     """The store told the revision of the lists; 0 means that it has none.
--- a/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/attempt_runner.py
+++ b/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/attempt_runner.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import time
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from cardamomnotch_core.attempts.const import ORPHAN_AFTER_S
 from cardamomnotch_core.journal.holder import OutcomeHolder
@@ -33,12 +33,14 @@
         tasks: TaskGroup,
         load: Callable[[], Load],
         outcomes: OutcomeHolder,
+        async_report: Callable[[], Awaitable[None]],
     ) -> None:
         self._runner = runner
         self._client = client
         self._tasks = tasks
         self._load = load
         self._outcomes = outcomes
+        self._async_report = async_report
         self._buffers: dict[str, AnswerBuffer] = {}
         self._calls: dict[str, asyncio.Task] = {}
         self._idempotent_ids: set[str] = set()
@@ -86,7 +88,12 @@
         self._hold_outcome(request, code, result.usage, buffer, started=started)
         self._calls.pop(request.attempt_id, None)
         self._idempotent_ids.discard(request.attempt_id)
-        self._runner.dispatch(
+        if connection_lost:
+            broke = events.UpstreamConnectionBroke(attempt_id=request.attempt_id)
+            self._runner.dispatch(broke)
+            # Only the upstream's next report tells a crash from a lost connection.
+            await self._async_report()
+        found = self._runner.dispatch(
             events.UpstreamCallEnded(
                 attempt_id=request.attempt_id,
                 code=code,
@@ -106,6 +113,7 @@
                 usage=result.usage,
                 load=self._load(),
                 started=started,
+                co_suspects=_co_suspects(found),
             )
         )
         loop = asyncio.get_running_loop()
@@ -129,3 +137,8 @@
                 record, buffer.status, buffer.content_type, buffer.data
             )
         self._outcomes.add(record, time.monotonic())
+
+
+def _co_suspects(found: list[actions.Action]) -> tuple[str, ...]:
+    blames = [item for item in found if isinstance(item, actions.BlameAttempt)]
+    return blames[0].co_suspects if blames else ()
