Ramp an upstream that comes back into service

An upstream whose zone or VM was marked in again got its full limit at once; it now starts with a quarter and grows on completed work. Tests bring about each way of leaving under load, an address taken over by another VM, and a VM listed after it is gone.

Zone out, VM out and drain already held.

--- a/packages/cardamomnotch-core/src/cardamomnotch_core/admission/gate.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/admission/gate.py
@@ -102,12 +102,25 @@
                 retry_after_s=self._limiter.retry_after_s(now_s),
             )
 
-    def _check_marks(self) -> None:
-        marks = self._configuration.record.configuration.marks
+    @property
+    def is_marked_out(self) -> bool:
+        """Return whether operators have taken this VM or its zone out."""
+        return self._mark_code is not None
+
+    @property
+    def _mark_code(self) -> ResultCode | None:
+        record = self._configuration.record
+        if record is None:
+            return None
+        marks = record.configuration.marks
         if self._identity.zone in marks.zones_out:
-            raise GateError(code=ResultCode.ZONE_OUT)
-        if self._identity.vm_id in marks.vms_out:
-            raise GateError(code=ResultCode.VM_OUT)
+            return ResultCode.ZONE_OUT
+        return ResultCode.VM_OUT if self._identity.vm_id in marks.vms_out else None
+
+    def _check_marks(self) -> None:
+        code = self._mark_code
+        if code is not None:
+            raise GateError(code=code)
 
     def _check_plan(self, request: AttemptRequest) -> None:
         configuration = self._configuration.record.configuration
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/admission/limiter.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/admission/limiter.py
@@ -176,7 +176,7 @@
     def _reduce(self, share: float) -> None:
         """Lower the limit, and turn cold where it reaches the cold limit."""
         reduced = share * self._limit
-        if reduced <= self._settings.cold_limit:
+        if self._first_warmth is Warmth.COLD and reduced <= self._settings.cold_limit:
             self._turn_cold()
             return
         self._epoch += 1
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/sidecar_node.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/sidecar_node.py
@@ -100,8 +100,12 @@
 
     @handle.register
     def _(self, event: events.ConfigurationOffered, now_s: float) -> list[Action]:
+        was_out = self._gate.is_marked_out
         if not self._configuration.offer(event.record):
             return []
+        if was_out and not self._gate.is_marked_out:
+            # Back in service, the upstream is given work step by step.
+            self._limiter.observe(Sign.RETURNED)
         self._crashes.take_listed(event.record.configuration, now_s)
         return [
             actions.ReportChange(
