--- a/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/entry_node.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/entry_node.py
@@ -13,7 +13,9 @@
 from ..configuration.holder import ConfigurationHolder
 from ..membership.models import Upstream
 from ..membership.table import UpstreamTable
+from ..quality.book import QualityBook
 from ..quarantine.book import QuarantineBook
+from ..rollout.flow import EvidenceFlow
 from ..routing.observer import AttemptObserver
 from ..routing.router import Router
 from . import actions, events
@@ -37,14 +39,18 @@
         self._configuration = ConfigurationHolder()
         self._follower = ConfigurationFollower(identity.vm_id, self._configuration)
         self._upstreams = UpstreamTable()
-        router = Router(identity.zone, self._upstreams, random_source)
-        self._observer = AttemptObserver(router, self._upstreams)
+        quality = QualityBook()
+        self._router = Router(identity.zone, self._upstreams, random_source, quality)
+        self._evidence = EvidenceFlow(
+            self._configuration, quality, self._router.rankings, random_source
+        )
+        self._observer = AttemptObserver(self._router, self._upstreams)
         self._quarantine = QuarantineBook(self._configuration, wall_offset_s)
         self._requests = RequestFlow(
             identity,
             configuration=self._configuration,
             upstreams=self._upstreams,
-            router=router,
+            router=self._router,
             quarantine=self._quarantine,
         )
         self._draining = False
@@ -68,6 +74,11 @@
         """Return the upstream on ``vm_id``."""
         return self._upstreams.get(vm_id)
 
+    @property
+    def evidence(self) -> EvidenceFlow:
+        """Return the ratings pooled with other entries."""
+        return self._evidence
+
     @property
     def requests_in_flight(self) -> int:
         """Return how many requests are being served."""
@@ -97,6 +108,8 @@
             "suspects": list(self._requests.suspects.fingerprints),
             "quarantined": list(self._quarantine.fingerprints),
             "upstreams": [attrs.asdict(item) for item in self.upstreams],
+            "routing": self._router.diagnostics(),
+            "rollout": self._evidence.diagnostics(),
         }
 
     @singledispatchmethod
@@ -114,12 +127,13 @@
             self._configuration.record.configuration, now_s
         )
         self._observer.observe(event, (), now_s)
+        follow_up = self._evidence.handle(event, now_s)
         behind = [
             actions.SendConfiguration(vm_id=item.vm_id, address=item.address)
             for item in self.upstreams
             if item.is_known
         ]
-        return [*followed, *behind]
+        return [*followed, *behind, *follow_up]
 
     @handle.register
     def _(self, event: events.DrainStarted, now_s: float) -> list[Action]:
@@ -129,13 +143,21 @@
     @handle.register
     def _(self, event: events.TimerDue, now_s: float) -> list[Action]:
         self._requests.suspects.expire(now_s)
-        return self._follower.follow(event, now_s)
+        return [
+            *self._follower.follow(event, now_s),
+            *self._evidence.handle(event, now_s),
+        ]
+
+    @handle.register
+    def _(self, event: events.AnswerRated, now_s: float) -> list[Action]:
+        return self._evidence.handle(event, now_s)
 
     @handle.register
     def _(self, event: events.VmListReceived, now_s: float) -> list[Action]:
         followed = self._follower.follow(event, now_s)
         unknown = self._upstreams.take_vm_list(event.vms)
         self._observer.observe(event, (), now_s)
+        self._evidence.handle(event, now_s)
         return [*followed, *(actions.SendHeartbeat(vm_id=item) for item in unknown)]
 
     @handle.register(events.StoreAnswered)
@@ -154,15 +176,20 @@
         self._upstreams.take_heartbeat(event.vm_id, event.reply, now_s)
         self._requests.suspects.take_reported(event.vm_id, event.reply.suspects, now_s)
         self._observer.observe(event, (), now_s)
+        result = self._evidence.handle(event, now_s)
         upstream = self._upstreams.get(event.vm_id)
         if upstream is None:
-            return []
+            return result
         if event.reply.revision >= self._configuration.revision:
             # A sidecar may have heard of a change before any entry nearby.
-            return self._follower.fetch_if_behind(
+            fetch = self._follower.fetch_if_behind(
                 upstream.address, event.reply.revision
             )
-        return [actions.SendConfiguration(vm_id=event.vm_id, address=upstream.address)]
+            return [*result, *fetch]
+        return [
+            *result,
+            actions.SendConfiguration(vm_id=event.vm_id, address=upstream.address),
+        ]
 
     @handle.register
     def _(self, event: events.HeartbeatFailed, now_s: float) -> list[Action]:
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/request_flow.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/request_flow.py
@@ -125,6 +125,7 @@
                 method=request.method,
                 path=request.path,
                 request_id=request.request_id,
+                routing_key=key,
             ),
             workspace=workspace.name,
             request_key=f"{workspace.name}:{key}",
@@ -187,7 +188,10 @@
             co_suspects=suspicion.co_suspects,
         )
         return actions.StartAttempt(
-            vm_id=route.upstream.vm_id, address=route.upstream.address, message=message
+            vm_id=route.upstream.vm_id,
+            address=route.upstream.address,
+            message=message,
+            below_target=route.below_target,
         )
 
     @handle.register
