Tell of a crash only while its verdict is due

test_model_call_struck_midway[entry-paused] failed: an entry that restarted 3 s after a crash heard of it by heartbeat and kept the caller's resend waiting 2 s more. Heartbeats and lists now tell of a crash for 2 s after it; the gates keep isolating its suspects for 30 s.

--- a/packages/cardamomnotch-core/src/cardamomnotch_core/quarantine/tracker.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/quarantine/tracker.py
@@ -109,20 +109,26 @@
 
     def take_listed(self, configuration: Configuration, now_s: float) -> None:
         """Note crashes that the lists tell of, each of them once."""
+        wall_s = self._book.wall_time_s(now_s)
         for crash in configuration.crashes:
-            if crash not in self._listed:
-                self.take_reported(crash.vm_id, crash.fingerprints, now_s)
+            left_s = crash.until_s - wall_s
+            if crash not in self._listed and left_s > 0:
+                self.take_reported(crash.vm_id, crash.fingerprints, now_s, left_s)
         self._listed = configuration.crashes
 
     def take_reported(
-        self, vm_id: str, fingerprints: Iterable[str], now_s: float
+        self,
+        vm_id: str,
+        fingerprints: Iterable[str],
+        now_s: float,
+        wait_s: float = VERDICT_WAIT_S,
     ) -> None:
         """Note suspects that a sidecar tells of, unless known already."""
         for fingerprint in fingerprints:
             if self._get(fingerprint, now_s) is None:
                 self._suspect(fingerprint, vm_id, (), now_s)
                 self._suspects[fingerprint] = attrs.evolve(
-                    self._suspects[fingerprint], wait_until_s=now_s + VERDICT_WAIT_S
+                    self._suspects[fingerprint], wait_until_s=now_s + wait_s
                 )
 
     def expire(self, now_s: float) -> None:
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/quarantine/watch.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/quarantine/watch.py
@@ -8,7 +8,7 @@
 
 from ..configuration.models import Configuration
 from .book import QuarantineBook
-from .const import SUSPECT_RETENTION_S, VERDICT_RETRY_AFTER_S
+from .const import SUSPECT_RETENTION_S, VERDICT_RETRY_AFTER_S, VERDICT_WAIT_S
 from .models import fingerprint_key
 
 
@@ -44,13 +44,15 @@
         self._crashes: dict[_Crash, float] = {}
 
     def reported(self, now_s: float) -> tuple[str, ...]:
-        """Return the suspects of crashes here, to be told to entries."""
-        open_crashes = self._open_crashes(now_s)
-        return tuple(
-            sorted(
-                {one for item in open_crashes if item.own for one in item.fingerprints}
-            )
+        """Return the suspects of fresh crashes here, to be told to entries."""
+        oldest_s = now_s + SUSPECT_RETENTION_S - VERDICT_WAIT_S
+        fresh = (
+            one
+            for crash in self._open_crashes(now_s)
+            if crash.own and self._crashes[crash] > oldest_s
+            for one in crash.fingerprints
         )
+        return tuple(sorted(set(fresh)))
 
     def take_listed(self, configuration: Configuration, now_s: float) -> None:
         """Note the crashes that the lists tell of."""
@@ -68,7 +70,7 @@
         running = self._running.values()
         busy = any(item.suspect or item.fingerprint in suspects for item in running)
         key = fingerprint_key(request.workspace, request.fingerprint)
-        if busy or key in self.reported(now_s):
+        if busy or self._crashed_here(key, now_s):
             raise CardamomnotchError(
                 code=ResultCode.SUSPECT_BUSY, retry_after_s=VERDICT_RETRY_AFTER_S
             )
@@ -120,6 +122,10 @@
     def _note(self, crash: _Crash, now_s: float) -> None:
         self._crashes[crash] = now_s + SUSPECT_RETENTION_S
 
+    def _crashed_here(self, fingerprint: str, now_s: float) -> bool:
+        crashes = self._open_crashes(now_s)
+        return any(one.own and fingerprint in one.fingerprints for one in crashes)
+
     def _suspects(self, now_s: float) -> frozenset[str]:
         crashes = self._open_crashes(now_s)
         return frozenset(one for item in crashes for one in item.fingerprints)
--- a/tests/core/quarantine/test_tracker.py
+++ b/tests/core/quarantine/test_tracker.py
@@ -3,6 +3,7 @@
 import pytest
 
 from cardamomnotch_core.configuration.holder import ConfigurationHolder
+from cardamomnotch_core.configuration.models import Configuration, UpstreamCrash
 from cardamomnotch_core.quarantine.book import QuarantineBook
 from cardamomnotch_core.quarantine.changes import CrashChange
 from cardamomnotch_core.quarantine.const import (
@@ -114,3 +115,17 @@
     later_s = 1.0 + VERDICT_WAIT_S
     tracker.check("crates:other", later_s)
     assert tracker.claim("crates:other", "second", later_s).crashes == 1
+
+
+def test_listed_crash_counts_until_its_time(tracker):
+    """An entry that starts late takes over only crashes still open."""
+    crashes = tuple(
+        UpstreamCrash(
+            vm_id="engine-3", fingerprints=(name,), until_s=_WALL_OFFSET_S + until_s
+        )
+        for name, until_s in (("crates:old", 1.0), ("crates:new", 3.0))
+    )
+    tracker.take_listed(Configuration(crashes=crashes), 2.0)
+    tracker.check("crates:old", 2.0)
+    assert _refusal(tracker, "crates:new", 2.9).code is ResultCode.SUSPECT_BUSY
+    tracker.check("crates:new", 3.1)
