--- a/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/actions.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/actions.py
@@ -157,6 +157,14 @@
     message: AttemptRequest
 
 
+@attrs.frozen(kw_only=True)
+class BlameAttempt(Action):
+    """Tell the attempt's entry that the upstream crashed under it."""
+
+    attempt_id: str
+    co_suspects: tuple[str, ...]
+
+
 @attrs.frozen(kw_only=True)
 class TellPeer(Action):
     """Exchange revisions with another entry."""
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/entry_node.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/entry_node.py
@@ -14,6 +14,7 @@
 from ..membership.models import Upstream
 from ..membership.table import UpstreamTable
 from ..quality.book import QualityBook
+from ..quarantine.book import QuarantineBook
 from ..rollout.flow import EvidenceFlow
 from ..routing.observer import AttemptObserver
 from ..routing.router import Router
@@ -27,7 +28,12 @@
 class EntryNode:
     """Turns events into actions; holds no socket and reads no clock."""
 
-    def __init__(self, identity: EntryIdentity, random_source: random.Random) -> None:
+    def __init__(
+        self,
+        identity: EntryIdentity,
+        random_source: random.Random,
+        wall_offset_s: float = 0.0,
+    ) -> None:
         self._identity = identity
         self._random = random_source
         self._configuration = ConfigurationHolder()
@@ -39,11 +45,13 @@
             self._configuration, quality, self._router.rankings, random_source
         )
         self._observer = AttemptObserver(self._router, self._upstreams)
+        self._quarantine = QuarantineBook(self._configuration, wall_offset_s)
         self._requests = RequestFlow(
             identity,
             configuration=self._configuration,
             upstreams=self._upstreams,
             router=self._router,
+            quarantine=self._quarantine,
         )
         self._draining = False
 
@@ -97,6 +105,8 @@
             "draining": self._draining,
             "ready": self.is_ready,
             "requests_in_flight": len(self._requests),
+            "suspects": list(self._requests.suspects.fingerprints),
+            "quarantined": list(self._quarantine.fingerprints),
             "upstreams": [attrs.asdict(item) for item in self.upstreams],
             "routing": self._router.diagnostics(),
             "rollout": self._evidence.diagnostics(),
@@ -113,6 +123,9 @@
         followed = self._follower.follow(event, now_s)
         if self._configuration.revision == former:
             return followed
+        self._requests.suspects.take_listed(
+            self._configuration.record.configuration, now_s
+        )
         self._observer.observe(event, (), now_s)
         follow_up = self._evidence.handle(event, now_s)
         behind = [
@@ -129,6 +142,7 @@
 
     @handle.register
     def _(self, event: events.TimerDue, now_s: float) -> list[Action]:
+        self._requests.suspects.expire(now_s)
         return [
             *self._follower.follow(event, now_s),
             *self._evidence.handle(event, now_s),
@@ -160,6 +174,7 @@
     @handle.register
     def _(self, event: events.HeartbeatAnswered, now_s: float) -> list[Action]:
         self._upstreams.take_heartbeat(event.vm_id, event.reply, now_s)
+        self._requests.suspects.take_reported(event.vm_id, event.reply.suspects, now_s)
         self._observer.observe(event, (), now_s)
         result = self._evidence.handle(event, now_s)
         upstream = self._upstreams.get(event.vm_id)
--- a/packages/cardamomnotch-protocol/src/cardamomnotch_protocol/models.py
+++ b/packages/cardamomnotch-protocol/src/cardamomnotch_protocol/models.py
@@ -97,6 +97,8 @@
     fingerprint: str = ""
     # Crashes in which this request was already a suspect.
     suspected_crashes: int = 0
+    # Fingerprints that were in flight with it at those crashes.
+    co_suspects: tuple[str, ...] = ()
 
 
 @_message("attempt_accepted")
@@ -168,6 +170,8 @@
     load: Load = Load()
     # Whether the upstream may have run the request.
     started: bool = True
+    # Fingerprints in flight when the upstream crashed under this attempt.
+    co_suspects: tuple[str, ...] = ()
 
 
 @_message("fence_request")
@@ -222,6 +226,8 @@
     load: Load = Load()
     # Sums of the other entries' ratings of this upstream's answers.
     ratings: tuple[RatingTotals, ...] = ()
+    # Fingerprints in flight at recent crashes of the upstream.
+    suspects: tuple[str, ...] = ()
 
 
 @_message("configuration")
