--- a/script/benchmarks/_system.py
+++ b/script/benchmarks/_system.py
@@ -60,7 +60,12 @@
     try:
         system.start_platform()
         system.add_gate(
-            ENGINE, ZONES[0], "engine", [VERSION], max_concurrency=_MAX_CONCURRENCY
+            ENGINE,
+            ZONES[0],
+            "engine",
+            [VERSION],
+            max_concurrency=_MAX_CONCURRENCY,
+            cold_concurrency=_MAX_CONCURRENCY,
         )
         system.add_entry(ENTRY, ZONES[0])
         system.publish_vm_list()
