Refuse timeouts without end, odd messages and long keys

A table of bad input found: X-Cardamomnotch-Timeout-S: inf gave status 500 with a traceback, a message that is no object and stream: "yes" ran, and an idempotency key of 7,000 characters was taken. Five of 27 cases failed first; all pass.

--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/caller/requests.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/caller/requests.py
@@ -1,6 +1,7 @@
 """Reading callers' HTTP requests."""
 
 import hashlib
+import math
 import uuid
 from typing import Any
 
@@ -17,6 +18,7 @@
     HEADER_CLASS,
     HEADER_IDEMPOTENCY_KEY,
     HEADER_TIMEOUT,
+    MAX_IDEMPOTENCY_KEY_CHARS,
 )
 
 _BEARER_PREFIX = "Bearer "
@@ -46,6 +48,11 @@
     messages = data.get("messages")
     if not isinstance(messages, list) or not messages:
         raise CallerError("messages must be a list with at least one message")
+    if not all(isinstance(message, dict) for message in messages):
+        raise CallerError("each message must be an object")
+    stream = data.get("stream") or False
+    if not isinstance(stream, bool):
+        raise CallerError("stream must be true or false")
     max_tokens = data.get("max_tokens") or data.get("max_completion_tokens")
     if max_tokens is not None and not _is_positive_integer(max_tokens):
         raise CallerError("max_tokens must be a positive whole number")
@@ -55,8 +62,8 @@
         model=model,
         request_class=request.headers.get(HEADER_CLASS, ""),
         path=request.path,
-        idempotency_key=request.headers.get(HEADER_IDEMPOTENCY_KEY, ""),
-        stream=bool(data.get("stream", False)),
+        idempotency_key=_idempotency_key(request),
+        stream=stream,
         expected_tokens=max_tokens or DEFAULT_EXPECTED_TOKENS,
         fingerprint=hashlib.sha256(body).hexdigest(),
         timeout_s=_timeout_s(request),
@@ -80,7 +87,7 @@
         method=request.method,
         path=path,
         headers=headers,
-        idempotency_key=request.headers.get(HEADER_IDEMPOTENCY_KEY, ""),
+        idempotency_key=_idempotency_key(request),
         fingerprint=hashlib.sha256(body).hexdigest(),
         timeout_s=_timeout_s(request),
     )
@@ -99,6 +106,16 @@
     return hashlib.sha256(key.encode()).hexdigest()
 
 
+def _idempotency_key(request: web.Request) -> str:
+    """Return the caller's key, which the journal keeps; "" if there is none."""
+    key = request.headers.get(HEADER_IDEMPOTENCY_KEY, "")
+    if len(key) > MAX_IDEMPOTENCY_KEY_CHARS:
+        raise CallerError(
+            f"{HEADER_IDEMPOTENCY_KEY} exceeds {MAX_IDEMPOTENCY_KEY_CHARS} characters"
+        )
+    return key
+
+
 def _timeout_s(request: web.Request) -> float:
     """Return the seconds that the caller gives; 0 if it names none."""
     text = request.headers.get(HEADER_TIMEOUT)
@@ -108,7 +125,9 @@
         seconds = float(text)
     except ValueError as error:
         raise CallerError(f"{HEADER_TIMEOUT} is not a number") from error
-    if not seconds > 0:
+    if not math.isfinite(seconds):
+        raise CallerError(f"{HEADER_TIMEOUT} is not a finite number")
+    if seconds <= 0:
         raise CallerError(code=ResultCode.DEADLINE_PASSED)
     return seconds
 
