--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -53,6 +53,10 @@
 
 @pytest.fixture
 async def http_session() -> AsyncIterator[aiohttp.ClientSession]:
-    """Return a client session."""
-    async with aiohttp.ClientSession() as session:
+    """Return a client session that opens a connection for each call.
+
+    A call after a process was killed then never meets its old connection.
+    """
+    connector = aiohttp.TCPConnector(force_close=True)
+    async with aiohttp.ClientSession(connector=connector) as session:
         yield session
