Measure the gate, and kill an engine under load

test_gate: SIGKILL and restart of engine or sidecar under load from two entries; the engine's own record of the most it ran while cold is the verdict.

--- /dev/null
+++ b/tests/processes/test_gate.py
@@ -0,0 +1,124 @@
+"""The gate before an engine that is killed and started again under load."""
+
+import json
+import signal
+import threading
+import urllib.error
+import urllib.request
+
+import pytest
+
+from tests.fixtures.local_system import LISTS, ZONES, LocalSystem
+
+_COLD_LIMIT = 2
+_WARM_AFTER = 6
+_TOKEN_S = 0.01
+_CALLERS = 16
+_VERSIONS = ["drafter/v1", "drafter/v2"]
+_ENGINE = [_VERSIONS, _TOKEN_S, {"cold_limit": _COLD_LIMIT, "warm_after": _WARM_AFTER}]
+
+
+@pytest.fixture(scope="module")
+def system(tmp_path_factory):
+    """Return two entries before two engines that start cold."""
+    running = LocalSystem(tmp_path_factory.mktemp("gate"))
+    try:
+        running.start_platform()
+        for index in range(2):
+            running.add_gate(
+                f"engine-{index}",
+                ZONES[index],
+                "engine",
+                *_ENGINE,
+                cold_concurrency=_COLD_LIMIT,
+                warm_up_completions=_WARM_AFTER,
+            )
+            running.add_entry(f"entry-{index}", ZONES[index])
+        running.publish_vm_list()
+        running.wait_for(f"{running.store_url}/counts")
+        running.operate("config", "apply", str(LISTS))
+        running.wait_until_ready()
+        yield running
+    finally:
+        running.stop()
+
+
+def _ask(url, number):
+    """Ask once; whether it is answered does not matter here."""
+    body = {
+        "model": "auto",
+        "max_tokens": 8,
+        "messages": [{"role": "user", "content": f"question {number}"}],
+    }
+    request = urllib.request.Request(
+        f"{url}/v1/chat/completions",
+        data=json.dumps(body).encode(),
+        headers={
+            "Authorization": "Bearer member-key",
+            "X-Cardamomnotch-Class": "quick",
+        },
+    )
+    try:
+        with urllib.request.urlopen(request, timeout=10) as response:
+            response.read()
+    except (urllib.error.URLError, ConnectionError):
+        return
+
+
+@pytest.fixture
+def load(system):
+    """Keep both entries under load until the test ends."""
+    stopped = threading.Event()
+
+    def call(index):
+        url = system.entries[f"entry-{index % 2}"].url
+        for number in range(1_000_000):
+            if stopped.is_set():
+                return
+            _ask(url, f"{index}-{number}")
+            stopped.wait(_TOKEN_S)
+
+    callers = [threading.Thread(target=call, args=(n,)) for n in range(_CALLERS)]
+    for caller in callers:
+        caller.start()
+    yield
+    stopped.set()
+    for caller in callers:
+        caller.join()
+
+
+def _restart_engine(system, vm_id):
+    process = system.process(f"{vm_id}-upstream")
+    process.send(signal.SIGKILL)
+    process.wait()
+    url = system.gates[vm_id].upstream_url
+    system.start_stand_in(f"{vm_id}-upstream", "engine", url, *_ENGINE)
+
+
+def _restart_sidecar(system, vm_id):
+    process = system.process(vm_id)
+    process.send(signal.SIGKILL)
+    process.wait()
+    system.start_sidecar(vm_id)
+
+
+@pytest.mark.parametrize(
+    "strike",
+    [
+        pytest.param(_restart_engine, id="engine killed"),
+        pytest.param(_restart_sidecar, id="sidecar killed"),
+    ],
+)
+def test_cold_engine_is_never_over_its_limit(system, load, strike):
+    """By the engine's own record, it saw no more than it bears while cold."""
+
+    def is_warm():
+        return system.counts("engine-0").get("done", 0) > 4 * _WARM_AFTER
+
+    system.wait_until(is_warm)
+    strike(system, "engine-0")
+    system.wait_for(f"{system.gates['engine-0'].upstream_url}/counts")
+    system.wait_until(is_warm)
+    counts = system.counts("engine-0")
+    assert counts["most_running_cold"] <= _COLD_LIMIT
+    assert counts["most_running"] > _COLD_LIMIT
--- a/tests/stand_ins/engine.py
+++ b/tests/stand_ins/engine.py
@@ -27,8 +27,14 @@
 class EngineStandIn:
     """Answers with a fixed number of words, one a token."""
 
-    def __init__(self, versions: list[str], token_s: float = 0.002) -> None:
+    def __init__(
+        self,
+        versions: list[str],
+        token_s: float = 0.002,
+        faults: dict[str, Any] | None = None,
+    ) -> None:
         self.faults = Faults()
+        self.faults.active.update(faults or {})
         self.versions = list(versions)
         self.start_id = uuid.uuid4().hex
         self._token_s = token_s
