Place versions on engines, by a fenced planner and the sidecars' orders

Nothing turned wanted replicas into loaded engines. One entry at a time holds the planner's lease; its plan is a pure function of lists, engines and the present placement, bounded in open loads and never dropping the last loaded replica of a version in service. Sidecars alone order their engine: one order at a time, nothing older than the newest serial and fencing number, repeated until the engine reports what was asked, and no unloading under attempts.

--- a/packages/cardamomnotch-core/src/cardamomnotch_core/admission/gate.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/admission/gate.py
@@ -8,6 +8,7 @@
 
 from ..configuration.holder import ConfigurationHolder
 from ..nodes.identity import SidecarIdentity
+from ..placement.orders import OrderDesk
 from ..plans.allowance import allowed_route, allowed_versions
 from ..quarantine.book import QuarantineBook
 from ..quarantine.models import fingerprint_key
@@ -42,6 +43,7 @@
         *,
         crashes: CrashWatch,
         quarantine: QuarantineBook,
+        orders: OrderDesk,
     ) -> None:
         self._identity = identity
         self._configuration = configuration
@@ -49,6 +51,7 @@
         self._upstream = upstream
         self._crashes = crashes
         self._quarantine = quarantine
+        self._orders = orders
 
     def check(
         self,
@@ -135,5 +138,6 @@
             return
         full_name = f"{request.model}/{request.version}"
         allowed_versions(configuration, request.workspace, full_name)
-        if full_name not in self._upstream.versions:
+        loaded = full_name in self._upstream.versions
+        if not loaded or self._orders.is_leaving(full_name):
             raise GateError(code=ResultCode.VERSION_NOT_LOADED)
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/configuration/models.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/configuration/models.py
@@ -20,6 +20,8 @@
     quality: Mapping[str, float] = attrs.field(factory=dict)
     quality_answers: int = 200
     rollout_share: float = 1.0
+    # Engines that load the version; 0 leaves it to the operators.
+    replicas: int = 0
 
 
 @attrs.frozen(kw_only=True)
@@ -112,6 +114,17 @@
     vms_out: tuple[str, ...] = ()
 
 
+@attrs.frozen(kw_only=True)
+class PlacementRules:
+    """What the planner may ask of the engines.
+
+    ``concurrent_loads`` bounds how many engines read the weight store.
+    """
+
+    versions_per_engine: int = 2
+    concurrent_loads: int = 1
+
+
 @attrs.frozen(kw_only=True)
 class QuarantinedRequest:
     """A request that crashed upstreams; ``until_s`` is wall-clock time."""
@@ -141,6 +154,7 @@
     marks: Marks = Marks()
     quarantined: tuple[QuarantinedRequest, ...] = ()
     crashes: tuple[UpstreamCrash, ...] = ()
+    placement: PlacementRules = PlacementRules()
 
     @cached_property
     def quarantined_until(self) -> Mapping[str, float]:
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/actions.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/actions.py
@@ -5,6 +5,7 @@
 from cardamomnotch_protocol.models import (
     AttemptRefused,
     AttemptRequest,
+    EnginePlacement,
     FenceReply,
     HeartbeatReply,
     Usage,
@@ -176,3 +177,10 @@
 @attrs.frozen(kw_only=True)
 class RefreshConfiguration(Action):
     """Read the lists from the store now, not when the watch is due."""
+
+
+@attrs.frozen(kw_only=True)
+class GiveOrder(Action):
+    """Order the engine to load these versions and no others."""
+
+    placement: EnginePlacement
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/entry_node.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/entry_node.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from cardamomnotch_protocol.models import EnginePlacement
 from cardamomnotch_protocol.result_codes import ResultCode
 
 from ..attempts.const import DEFAULT_RETRY_AFTER_S
@@ -13,6 +14,7 @@
 from ..configuration.holder import ConfigurationHolder
 from ..membership.models import Upstream
 from ..membership.table import UpstreamTable
+from ..placement.book import PlacementBook
 from ..quality.book import QualityBook
 from ..quarantine.book import QuarantineBook
 from ..rollout.flow import EvidenceFlow
@@ -54,6 +56,7 @@
             quarantine=self._quarantine,
         )
         self._draining = False
+        self._placement = PlacementBook()
 
     @property
     def configuration(self) -> ConfigurationHolder:
@@ -112,6 +115,10 @@
             "rollout": self._evidence.diagnostics(),
         }
 
+    def placement_for(self, vm_id: str) -> EnginePlacement | None:
+        """Return what the engine on ``vm_id`` is to load, if anything is said."""
+        return self._placement.of(vm_id)
+
     @singledispatchmethod
     def handle(self, event: Event, now_s: float) -> list[Action]:
         """Return the actions that follow from ``event``."""
@@ -135,6 +142,11 @@
         ]
         return [*followed, *behind, *follow_up]
 
+    @handle.register
+    def _(self, event: events.PlacementRead, now_s: float) -> list[Action]:
+        self._placement.take(event.placement, event.serial)
+        return []
+
     @handle.register
     def _(self, event: events.DrainStarted, now_s: float) -> list[Action]:
         self._draining = True
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/events.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/events.py
@@ -16,6 +16,7 @@
 from ..attempts.sidecar_table import AttemptState
 from ..configuration.models import ConfigurationRecord
 from ..membership.models import Vm
+from ..placement.models import Placement
 
 
 class Event:
@@ -179,6 +180,8 @@
     start_id: str
     waiting: int = 0
     versions: tuple[str, ...] = ()
+    # Highest fencing number that the engine has taken an order with.
+    fencing: int = 0
 
 
 @attrs.frozen(kw_only=True)
@@ -241,3 +244,16 @@
     address: str
     revision: int
     asked_at_s: float
+
+
+@attrs.frozen(kw_only=True)
+class OrderEnded(Event):
+    """The engine has answered an order, or has not."""
+
+
+@attrs.frozen(kw_only=True)
+class PlacementRead(Event):
+    """The store's placement was read; ``serial`` is its revision there."""
+
+    placement: Placement
+    serial: int
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/sidecar_node.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/sidecar_node.py
@@ -23,6 +23,7 @@
 from ..attempts.const import DEFAULT_RETRY_AFTER_S
 from ..attempts.sidecar_table import AttemptState, AttemptTable
 from ..configuration.holder import ConfigurationHolder
+from ..placement.orders import OrderDesk
 from ..quality.evidence import SidecarEvidence
 from ..quarantine.book import QuarantineBook
 from ..quarantine.watch import CrashWatch
@@ -50,6 +51,7 @@
         self._upstream = UpstreamHealth(reachable=bool(identity.services))
         self._quarantine = QuarantineBook(self._configuration, wall_offset_s)
         self._crashes = CrashWatch(self._quarantine)
+        self._orders = OrderDesk()
         self._gate = Gate(
             identity,
             self._configuration,
@@ -57,6 +59,7 @@
             self._upstream,
             crashes=self._crashes,
             quarantine=self._quarantine,
+            orders=self._orders,
         )
 
     @property
@@ -91,6 +94,12 @@
                 "versions": list(self._upstream.versions),
             },
             "load": attrs.asdict(self._limiter.load),
+            "orders": {
+                "wanted": attrs.asdict(self._orders.wanted)
+                if self._orders.wanted
+                else None,
+                "obsolete_placements": self._orders.obsolete,
+            },
             "quarantined": list(self._quarantine.fingerprints),
             "warmth": self._limiter.warmth.value,
             "attempts_running": list(self._attempts.running_ids),
@@ -133,6 +142,7 @@
             self._heartbeat_reply(now_s),
             ratings=self._pool_ratings(event.request, now_s),
         )
+        self._orders.take_placement(event.request.placement)
         reply = actions.ReplyToHeartbeat(message=message)
         if event.request.revision <= self._configuration.revision:
             return [reply]
@@ -181,6 +191,9 @@
         except CardamomnotchError as error:
             return [self._refusal(request, error)]
         self._attempts.start(request.attempt_id)
+        self._orders.start_attempt(
+            request.attempt_id, f"{request.model}/{request.version}"
+        )
         self._crashes.start(request, self._upstream.start_id, now_s)
         return [actions.AcceptAttempt(message=request)]
 
@@ -204,6 +217,7 @@
             self._upstream.busy_until_s = now_s + min(
                 MAX_RETRY_AFTER_S, event.retry_after_s
             )
+        self._orders.end_attempt(event.attempt_id)
         together = self._crashes.end(
             event.attempt_id,
             connection_lost=event.connection_lost,
@@ -257,8 +271,20 @@
         self._upstream.start_id = event.start_id
         self._upstream.reachable = True
         self._upstream.versions = event.versions
+        order = self._orders.next_order(
+            loaded=event.versions, fencing=event.fencing, now_s=now_s
+        )
+        result: list[Action] = []
+        if order is not None:
+            result.append(actions.GiveOrder(placement=order))
         if changed or came_back:
-            return [actions.ReportChange(text=f"upstream up, start {event.start_id}")]
+            text = f"upstream up, start {event.start_id}"
+            result.append(actions.ReportChange(text=text))
+        return result
+
+    @handle.register
+    def _(self, event: events.OrderEnded, now_s: float) -> list[Action]:
+        self._orders.end_order(now_s)
         return []
 
     @handle.register
--- /dev/null
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Which engine loads which version."""
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/composition.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/composition.py
@@ -33,6 +33,8 @@
 from .lists.coordinator import ListsCoordinator
 from .metrics import EntryMetrics
 from .peers.coordinator import PeersCoordinator
+from .placement.coordinator import PlacementCoordinator
+from .placement.lease import PlannerLease
 from .ratings.coordinator import RatingCoordinator
 from .sessions.caller_sessions import CallerSessions
 from .settings import EntrySettings
@@ -161,7 +163,15 @@
             session=inner_session,
             tasks=self._tasks,
         )
+        placement = PlacementCoordinator(
+            node=self._node,
+            runner=self._runner,
+            store=store,
+            lease=PlannerLease(store, self._identity.vm_id),
+            random_source=self._random,
+        )
         tasks = self._tasks
+        tasks.repeat(placement.interval_s, placement.async_step)
         tasks.repeat(lambda: 0.0, configuration.async_follow)
         tasks.repeat(lambda: VM_LIST_INTERVAL_S, membership.async_read_vm_list)
         tasks.repeat(lambda: HEARTBEAT_INTERVAL_S, membership.async_send_heartbeats)
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/coordinators/membership.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/coordinators/membership.py
@@ -77,6 +77,7 @@
             revision=self._node.configuration.revision,
             entry_epoch=self._node.evidence.epoch,
             ratings=self._node.evidence.totals_for(upstream.vm_id),
+            placement=self._node.placement_for(upstream.vm_id),
         )
         url = f"http://{upstream.address}{PATH_HEARTBEAT}"
         try:
--- /dev/null
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/placement/__init__.py
@@ -0,0 +1,1 @@
+"""The planner, at one entry at a time."""
--- a/packages/cardamomnotch-protocol/src/cardamomnotch_protocol/models.py
+++ b/packages/cardamomnotch-protocol/src/cardamomnotch_protocol/models.py
@@ -66,6 +66,18 @@
     bad: int = 0
 
 
+@attrs.frozen(kw_only=True)
+class EnginePlacement:
+    """The versions that one engine is to load.
+
+    ``serial`` rises with each placement, ``fencing`` with each planner.
+    """
+
+    serial: int
+    fencing: int
+    versions: tuple[str, ...] = ()
+
+
 @_message("attempt_request")
 @attrs.frozen(kw_only=True)
 class AttemptRequest(Message):
@@ -208,6 +220,8 @@
     # New with each start of the entry; names whose sums the ratings are.
     entry_epoch: str = ""
     ratings: tuple[RatingTotals, ...] = ()
+    # What this sidecar's engine is to load, if a planner has said so.
+    placement: EnginePlacement | None = None
 
 
 @_message("heartbeat_reply")
--- a/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/composition.py
+++ b/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/composition.py
@@ -25,6 +25,7 @@
 from .coordinator import UpstreamCoordinator
 from .inner.server import InnerServer
 from .metrics import SidecarMetrics
+from .orders.sender import OrderSender
 from .settings import SidecarSettings
 from .upstream.engine import EngineClient
 from .upstream.plain_service import PlainServiceClient
@@ -72,6 +73,8 @@
         )
         metrics = SidecarMetrics(self._node, self._runner)
         coordinator = UpstreamCoordinator(self._runner, client)
+        if isinstance(client, EngineClient):
+            OrderSender(self._runner, client, self._tasks)
         attempts = AttemptRunner(
             self._runner,
             client,
--- a/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/coordinator.py
+++ b/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/coordinator.py
@@ -25,5 +25,6 @@
                 start_id=report.start_id,
                 waiting=report.waiting,
                 versions=report.versions,
+                fencing=report.fencing,
             )
         )
--- /dev/null
+++ b/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/orders/__init__.py
@@ -0,0 +1,1 @@
+"""Orders to the engine, which only its own sidecar gives."""
--- a/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/upstream/engine.py
+++ b/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/upstream/engine.py
@@ -5,7 +5,7 @@
 import aiohttp
 import orjson
 
-from cardamomnotch_protocol.models import AttemptRequest
+from cardamomnotch_protocol.models import AttemptRequest, EnginePlacement
 from cardamomnotch_protocol.result_codes import ResultCode
 
 from ..answer_buffer import AnswerBuffer
@@ -16,7 +16,10 @@
 
 _COMPLETIONS_PATH = "/v1/chat/completions"
 _LOAD_PATH = "/load"
+_ORDERS_PATH = "/orders"
 _BUSY_STATUSES = frozenset((429, 503))
+# Loading weights takes long; an answer that is lost is read back.
+_ORDER_TIMEOUT = aiohttp.ClientTimeout(total=600.0, sock_connect=1.0)
 _REPORT_TIMEOUT = aiohttp.ClientTimeout(total=2.0)
 
 
@@ -41,8 +44,24 @@
             start_id=str(data.get("start_id", "")),
             waiting=int(data.get("waiting", 0)),
             versions=tuple(data.get("versions", ())),
+            fencing=int(data.get("fencing", 0)),
         )
 
+    async def async_order(self, placement: EnginePlacement) -> None:
+        """Order the engine to load these versions and no others.
+
+        What it then reports tells whether it has followed.
+        """
+        order = {"fencing": placement.fencing, "versions": placement.versions}
+        with upstream_errors():
+            async with self._session.post(
+                self._url + _ORDERS_PATH,
+                data=orjson.dumps(order),
+                headers={"Content-Type": "application/json"},
+                timeout=_ORDER_TIMEOUT,
+            ) as response:
+                await response.read()
+
     async def async_call(
         self, request: AttemptRequest, body: bytes, buffer: AnswerBuffer
     ) -> CallResult:
--- a/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/upstream/models.py
+++ b/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/upstream/models.py
@@ -26,6 +26,7 @@
     start_id: str
     waiting: int = 0
     versions: tuple[str, ...] = ()
+    fencing: int = 0
 
 
 class UpstreamError(CardamomnotchError):
