--- a/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/sidecar_node.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/sidecar_node.py
@@ -14,6 +14,7 @@
     HeartbeatRequest,
     RatingTotals,
 )
+from cardamomnotch_protocol.result_codes import ResultCode
 
 from ..admission.const import MAX_RETRY_AFTER_S
 from ..admission.gate import Gate, UpstreamHealth
@@ -23,6 +24,7 @@
 from ..attempts.const import DEFAULT_RETRY_AFTER_S
 from ..attempts.sidecar_table import AttemptState, AttemptTable
 from ..configuration.holder import ConfigurationHolder
+from ..journal.holder import OutcomeHolder
 from ..placement.orders import OrderDesk
 from ..quality.evidence import SidecarEvidence
 from ..quarantine.book import QuarantineBook
@@ -45,6 +47,7 @@
         self._identity = identity
         self._limiter = limiter
         self._attempts = AttemptTable()
+        self._outcomes = OutcomeHolder()
         self._configuration = ConfigurationHolder()
         self._draining = False
         self._evidence = SidecarEvidence()
@@ -67,6 +70,11 @@
         """Return the configuration in force."""
         return self._configuration
 
+    @property
+    def outcomes(self) -> OutcomeHolder:
+        """Return the outcomes that the journal does not have yet."""
+        return self._outcomes
+
     @property
     def is_ready(self) -> bool:
         """Return whether attempts may be accepted."""
@@ -104,6 +112,7 @@
             "warmth": self._limiter.warmth.value,
             "attempts_running": list(self._attempts.running_ids),
             "attempts_remembered": len(self._attempts),
+            "outcomes_held": len(self._outcomes),
         }
 
     @singledispatchmethod
@@ -166,6 +175,7 @@
             versions=self._upstream.versions,
             services=self._identity.services,
             load=self._limiter.load,
+            outcomes_due=self._outcomes.count_due(now_s),
             suspects=self._crashes.reported(now_s),
         )
 
@@ -181,6 +191,11 @@
                 actions.FetchConfiguration(address=request.entry_address, retry=request)
             ]
         try:
+            if self._outcomes.is_full:
+                raise CardamomnotchError(
+                    "too many outcomes wait for the journal",
+                    code=ResultCode.JOURNAL_UNAVAILABLE,
+                )
             self._gate.check(
                 request,
                 now_s,
