--- /dev/null
+++ b/tests/sidecar/test_priorities.py
@@ -0,0 +1,41 @@
+"""Engines are told which work is interactive."""
+
+import pytest
+
+from tests.fixtures.in_process import async_start_small_system
+
+
+@pytest.fixture
+async def system():
+    """Return a small system that serves."""
+    running = await async_start_small_system()
+    yield running
+    await running.async_stop()
+
+
+@pytest.mark.parametrize(
+    ("request_class", "priority"),
+    [pytest.param("quick", 0, id="quick"), pytest.param("tender", 1, id="draft")],
+)
+async def test_priority_reaches_the_engine(
+    system, http_session, request_class, priority
+):
+    """The class's priority is in the engine's own record."""
+    body = {
+        "model": "auto",
+        "max_tokens": 2,
+        "messages": [{"role": "user", "content": "x"}],
+    }
+    headers = {
+        "Authorization": "Bearer member-key",
+        "X-Cardamomnotch-Class": request_class,
+    }
+    url = f"{system.entries['entry-0'].url}/v1/chat/completions"
+    async with http_session.post(url, json=body, headers=headers) as response:
+        assert response.status == 200
+    seen = [
+        gate.stand_in.faults.counts.get(f"priority_{priority}", 0)
+        for vm_id, gate in system.gates.items()
+        if vm_id.startswith("engine")
+    ]
+    assert sum(seen) == 1
