Convict a suspect whoever ends first at its second crash

The measurement of poison under load gave 3 crashes in one run: a neighbour that ended before the suspect had noted the second VM as crashed, so the suspect's own end looked like the same upstream. The VMs that count are now those known when the isolated run began.

--- a/packages/cardamomnotch-core/src/cardamomnotch_core/quarantine/models.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/quarantine/models.py
@@ -34,3 +34,5 @@
     wait_until_s: float = float("-inf")
     # The request of this entry that runs it once more.
     rerun_id: str = ""
+    # The VMs that had crashed under it when that run began.
+    rerun_avoids: frozenset[str] = frozenset()
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/quarantine/tracker.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/quarantine/tracker.py
@@ -70,7 +70,9 @@
         suspect = self._get(fingerprint, now_s)
         if suspect is None:
             return Suspicion()
-        self._suspects[fingerprint] = attrs.evolve(suspect, rerun_id=request_id)
+        self._suspects[fingerprint] = attrs.evolve(
+            suspect, rerun_id=request_id, rerun_avoids=suspect.crashed_vms
+        )
         return Suspicion(
             crashes=len(suspect.crashed_vms), co_suspects=suspect.co_suspects
         )
@@ -95,7 +97,8 @@
         """
         suspect = self._get(fingerprint, now_s)
         was_rerun = suspect is not None and suspect.rerun_id == request_id
-        if was_rerun and vm_id not in suspect.crashed_vms:
+        # A neighbour may have told of this crash already.
+        if was_rerun and vm_id not in suspect.rerun_avoids:
             return self._quarantine(fingerprint, now_s)
         for one in {fingerprint, *co_suspects}:
             self._suspect(one, vm_id, co_suspects, now_s)
@@ -163,6 +166,7 @@
             co_suspects=co_suspects or (known.co_suspects if known else ()),
             forget_at_s=now_s + SUSPECT_RETENTION_S,
             rerun_id=known.rerun_id if known else "",
+            rerun_avoids=known.rerun_avoids if known else _NO_VMS,
         )
 
     def _get(self, fingerprint: str, now_s: float) -> SuspectRecord | None:
--- a/tests/core/quarantine/test_tracker.py
+++ b/tests/core/quarantine/test_tracker.py
@@ -5,7 +5,7 @@
 from cardamomnotch_core.configuration.holder import ConfigurationHolder
 from cardamomnotch_core.configuration.models import Configuration, UpstreamCrash
 from cardamomnotch_core.quarantine.book import QuarantineBook
-from cardamomnotch_core.quarantine.changes import CrashChange
+from cardamomnotch_core.quarantine.changes import CrashChange, QuarantineChange
 from cardamomnotch_core.quarantine.const import (
     QUARANTINE_S,
     SUSPECT_RETENTION_S,
@@ -62,6 +62,15 @@
     assert refusal.retry_after_s == pytest.approx(QUARANTINE_S - 10.0)
 
 
+def test_verdict_does_not_depend_on_who_ends_first(tracker):
+    """A neighbour's end of the same crash comes before the suspect's own."""
+    tracker.claim(_POISON, "first", 1.0)
+    together = ("crates:fresh", _POISON)
+    tracker.judge("crates:fresh", "third", "engine-1", together, 2.0)
+    verdict = tracker.judge(_POISON, "first", "engine-1", together, 2.0)
+    assert isinstance(verdict, QuarantineChange)
+
+
 def test_verdict_acquits_the_neighbours(tracker):
     """What crashed together with the guilty request is free again."""
     tracker.claim(_POISON, "first", 1.0)
