--- a/packages/cardamomnotch-core/src/cardamomnotch_core/journal/const.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/journal/const.py
@@ -2,11 +2,11 @@
 
 from typing import Final
 
-BILL_PARTITIONS: Final = 64
-CLAIM_PARTITIONS: Final = 16
-# Time between two appends of one partition; claims wait for nothing.
-BILL_APPEND_INTERVAL_S: Final = 1.0
-CLAIM_APPEND_INTERVAL_S: Final = 0.0
+BILL_PARTITIONS: Final = 48
+CLAIM_PARTITIONS: Final = 4
+# Time between two appends of one partition: while somebody waits, and else.
+URGENT_APPEND_INTERVAL_S: Final = 0.02
+APPEND_INTERVAL_S: Final = 1.0
 # How long keys are remembered after their outcome was recorded.
 BILL_RETENTION_S: Final = 900.0
 CLAIM_RETENTION_S: Final = 86_400.0
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/journal/partition.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/journal/partition.py
@@ -17,16 +17,15 @@
 from .batches import size_bytes
 from .codec import encode_append
 from .const import (
-    BILL_APPEND_INTERVAL_S,
-    CLAIM_APPEND_INTERVAL_S,
+    APPEND_INTERVAL_S,
     MAX_APPEND_BYTES,
     MIN_CHECKPOINT_LOG_BYTES,
+    URGENT_APPEND_INTERVAL_S,
 )
 from .models import (
     Checkpoint,
     LogAppend,
     PartitionId,
-    PartitionKind,
     ProposalOutcome,
     RecordState,
     Settled,
@@ -34,10 +33,6 @@
 )
 from .state import PartitionState, recorded
 
-_INTERVAL_S = {
-    PartitionKind.BILLS: BILL_APPEND_INTERVAL_S,
-    PartitionKind.CLAIMS: CLAIM_APPEND_INTERVAL_S,
-}
 _UNAVAILABLE = JournalResult(outcome=ProposalOutcome.UNAVAILABLE)
 
 
@@ -71,7 +66,9 @@
         self._uncommitted: dict[str, JournalRecord] = {}
         self._waiting: list[Waiting] = []
         self._in_flight: PendingAppend | None = None
-        self._next_append_at_s = float("-inf")
+        self._appended_at_s = float("-inf")
+        # Whether a caller waits for what is pending.
+        self._urgent = False
         self._began = False
         self._failing = False
         self._lost = False
@@ -103,6 +100,12 @@
         """Return whether an append is in flight or due at some time."""
         return bool(self._pending or self._in_flight or not self._began)
 
+    @property
+    def due_at_s(self) -> float:
+        """Return when what is pending is to be appended."""
+        interval_s = URGENT_APPEND_INTERVAL_S if self._urgent else APPEND_INTERVAL_S
+        return self._appended_at_s + interval_s
+
     @property
     def checkpoint_is_due(self) -> bool:
         """Return whether the log has outgrown the last checkpoint."""
@@ -145,6 +148,7 @@
         if not committed:
             waiting = Waiting(ticket=ticket, proposal=proposal, result=result)
             self._waiting.append(waiting)
+            self._urgent = self._urgent or _is_claim(waiting)
         return result
 
     def next_append(self, now_s: float) -> PendingAppend | None:
@@ -153,16 +157,20 @@
             return None
         if self._in_flight is not None:
             return self._in_flight
-        if self._began and (not self._pending or now_s < self._next_append_at_s):
+        if self._began and not self._is_due(now_s):
             return None
         self._began = True
         append = LogAppend(owner_id=self._owner_id, records=self._take_batch())
         self._in_flight = PendingAppend(
             sequence=self._sequence + 1, value=encode_append(append), append=append
         )
-        self._next_append_at_s = now_s + _INTERVAL_S[self._partition.kind]
+        self._appended_at_s = now_s
+        self._urgent = self._urgent and bool(self._pending)
         return self._in_flight
 
+    def _is_due(self, now_s: float) -> bool:
+        return bool(self._pending) and now_s >= self.due_at_s
+
     def _take_batch(self) -> tuple[JournalRecord, ...]:
         size = count = 0
         for record in self._pending:
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/journal/const.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/journal/const.py
@@ -3,9 +3,7 @@
 from typing import Final
 
 OWNER_LEASE_S: Final = 5
-OWNER_RENEWAL_S: Final = 1.5
-# Time in which an append that is due later is looked at again.
-APPEND_POLL_S: Final = 0.02
+OWNER_RENEWAL_S: Final = 2.0
 APPEND_RETRY_S: Final = 0.5
 # Longest wait for the owner's answer.
 PROPOSAL_TIMEOUT_S: Final = 2.0
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/journal/owner.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/journal/owner.py
@@ -5,6 +5,7 @@
 import logging
 import random
 import time
+from contextlib import suppress
 
 from cardamomnotch_core.journal.codec import encode_head, encode_records
 from cardamomnotch_core.journal.models import PartitionId, Settled
@@ -14,7 +15,11 @@
 from cardamomnotch_protocol.models import JournalProposal, JournalResult
 from cardamomnotch_runtime.tasks import async_wait_until
 
-from .const import APPEND_POLL_S, APPEND_RETRY_S, FLUSH_S, PROPOSAL_TIMEOUT_S
+from .const import (
+    APPEND_RETRY_S,
+    FLUSH_S,
+    PROPOSAL_TIMEOUT_S,
+)
 from .exceptions import JournalUnavailableError
 
 _LOGGER = logging.getLogger(__name__)
@@ -82,9 +87,15 @@
             if pending is not None:
                 await self._async_put(pending)
             elif self._log.has_work:
-                await asyncio.sleep(APPEND_POLL_S)
+                await self._async_wait(self._log.due_at_s - time.monotonic())
             else:
-                self._work.clear()
+                await self._async_wait(None)
+
+    async def _async_wait(self, timeout_s: float | None) -> None:
+        """Wait for a proposal, at most ``timeout_s``."""
+        self._work.clear()
+        with suppress(TimeoutError):
+            async with asyncio.timeout(timeout_s):
                 await self._work.wait()
 
     async def async_flush(self) -> None:
--- a/tests/core/journal/conftest.py
+++ b/tests/core/journal/conftest.py
@@ -45,6 +45,12 @@
 
     def __init__(self) -> None:
         self.values: dict[int, bytes] = {}
+        self._now_s = NOW_S
+
+    def tick(self) -> float:
+        """Return a time at which every append is due."""
+        self._now_s += 1.0
+        return self._now_s
 
     def put(self, sequence: int, value: bytes) -> bool:
         """Put where nothing stands; return whether ``value`` stands there."""
--- a/tests/core/journal/test_at_most_once.py
+++ b/tests/core/journal/test_at_most_once.py
@@ -82,7 +82,7 @@
     def append(self, index, fault):
         """Let any owner write; its write or answer may be lost."""
         log = self.owners[index % len(self.owners)]
-        pending = log.next_append(self.now_s)
+        pending = log.next_append(self.store.tick())
         if pending is None:
             return
         holds = fault == "lost" or self.store.put(pending.sequence, pending.value)
@@ -227,10 +227,10 @@
     def teardown(self):
         """Check that each effect is billed once, when holders reach a new owner."""
         log = self.store.open(CLAIMS, "last")
-        self.store.append(log, self.now_s)
+        self.store.append(log, self.store.tick())
         for proposal in self.held * 2:
             log.propose(proposal, 0, self.now_s)
-            self.store.append(log, self.now_s)
+            self.store.append(log, self.store.tick())
         total = log.state.totals.get("crates")
         assert (total.requests if total else 0) == sum(self.effects.values())
 
--- a/tests/core/journal/test_partition.py
+++ b/tests/core/journal/test_partition.py
@@ -19,7 +19,7 @@
 
 def _owner(store, partition=CLAIMS, owner_id="a"):
     log = store.open(partition, owner_id)
-    store.append(log, NOW_S)
+    store.append(log, store.tick())
     return log
 
 
@@ -27,7 +27,7 @@
     outcomes = []
     for ticket, proposal in enumerate(proposals):
         outcomes.append(log.propose(proposal, ticket, NOW_S).outcome)
-        store.append(log, NOW_S)
+        store.append(log, store.tick())
     return outcomes
 
 
@@ -61,22 +61,24 @@
     """An owner that wakes after its successor wrote promises nothing."""
     old = _owner(store)
     old.propose(claim("k", "1"), 1, NOW_S)
-    old.next_append(NOW_S)
+    old.next_append(store.tick())
     new = _owner(store, owner_id="b")
     assert new.propose(claim("k", "2"), 1, NOW_S).outcome == _GRANTED
-    assert [item.result.outcome for item in store.append(old, NOW_S)] == [_UNAVAILABLE]
+    assert [item.result.outcome for item in store.append(old, store.tick())] == [
+        _UNAVAILABLE
+    ]
     assert old.is_lost
-    assert [item.result.committed for item in store.append(new, NOW_S)] == [True]
+    assert [item.result.committed for item in store.append(new, store.tick())] == [True]
 
 
 def test_lost_answer_is_put_again(store):
     """An append whose answer was lost is found to stand, not written twice."""
     log = _owner(store)
     log.propose(done("k", "1"), 1, NOW_S)
-    pending = log.next_append(NOW_S)
+    pending = log.next_append(store.tick())
     store.put(pending.sequence, pending.value)
     log.failed()
-    settled = store.append(log, NOW_S)
+    settled = store.append(log, store.tick())
     assert [item.result.committed for item in settled] == [True]
     assert log.state.totals["crates"].requests == 1
 
@@ -85,7 +87,7 @@
     """Whoever finds a record in flight is answered with its commit."""
     log = _owner(store)
     log.propose(claim("k", "1"), 1, NOW_S)
-    pending = log.next_append(NOW_S)
+    pending = log.next_append(store.tick())
     log.propose(claim("k", "2"), 2, NOW_S)
     store.put(pending.sequence, pending.value)
     assert [item.ticket for item in log.committed()] == [1, 2]
