--- a/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/entry_node.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/entry_node.py
@@ -211,6 +211,7 @@
                     request_id=event.request.request_id,
                     code=ResultCode.NOT_READY,
                     detail="catching up after a pause",
+                    not_run=True,
                     retry_after_s=DEFAULT_RETRY_AFTER_S,
                 )
             ]
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/caller/server.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/caller/server.py
@@ -143,7 +143,7 @@
             return
         record = action.record
         answer = stored_answer(record)
-        if record.code is not ResultCode.OK or answer is None:
+        if record.code is not ResultCode.OK or answer is None or not record.status:
             detail = f"ended before, {record.answer_bytes} bytes not kept"
             if record.code is not ResultCode.OK:
                 detail = ""
