Check the contracts of VM list, engine and plain service

Found and mended: a VM list whose "vms" is an object or text was read as an empty list, which would have taken every VM away.

--- a/packages/cardamomnotch-platform/src/cardamomnotch_platform/vm_list/client.py
+++ b/packages/cardamomnotch-platform/src/cardamomnotch_platform/vm_list/client.py
@@ -1,5 +1,7 @@
 """Client of the VM list."""
 
+from typing import Any
+
 import aiohttp
 import attrs
 import orjson
@@ -51,7 +53,7 @@
                     return None
                 if response.status != 200:
                     raise VmListError(f"status {response.status}")
-                data = orjson.loads(await response.read())
+                data = _checked(orjson.loads(await response.read()))
                 etag = response.headers.get("ETag", "")
             vms = structure(_CONVERTER, data, _VmList).vms
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
@@ -60,3 +62,10 @@
             raise VmListError(str(error)) from error
         self._etag = etag
         return vms
+
+
+def _checked(data: Any) -> Any:
+    """Return ``data`` if it holds a list; nothing else may look like no VMs."""
+    if not isinstance(data, dict) or not isinstance(data.get("vms"), list):
+        raise VmListError("vms is not a list")
+    return data
--- /dev/null
+++ b/tests/platform/test_upstream_contract.py
@@ -0,0 +1,206 @@
+"""Contracts of model engine and plain service, which the stand-ins pass too."""
+
+import orjson
+import pytest
+from aiohttp import web
+
+from cardamomnotch_protocol.models import AttemptRequest
+from cardamomnotch_protocol.result_codes import ResultCode
+from cardamomnotch_sidecar.answer_buffer import AnswerBuffer
+from cardamomnotch_sidecar.upstream.engine import EngineClient
+from cardamomnotch_sidecar.upstream.models import UpstreamError
+from cardamomnotch_sidecar.upstream.plain_service import PlainServiceClient
+from cardamomnotch_sidecar.upstream.sse import CompletionStream
+
+from tests.stand_ins.engine import EngineStandIn
+from tests.stand_ins.plain_service import PlainServiceStandIn
+from tests.stand_ins.weight_store import WeightStoreStandIn
+
+_SILENCE_S = 0.3
+_BODY = orjson.dumps({"messages": [{"role": "user", "content": "x"}], "max_tokens": 4})
+_STREAM_BODY = orjson.dumps({**orjson.loads(_BODY), "stream": True})
+_EVENT = (
+    b'data: {"id": "c1", "choices": [{"index": 0, "delta": {"content": "w"},'
+    b' "finish_reason": "stop"}]}'
+)
+
+
+def _attempt(**changes):
+    fields = {
+        "attempt_id": "r-1",
+        "request_id": "r",
+        "request_key": "w:r",
+        "workspace": "w",
+        "incarnation": "i",
+        "revision": 1,
+        "timeout_ms": 5_000,
+        "model": "drafter",
+        "version": "v1",
+        **changes,
+    }
+    return AttemptRequest(**fields)
+
+
+@pytest.fixture
+async def engine_stand_in():
+    """Return the engine's stand-in."""
+    return EngineStandIn(["drafter/v1"])
+
+
+@pytest.fixture
+async def engine(engine_stand_in, serve_app, http_session):
+    """Return a client of the engine's stand-in."""
+    url = await serve_app(engine_stand_in.create_app())
+    return EngineClient(http_session, url, _SILENCE_S)
+
+
+@pytest.fixture
+async def service_stand_in():
+    """Return the booking service's stand-in."""
+    return PlainServiceStandIn()
+
+
+@pytest.fixture
+async def service(service_stand_in, serve_app, http_session):
+    """Return a client of the booking service's stand-in."""
+    url = await serve_app(service_stand_in.create_app())
+    return PlainServiceClient(http_session, url, _SILENCE_S)
+
+
+def _reservation():
+    return _attempt(model="", version="", service="booking", path="/reservations")
+
+
+@pytest.mark.parametrize(
+    ("stream", "body"), [(False, _BODY), (True, _STREAM_BODY)], ids=["whole", "stream"]
+)
+async def test_engine_tells_usage_of_a_whole_answer(engine, stream, body):
+    """A whole answer carries the engine's own count of tokens."""
+    buffer = AnswerBuffer("r-1")
+    result = await engine.async_call(_attempt(stream=stream), body, buffer)
+    assert result.usage.completion_tokens == 4
+    assert buffer.total_bytes
+
+
+@pytest.mark.parametrize(
+    ("faults", "code", "started"),
+    [
+        pytest.param({"crossed": True}, ResultCode.CROSSED_ANSWER, True, id="crossed"),
+        pytest.param({"short_after": 2}, ResultCode.SHORT_ANSWER, True, id="short"),
+        pytest.param(
+            {"silent_after": 2}, ResultCode.UPSTREAM_SILENT, True, id="silent"
+        ),
+        pytest.param({"refuse": True}, ResultCode.UPSTREAM_FULL, False, id="busy"),
+    ],
+)
+async def test_engine_failure_has_its_number(
+    engine, engine_stand_in, faults, code, started
+):
+    """A failing stream raises its number, and whether it may have run."""
+    engine_stand_in.faults.active.update(faults)
+    with pytest.raises(UpstreamError) as raised:
+        await engine.async_call(
+            _attempt(stream=True), _STREAM_BODY, AnswerBuffer("r-1")
+        )
+    assert (raised.value.code, raised.value.started) == (code, started)
+
+
+async def test_engine_crash_may_have_run(engine, engine_stand_in):
+    """A connection that breaks under a call leaves open whether it ran."""
+    engine_stand_in.faults.active["crash_on"] = "x"
+    with pytest.raises(UpstreamError) as raised:
+        await engine.async_call(
+            _attempt(stream=True), _STREAM_BODY, AnswerBuffer("r-1")
+        )
+    assert raised.value.started
+
+
+async def test_engine_reports_a_new_start(engine, engine_stand_in):
+    """After a restart the report names another start id."""
+    before = await engine.async_report()
+    engine_stand_in.restart()
+    after = await engine.async_report()
+    assert before.start_id != after.start_id
+    assert after.versions == ("drafter/v1",)
+
+
+@pytest.mark.parametrize(
+    "pieces",
+    [
+        pytest.param((_EVENT + b"\n\ndata: [DONE]\n\n",), id="at once"),
+        pytest.param(
+            (_EVENT[:20], _EVENT[20:] + b"\n\ndata: [DO", b"NE]\n\n"), id="cut"
+        ),
+        pytest.param((_EVENT + b"\r\n\r\ndata: [DONE]\r\n\r\n",), id="CR LF"),
+        pytest.param(
+            (_EVENT + b"\r\n\r", b"\ndata: [DONE]\r\n\r", b"\n"), id="CR LF cut between"
+        ),
+        pytest.param((b": ping\n\n" + _EVENT + b"\n\ndata: [DONE]\n\n",), id="comment"),
+    ],
+)
+def test_stream_is_read_however_it_is_cut(pieces):
+    """Events are read whole, wherever the network cuts the stream."""
+    stream = CompletionStream()
+    events = [event for piece in pieces for event in stream.feed(piece)]
+    assert b'"delta"' in b"".join(events)
+    assert stream.is_whole
+
+
+@pytest.mark.parametrize(
+    "load",
+    [
+        pytest.param(b"<html>", id="not JSON"),
+        pytest.param(b"[]", id="no object"),
+        pytest.param(b'{"waiting": "many"}', id="wrong type"),
+        pytest.param(b'{"versions": null}', id="no versions"),
+    ],
+)
+async def test_unusable_load_report_is_an_error(serve_app, http_session, load):
+    """A load report that cannot be read is an upstream error."""
+
+    async def answer(_: web.Request) -> web.Response:
+        return web.Response(body=load)
+
+    app = web.Application()
+    app.router.add_get("/load", answer)
+    client = EngineClient(http_session, await serve_app(app), _SILENCE_S)
+    with pytest.raises(UpstreamError):
+        await client.async_report()
+
+
+async def test_service_gets_attempt_and_request_key(service, service_stand_in):
+    """A service sees the attempt's id and the request's lasting key."""
+    await service.async_call(_reservation(), b'{"batch": "b"}', AnswerBuffer("r-1"))
+    (seen,) = service_stand_in.reservations
+    assert (seen["request_id"], seen["key"]) == ("r-1", "w:r")
+
+
+@pytest.mark.parametrize(
+    ("fault", "code"),
+    [
+        ("crash_after_effect", ResultCode.UPSTREAM_FAILED),
+        ("silent_after_effect", ResultCode.UPSTREAM_SILENT),
+        ("crossed", ResultCode.CROSSED_ANSWER),
+    ],
+)
+async def test_service_failure_after_the_effect_may_have_run(
+    service, service_stand_in, fault, code
+):
+    """A service whose answer is lost may have run the call."""
+    service_stand_in.faults.active[fault] = 1
+    with pytest.raises(UpstreamError) as raised:
+        await service.async_call(_reservation(), b"{}", AnswerBuffer("r-1"))
+    assert (raised.value.code, raised.value.started) == (code, True)
+    assert len(service_stand_in.reservations) == 1
+
+
+async def test_weight_store_refuses_over_its_rate(serve_app, http_session):
+    """Reads over the rate are refused, with when to come back."""
+    stand_in = WeightStoreStandIn()
+    stand_in.faults.active["rate_per_s"] = 2
+    url = f"{await serve_app(stand_in.create_app())}/weights/drafter/v1"
+    answers = []
+    for _ in range(3):
+        async with http_session.get(url) as response:
+            answers.append((response.status, response.headers.get("Retry-After")))
+    assert answers == [(200, None), (200, None), (429, "1")]
