--- a/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/entry_node.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/entry_node.py
@@ -84,6 +84,10 @@
         """Return how many requests are being served."""
         return len(self._requests)
 
+    def is_serving(self, request_id: str) -> bool:
+        """Return whether the request is not ended yet."""
+        return self._requests.is_serving(request_id)
+
     @property
     def is_ready(self) -> bool:
         """Return whether the balancer should send callers here."""
@@ -180,6 +184,8 @@
         upstream = self._upstreams.get(event.vm_id)
         if upstream is None:
             return result
+        if event.reply.outcomes_due:
+            result = [*result, actions.FetchOutcomes(address=upstream.address)]
         if event.reply.revision >= self._configuration.revision:
             # A sidecar may have heard of a change before any entry nearby.
             fetch = self._follower.fetch_if_behind(
@@ -216,6 +222,7 @@
     @handle.register(events.AttemptEnded)
     @handle.register(events.AttemptLost)
     @handle.register(events.AttemptFenced)
+    @handle.register(events.ClaimAnswered)
     def _(self, event: Event, now_s: float) -> list[Action]:
         result = self._requests.handle(event, now_s)
         self._observer.observe(event, result, now_s)
