--- a/tests/processes/test_pairs.py
+++ b/tests/processes/test_pairs.py
@@ -3,6 +3,7 @@
 import signal
 import threading
 
+import aiohttp
 import pytest
 
 from tests.fixtures.answers import (
@@ -72,19 +73,21 @@
 async def test_store_down_and_entry_killed(system, http_session):
     """A caller whose entry dies while the store is down books at most once."""
     before = _effects(system)
+    entry = system.entries["entry-0"]
     service_url = system.gates[_BOOKING].upstream_url
     system.set_faults(service_url, delay_s=0.5)
-    system.set_faults(system.store_url, down=True)
+
+    def strike():
+        system.set_faults(system.store_url, down=True)
+        _kill(system, "entry-0")
+
     try:
-        first = await async_book_and_strike(
-            http_session,
-            system.entries["entry-0"].url,
-            "b",
-            lambda: _kill(system, "entry-0"),
-        )
+        first = await async_book_and_strike(http_session, entry.url, "b", strike)
         system.start_entry("entry-0")
-        system.wait_for(f"http://{system.entries['entry-0'].admin_address}/readyz")
-        stream = await async_stream(http_session, system.entries["entry-0"].url)
+        system.wait_for(f"http://{entry.admin_address}/readyz")
+        # A session of its own: connections to the killed process are gone.
+        async with aiohttp.ClientSession() as session:
+            stream = await async_stream(session, entry.url)
     finally:
         system.set_faults(system.store_url, down=None)
         system.set_faults(service_url, delay_s=None)
