Use subsets of upstreams and send only what is lacking

Every entry heartbeated every upstream each second, and sent the whole document to every sidecar on each change. A sidecar or entry that was paused asks before it acts.

--- a/packages/cardamomnotch-core/src/cardamomnotch_core/configuration/document.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/configuration/document.py
@@ -54,11 +54,14 @@
         revision=message.revision,
         change_id=message.change_id,
         configuration=configuration_from_document(message.document),
+        message=message,
     )
 
 
 def message_from_record(record: ConfigurationRecord) -> ConfigurationMessage:
     """Return ``record`` as a message."""
+    if record.message is not None:
+        return record.message
     document = document_from_configuration(record.configuration)
     return ConfigurationMessage(
         revision=record.revision,
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/configuration/follower.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/configuration/follower.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from ..membership.const import PAUSED_AFTER_S
+from ..membership.pauses import PauseWatch
 from ..membership.peers import Peer, PeerTable
 from ..nodes import actions, events
 from ..nodes.actions import Action
@@ -22,7 +22,7 @@
         self._belief = ConfigurationBelief(holder)
         self._peers = PeerTable(vm_id)
         self._now_s = float("-inf")
-        self._timer_at_s: float | None = None
+        self._pauses = PauseWatch()
 
     @property
     def peers(self) -> tuple[Peer, ...]:
@@ -41,11 +41,8 @@
 
     def is_catching_up(self, now_s: float) -> bool:
         """Return whether the process has paused and not caught up since."""
-        return self._belief.state is BeliefState.CATCHING_UP or self._paused(now_s)
-
-    def _paused(self, now_s: float) -> bool:
-        last_s = self._timer_at_s
-        return last_s is not None and now_s - last_s > PAUSED_AFTER_S
+        catching_up = self._belief.state is BeliefState.CATCHING_UP
+        return catching_up or self._pauses.is_overdue(now_s)
 
     def diagnostics(self) -> dict[str, Any]:
         """Return the state for the dump."""
@@ -119,11 +116,13 @@
             return []
         return [actions.FetchConfiguration(address=address)]
 
+    @_take.register
+    def _(self, event: events.ConfigurationConfirmed, now_s: float) -> list[Action]:
+        return []
+
     @_take.register
     def _(self, event: events.TimerDue, now_s: float) -> list[Action]:
-        paused = self._paused(now_s)
-        self._timer_at_s = now_s
-        if not paused:
+        if not self._pauses.tick(now_s):
             return []
         self._belief.wake(now_s)
         return [
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/configuration/holder.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/configuration/holder.py
@@ -1,5 +1,7 @@
 """The configuration in force in this process."""
 
+from collections.abc import Callable
+
 from .models import ConfigurationRecord
 
 
@@ -8,6 +10,18 @@
 
     def __init__(self) -> None:
         self._record: ConfigurationRecord | None = None
+        self._observers: list[Callable[[ConfigurationRecord], None]] = []
+
+    def subscribe(
+        self, observer: Callable[[ConfigurationRecord], None]
+    ) -> Callable[[], None]:
+        """Tell ``observer`` of each new record; return what unsubscribes it."""
+        self._observers.append(observer)
+
+        def unsubscribe() -> None:
+            self._observers.remove(observer)
+
+        return unsubscribe
 
     @property
     def record(self) -> ConfigurationRecord | None:
@@ -24,4 +38,6 @@
         if record.revision <= self.revision:
             return False
         self._record = record
+        for observer in tuple(self._observers):
+            observer(record)
         return True
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/configuration/models.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/configuration/models.py
@@ -5,6 +5,8 @@
 
 import attrs
 
+from cardamomnotch_protocol.models import ConfigurationMessage
+
 
 @attrs.frozen(kw_only=True)
 class Version:
@@ -126,6 +128,16 @@
         """Return the plans by name."""
         return {plan.name: plan for plan in self.plans}
 
+    @cached_property
+    def served_names(self) -> tuple[str, ...]:
+        """Return every version as "model/version", and every plain service."""
+        versions = tuple(
+            f"{model.name}/{version.name}"
+            for model in self.models
+            for version in model.versions
+        )
+        return versions + tuple(service.name for service in self.services)
+
     @cached_property
     def workspaces_by_name(self) -> Mapping[str, Workspace]:
         """Return the workspaces by name."""
@@ -148,3 +160,7 @@
     revision: int
     change_id: str
     configuration: Configuration
+    # What it was read from, so that it is passed on as it was accepted.
+    message: ConfigurationMessage | None = attrs.field(
+        default=None, eq=False, repr=False
+    )
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/entry_node.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/entry_node.py
@@ -29,7 +29,7 @@
         self._random = random_source
         self._configuration = ConfigurationHolder()
         self._follower = ConfigurationFollower(identity.vm_id, self._configuration)
-        self._upstreams = UpstreamTable()
+        self._upstreams = UpstreamTable(identity.vm_id, identity.zone)
         self._requests = RequestFlow(
             identity,
             configuration=self._configuration,
@@ -53,6 +53,10 @@
         """Return the upstreams that heartbeats go to."""
         return self._upstreams.upstreams
 
+    def heartbeats_due(self, now_s: float) -> tuple[Upstream, ...]:
+        """Return the upstreams of which too little was heard of late."""
+        return self._upstreams.heartbeats_due(self._configuration.revision, now_s)
+
     def upstream(self, vm_id: str) -> Upstream | None:
         """Return the upstream on ``vm_id``."""
         return self._upstreams.get(vm_id)
@@ -83,6 +87,7 @@
             "draining": self._draining,
             "ready": self.is_ready,
             "requests_in_flight": len(self._requests),
+            "vms_listed": self._upstreams.listed,
             "upstreams": [attrs.asdict(item) for item in self.upstreams],
         }
 
@@ -97,12 +102,8 @@
         followed = self._follower.follow(event, now_s)
         if self._configuration.revision == former:
             return followed
-        behind = [
-            actions.SendConfiguration(vm_id=item.vm_id, address=item.address)
-            for item in self.upstreams
-            if item.is_known
-        ]
-        return [*followed, *behind]
+        told = [actions.SendHeartbeat(vm_id=item.vm_id) for item in self.upstreams]
+        return [*followed, *told]
 
     @handle.register
     def _(self, event: events.DrainStarted, now_s: float) -> list[Action]:
@@ -111,14 +112,20 @@
 
     @handle.register
     def _(self, event: events.TimerDue, now_s: float) -> list[Action]:
+        self._upstreams.expire(now_s)
         return self._follower.follow(event, now_s)
 
     @handle.register
     def _(self, event: events.VmListReceived, now_s: float) -> list[Action]:
         followed = self._follower.follow(event, now_s)
-        unknown = self._upstreams.take_vm_list(event.vms)
+        unknown = self._upstreams.take_vm_list(event.vms, self._served_names())
         return [*followed, *(actions.SendHeartbeat(vm_id=item) for item in unknown)]
 
+    def _served_names(self) -> tuple[str, ...]:
+        record = self._configuration.record
+        return record.configuration.served_names if record else ()
+
+    @handle.register(events.ConfigurationConfirmed)
     @handle.register(events.StoreAnswered)
     @handle.register(events.StoreSilent)
     @handle.register(events.PeerTold)
@@ -132,16 +139,22 @@
 
     @handle.register
     def _(self, event: events.HeartbeatAnswered, now_s: float) -> list[Action]:
-        self._upstreams.take_heartbeat(event.vm_id, event.reply, now_s)
-        upstream = self._upstreams.get(event.vm_id)
-        if upstream is None:
+        known = self._upstreams.get(event.vm_id)
+        if known is None:
             return []
-        if event.reply.revision >= self._configuration.revision:
-            # A sidecar may have heard of a change before any entry nearby.
-            return self._follower.fetch_if_behind(
-                upstream.address, event.reply.revision
-            )
-        return [actions.SendConfiguration(vm_id=event.vm_id, address=upstream.address)]
+        self._upstreams.take_heartbeat(
+            event.vm_id,
+            event.reply,
+            now_s,
+            asked_at_s=event.asked_at_s,
+            told_revision=event.told_revision,
+        )
+        revision = event.reply.revision
+        if known.told_revision > revision:
+            # It was told before and has not fetched, so it is sent.
+            return [actions.SendConfiguration(vm_id=known.vm_id, address=known.address)]
+        # A sidecar may have heard of a change before any entry nearby.
+        return self._follower.fetch_if_behind(known.address, revision)
 
     @handle.register
     def _(self, event: events.HeartbeatFailed, now_s: float) -> list[Action]:
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/events.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/events.py
@@ -23,10 +23,14 @@
 
 @attrs.frozen(kw_only=True)
 class ConfigurationOffered(Event):
-    """A record came from the store, a peer or an entry."""
+    """A record came from the store, a peer or an entry.
+
+    ``asked_at_s`` is when it was asked for, if it was.
+    """
 
     record: ConfigurationRecord
     source: str
+    asked_at_s: float = float("-inf")
 
 
 @attrs.frozen(kw_only=True)
@@ -52,6 +56,9 @@
 
     vm_id: str
     reply: HeartbeatReply
+    # When it was asked for, and the revision that it was told.
+    asked_at_s: float | None = None
+    told_revision: int = 0
 
 
 @attrs.frozen(kw_only=True)
@@ -204,3 +211,12 @@
     address: str
     revision: int
     asked_at_s: float
+
+
+@attrs.frozen(kw_only=True)
+class ConfigurationConfirmed(Event):
+    """A process that was asked holds nothing newer."""
+
+    revision: int
+    source: str
+    asked_at_s: float
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/sidecar_node.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/sidecar_node.py
@@ -18,6 +18,8 @@
 from ..attempts.const import DEFAULT_RETRY_AFTER_S
 from ..attempts.sidecar_table import AttemptState, AttemptTable
 from ..configuration.holder import ConfigurationHolder
+from ..membership.entries import EntryTable
+from ..membership.pauses import PauseWatch
 from . import actions, events
 from .actions import Action
 from .events import Event
@@ -32,6 +34,8 @@
         self._limiter = limiter
         self._attempts = AttemptTable()
         self._configuration = ConfigurationHolder()
+        self._entries = EntryTable()
+        self._pauses = PauseWatch()
         self._draining = False
         self._upstream = UpstreamHealth(reachable=bool(identity.services))
         self._gate = Gate(identity, self._configuration, limiter, self._upstream)
@@ -60,6 +64,7 @@
         return {
             "identity": attrs.asdict(self._identity),
             "revision": self._configuration.revision,
+            "entries": list(self._entries.entry_ids),
             "draining": self._draining,
             "ready": self.is_ready,
             "upstream": {
@@ -77,8 +82,14 @@
         """Return the actions that follow from ``event``."""
         raise TypeError(f"no handler for {type(event).__name__}")
 
+    @handle.register
+    def _(self, event: events.ConfigurationConfirmed, now_s: float) -> list[Action]:
+        self._pauses.confirm(event.asked_at_s)
+        return []
+
     @handle.register
     def _(self, event: events.ConfigurationOffered, now_s: float) -> list[Action]:
+        self._pauses.confirm(event.asked_at_s)
         if not self._configuration.offer(event.record):
             return []
         return [
@@ -95,12 +106,16 @@
     @handle.register
     def _(self, event: events.TimerDue, now_s: float) -> list[Action]:
         self._attempts.expire(now_s)
+        self._entries.expire(now_s)
+        self._pauses.tick(now_s)
         return []
 
     @handle.register
     def _(self, event: events.HeartbeatArrived, now_s: float) -> list[Action]:
+        self._entries.take(event.request.entry_id, now_s)
         reply = actions.ReplyToHeartbeat(message=self._heartbeat_reply())
-        if event.request.revision <= self._configuration.revision:
+        behind = event.request.revision > self._configuration.revision
+        if not behind and not self._pauses.in_doubt(now_s):
             return [reply]
         fetch = actions.FetchConfiguration(address=event.request.entry_address)
         return [reply, fetch]
@@ -115,6 +130,7 @@
             versions=self._upstream.versions,
             services=self._identity.services,
             load=self._limiter.load,
+            heartbeat_after_s=self._entries.heartbeat_after_s,
         )
 
     @handle.register
@@ -123,7 +139,12 @@
         known = self._attempts.get(request.attempt_id)
         if known is not None and known.state is not AttemptState.NEVER_STARTED:
             return [actions.FollowAttempt(attempt_id=request.attempt_id)]
-        behind = request.revision > self._configuration.revision
+        # An attempt may have waited here while this process was paused, and so
+        # proves nothing about what has been accepted since.
+        behind = (
+            request.revision > self._configuration.revision
+            or self._pauses.in_doubt(now_s)
+        )
         if behind and not event.caught_up:
             return [
                 actions.FetchConfiguration(address=request.entry_address, retry=request)
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/composition.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/composition.py
@@ -23,7 +23,7 @@
 from cardamomnotch_runtime.tasks import TaskGroup, async_wait_until
 
 from .caller.server import CallerServer
-from .const import HEARTBEAT_INTERVAL_S, VM_LIST_INTERVAL_S
+from .const import HEARTBEAT_CHECK_S, VM_LIST_INTERVAL_S
 from .coordinators.configuration import ConfigurationCoordinator
 from .coordinators.membership import MembershipCoordinator
 from .inner.attempt_client import AttemptClient
@@ -128,11 +128,13 @@
             vm_list=VmListClient(platform_session, platform.vm_list_url),
             session=inner_session,
             tasks=self._tasks,
+            random_source=self._random,
+            clock=time.monotonic,
         )
         tasks = self._tasks
         tasks.repeat(lambda: 0.0, configuration.async_follow)
         tasks.repeat(lambda: VM_LIST_INTERVAL_S, membership.async_read_vm_list)
-        tasks.repeat(lambda: HEARTBEAT_INTERVAL_S, membership.async_send_heartbeats)
+        tasks.repeat(lambda: HEARTBEAT_CHECK_S, membership.async_send_heartbeats)
         tasks.repeat(lambda: TIMER_INTERVAL_S, self._async_tick)
 
     async def async_unload(self) -> None:
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/const.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/const.py
@@ -16,7 +16,7 @@
 # Time for the first frame of an attempt, and longest silence after it.
 ATTEMPT_SILENCE_S: Final = 3.0
 ATTEMPT_CONNECT_S: Final = 1.0
-HEARTBEAT_INTERVAL_S: Final = 1.0
+HEARTBEAT_CHECK_S: Final = 0.2
 HEARTBEAT_TIMEOUT_S: Final = 1.0
 VM_LIST_INTERVAL_S: Final = 1.0
 WATCH_RENEWAL_S: Final = 20.0
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/coordinators/membership.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/coordinators/membership.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import logging
+import random
+from collections.abc import Callable
 
 import aiohttp
 
@@ -19,6 +21,7 @@
 from cardamomnotch_runtime.tasks import TaskGroup
 
 from ..const import HEARTBEAT_TIMEOUT_S
+from ..peers.const import TELL_WITHIN_S
 
 _LOGGER = logging.getLogger(__name__)
 _STATE_LEAVING = "leaving"
@@ -36,6 +39,8 @@
         vm_list: VmListClient,
         session: aiohttp.ClientSession,
         tasks: TaskGroup,
+        random_source: random.Random,
+        clock: Callable[[], float],
     ) -> None:
         self._node = node
         self._identity = identity
@@ -43,7 +48,10 @@
         self._vm_list = vm_list
         self._session = session
         self._tasks = tasks
+        self._random = random_source
+        self._clock = clock
         self._list_available = True
+        self._waiting: set[str] = set()
         runner.register(actions.SendHeartbeat, self._send_heartbeat)
 
     async def async_read_vm_list(self) -> None:
@@ -60,17 +68,30 @@
         self._runner.dispatch(events.VmListReceived(vms=vms))
 
     async def async_send_heartbeats(self) -> None:
-        """Send one heartbeat to every upstream."""
-        await asyncio.gather(
-            *(self._async_heartbeat(upstream) for upstream in self._node.upstreams)
-        )
+        """Send a heartbeat to every upstream that is due for one."""
+        for upstream in self._node.heartbeats_due(self._clock()):
+            if upstream.vm_id not in self._waiting:
+                self._tasks.start(self._async_heartbeat(upstream, delay_s=0.0))
 
     def _send_heartbeat(self, action: actions.SendHeartbeat) -> None:
         upstream = self._node.upstream(action.vm_id)
-        if upstream is not None:
-            self._tasks.start(self._async_heartbeat(upstream))
+        if upstream is None:
+            return
+        # A change reaches many entries at once, which must not all call the
+        # same sidecar at the same moment.
+        delay_s = self._random.uniform(0, TELL_WITHIN_S)
+        self._tasks.start(self._async_heartbeat(upstream, delay_s))
+
+    async def _async_heartbeat(self, upstream: Upstream, delay_s: float) -> None:
+        await asyncio.sleep(delay_s)
+        self._waiting.add(upstream.vm_id)
+        try:
+            await self._async_exchange(upstream)
+        finally:
+            self._waiting.discard(upstream.vm_id)
 
-    async def _async_heartbeat(self, upstream: Upstream) -> None:
+    async def _async_exchange(self, upstream: Upstream) -> None:
+        asked_at_s = self._clock()
         message = HeartbeatRequest(
             entry_id=self._identity.vm_id,
             entry_address=self._identity.inner_address,
@@ -84,7 +105,12 @@
             return
         if isinstance(reply, HeartbeatReply):
             self._runner.dispatch(
-                events.HeartbeatAnswered(vm_id=upstream.vm_id, reply=reply)
+                events.HeartbeatAnswered(
+                    vm_id=upstream.vm_id,
+                    reply=reply,
+                    asked_at_s=asked_at_s,
+                    told_revision=message.revision,
+                )
             )
 
     def _note_list(self, *, available: bool, detail: str = "") -> None:
@@ -102,4 +128,5 @@
         zone=vm.zone,
         role=vm.role,
         leaving=vm.state == _STATE_LEAVING,
+        serves=vm.serves,
     )
--- a/packages/cardamomnotch-platform/src/cardamomnotch_platform/vm_list/client.py
+++ b/packages/cardamomnotch-platform/src/cardamomnotch_platform/vm_list/client.py
@@ -15,13 +15,17 @@
 
 @attrs.frozen(kw_only=True)
 class ListedVm:
-    """A VM as the platform lists it; ``address`` is "ip:port"."""
+    """A VM as the platform lists it; ``address`` is "ip:port".
+
+    ``serves`` may name the models, versions or services it is meant for.
+    """
 
     vm_id: str
     address: str
     zone: str
     role: str
     state: str = "live"
+    serves: tuple[str, ...] = ()
 
 
 @attrs.frozen
--- a/packages/cardamomnotch-protocol/src/cardamomnotch_protocol/models.py
+++ b/packages/cardamomnotch-protocol/src/cardamomnotch_protocol/models.py
@@ -205,6 +205,8 @@
     versions: tuple[str, ...] = ()
     services: tuple[str, ...] = ()
     load: Load = Load()
+    # Time that the sidecar asks each entry to leave between heartbeats.
+    heartbeat_after_s: float = 1.0
 
 
 @_message("configuration")
@@ -234,3 +236,30 @@
     entry_id: str
     entry_address: str
     revision: int
+
+
+@attrs.frozen(kw_only=True)
+class ChangedPart:
+    """An entry of a list, by name, or a whole table, which has no name.
+
+    No value means that the entry was removed.
+    """
+
+    section: str
+    name: str = ""
+    value: Mapping[str, Any] | None = None
+
+
+@_message("configuration_changes")
+@attrs.frozen(kw_only=True)
+class ConfigurationChanges(Message):
+    """What leads from one revision of the operators' lists to another.
+
+    ``digest`` is that of the whole document that results.
+    """
+
+    based_on: int
+    revision: int
+    change_id: str
+    digest: str
+    parts: tuple[ChangedPart, ...] = ()
--- /dev/null
+++ b/tests/core/membership/test_woken_nodes.py
@@ -0,0 +1,129 @@
+"""Nodes that were paused do not act on what they knew before."""
+
+import random
+
+import pytest
+
+from cardamomnotch_core.admission.limiter import ConcurrencyLimiter
+from cardamomnotch_core.attempts.entry_table import CallerRequest
+from cardamomnotch_core.configuration.models import (
+    Configuration,
+    ConfigurationRecord,
+    Model,
+    Plan,
+    PlanModel,
+    Version,
+    Workspace,
+)
+from cardamomnotch_core.membership.models import Vm
+from cardamomnotch_core.nodes import actions, events
+from cardamomnotch_core.nodes.entry_node import EntryNode
+from cardamomnotch_core.nodes.identity import EntryIdentity, SidecarIdentity
+from cardamomnotch_core.nodes.sidecar_node import SidecarNode
+from cardamomnotch_protocol.models import AttemptRequest
+from cardamomnotch_protocol.result_codes import ResultCode
+
+_LISTS = Configuration(
+    models=(Model(name="m", versions=(Version(name="v", cost_per_1k_tokens=1.0),)),),
+    plans=(Plan(name="p", models=(PlanModel(model="m"),)),),
+    workspaces=(Workspace(name="w", plan="p", key_digests=("d",)),),
+)
+_OFFER = events.ConfigurationOffered(
+    record=ConfigurationRecord(revision=1, change_id="c", configuration=_LISTS),
+    source="the store",
+)
+_ATTEMPT = AttemptRequest(
+    attempt_id="a-1",
+    request_id="a",
+    request_key="w:a",
+    workspace="w",
+    incarnation="i",
+    revision=1,
+    timeout_ms=1000,
+    entry_address="10.0.0.9:1",
+    model="m",
+    version="v",
+)
+_PEER = Vm(vm_id="entry-1", address="10.0.0.9:1", zone="a", role="entry")
+_CALL = events.RequestArrived(
+    request=CallerRequest(request_id="r", key_digest="d", model="m")
+)
+
+
+@pytest.fixture
+def sidecar():
+    """Return a sidecar that was paused from 1 s to 60 s."""
+    node = SidecarNode(
+        SidecarIdentity(vm_id="u", zone="a", incarnation="i"),
+        ConcurrencyLimiter(limit=2),
+    )
+    node.handle(_OFFER, 0.0)
+    node.handle(events.UpstreamReported(start_id="s", versions=("m/v",)), 0.0)
+    node.handle(events.TimerDue(), 1.0)
+    return node
+
+
+@pytest.fixture
+def entry():
+    """Return an entry with one peer that was paused from 1 s to 60 s."""
+    node = EntryNode(
+        EntryIdentity(vm_id="entry-0", zone="a", inner_address="10.0.0.8:1"),
+        random.Random(1),
+    )
+    node.handle(_OFFER, 0.0)
+    node.handle(events.VmListReceived(vms=(_PEER,)), 0.0)
+    node.handle(_peer_told(0.0), 0.0)
+    node.handle(events.TimerDue(), 1.0)
+    return node
+
+
+def _peer_told(asked_at_s):
+    return events.PeerTold(
+        vm_id="entry-1", address=_PEER.address, revision=1, asked_at_s=asked_at_s
+    )
+
+
+def _arrives(node, now_s, *, caught_up=False):
+    event = events.AttemptArrived(request=_ATTEMPT, caught_up=caught_up)
+    return node.handle(event, now_s)[0]
+
+
+@pytest.mark.parametrize("timer_first", [True, False], ids=["timer", "attempt"])
+def test_woken_sidecar_asks_before_it_accepts(sidecar, timer_first):
+    """An attempt that waited through the pause is checked against the entry."""
+    if timer_first:
+        sidecar.handle(events.TimerDue(), 60.0)
+    assert isinstance(_arrives(sidecar, 60.0), actions.FetchConfiguration)
+    confirmed = events.ConfigurationConfirmed(
+        revision=1, source="entry", asked_at_s=60.0
+    )
+    sidecar.handle(confirmed, 60.1)
+    assert isinstance(_arrives(sidecar, 60.1, caught_up=True), actions.AcceptAttempt)
+
+
+def test_woken_sidecar_that_nobody_answers_refuses(sidecar):
+    """Without an answer the attempt is refused, and has not run."""
+    sidecar.handle(events.TimerDue(), 60.0)
+    refused = _arrives(sidecar, 60.1, caught_up=True)
+    assert isinstance(refused, actions.RefuseAttempt)
+    assert refused.message.code is ResultCode.REVISION_BEHIND
+
+
+def _code(node, now_s):
+    action = node.handle(_CALL, now_s)[0]
+    assert isinstance(action, actions.RefuseRequest)
+    return action.code
+
+
+def test_woken_entry_serves_once_somebody_has_answered(entry):
+    """Callers are refused until an answer asked since the pause has come."""
+    assert _code(entry, 60.0) is ResultCode.NOT_READY
+    asked = entry.handle(events.TimerDue(), 60.0)
+    assert any(isinstance(item, actions.TellPeer) for item in asked)
+    assert any(isinstance(item, actions.RefreshConfiguration) for item in asked)
+    entry.handle(_peer_told(1.0), 60.1)
+    assert not entry.is_ready
+    assert _code(entry, 60.1) is ResultCode.NOT_READY
+    entry.handle(_peer_told(60.0), 60.2)
+    assert entry.is_ready
+    assert _code(entry, 60.2) is ResultCode.NO_UPSTREAM
--- a/tests/entry/test_configuration_spread.py
+++ b/tests/entry/test_configuration_spread.py
@@ -1,9 +1,18 @@
 """How a revision reaches processes that the store does not."""
 
+import attrs
 import pytest
 
 from cardamomnotch_core.configuration.belief import BeliefState
 from cardamomnotch_core.configuration.marks import MarkKind, set_mark
+from cardamomnotch_protocol import codec
+from cardamomnotch_protocol.const import PATH_CONFIGURATION
+from cardamomnotch_protocol.models import (
+    ConfigurationChanges,
+    ConfigurationMessage,
+    ConfigurationReply,
+)
+from cardamomnotch_runtime import configuration
 from cardamomnotch_runtime.tasks import async_wait_until
 
 from tests.fixtures.in_process import InProcessSystem
@@ -124,5 +133,36 @@
     _put_changed(fleet, 2)
     message = fleet.store.entries[b"cardamomnotch/configuration"]["value"]
     gate = fleet.gates["engine-0"]
-    await fleet.async_post_inner(gate, "/inner/v1/configuration", message)
+    await fleet.async_call_inner(gate, PATH_CONFIGURATION, message)
+    assert await async_wait_until(lambda: _everywhere(fleet, 2), _IN_FORCE_WITHIN_S)
+
+
+@pytest.mark.parametrize(
+    ("known", "answer"),
+    [
+        pytest.param(1, ConfigurationChanges, id="logged revision"),
+        pytest.param(2, ConfigurationReply, id="same revision"),
+        pytest.param(0, ConfigurationMessage, id="nothing known"),
+        pytest.param("x", ConfigurationMessage, id="unreadable"),
+    ],
+)
+@pytest.mark.parametrize("part", ["entry-0", "engine-0"])
+async def test_answer_holds_no_more_than_is_lacking(fleet, part, known, answer):
+    """Entries and sidecars send changes, whole documents only when needed."""
+    _put_changed(fleet, 2)
+    assert await async_wait_until(lambda: _everywhere(fleet, 2), _IN_FORCE_WITHIN_S)
+    found = fleet.entries.get(part) or fleet.gates[part]
+    path = f"{PATH_CONFIGURATION}?revision={known}"
+    frame = codec.decode(await fleet.async_call_inner(found, path))
+    assert isinstance(frame.message, answer)
+
+
+async def test_broken_changes_are_replaced_by_the_whole(fleet, monkeypatch):
+    """Changes whose digest does not match lead to the whole document."""
+
+    def broken(message, _):
+        return attrs.evolve(message, digest="0" * 64)
+
+    monkeypatch.setattr(configuration, "message_from_changes", broken)
+    _put_changed(fleet, 2)
     assert await async_wait_until(lambda: _everywhere(fleet, 2), _IN_FORCE_WITHIN_S)
