--- a/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/entry_node.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/entry_node.py
@@ -13,6 +13,7 @@
 from ..configuration.holder import ConfigurationHolder
 from ..membership.models import Upstream
 from ..membership.table import UpstreamTable
+from ..routing.observer import AttemptObserver
 from ..routing.router import Router
 from . import actions, events
 from .actions import Action
@@ -30,11 +31,13 @@
         self._configuration = ConfigurationHolder()
         self._follower = ConfigurationFollower(identity.vm_id, self._configuration)
         self._upstreams = UpstreamTable(identity.vm_id, identity.zone)
+        router = Router(identity.zone, self._upstreams, random_source)
+        self._observer = AttemptObserver(router, self._upstreams)
         self._requests = RequestFlow(
             identity,
             configuration=self._configuration,
             upstreams=self._upstreams,
-            router=Router(identity.zone, random_source),
+            router=router,
         )
         self._draining = False
 
@@ -102,6 +105,7 @@
         followed = self._follower.follow(event, now_s)
         if self._configuration.revision == former:
             return followed
+        self._observer.observe(event, (), now_s)
         told = [actions.SendHeartbeat(vm_id=item.vm_id) for item in self.upstreams]
         return [*followed, *told]
 
@@ -119,6 +123,7 @@
     def _(self, event: events.VmListReceived, now_s: float) -> list[Action]:
         followed = self._follower.follow(event, now_s)
         unknown = self._upstreams.take_vm_list(event.vms, self._served_names())
+        self._observer.observe(event, (), now_s)
         return [*followed, *(actions.SendHeartbeat(vm_id=item) for item in unknown)]
 
     def _served_names(self) -> tuple[str, ...]:
@@ -149,6 +154,7 @@
             asked_at_s=event.asked_at_s,
             told_revision=event.told_revision,
         )
+        self._observer.observe(event, (), now_s)
         revision = event.reply.revision
         if known.told_revision > revision:
             # It was told before and has not fetched, so it is sent.
@@ -159,6 +165,7 @@
     @handle.register
     def _(self, event: events.HeartbeatFailed, now_s: float) -> list[Action]:
         self._upstreams.mark_unreachable(event.vm_id)
+        self._observer.observe(event, (), now_s)
         return []
 
     @handle.register
@@ -172,12 +179,15 @@
                     retry_after_s=DEFAULT_RETRY_AFTER_S,
                 )
             ]
-        return self._requests.handle(event, now_s)
+        return self._serve(event, now_s)
 
     @handle.register(events.CallerGone)
     @handle.register(events.AttemptAnswered)
     @handle.register(events.AttemptTurnedDown)
     @handle.register(events.AttemptEnded)
     @handle.register(events.AttemptLost)
-    def _(self, event: Event, now_s: float) -> list[Action]:
-        return self._requests.handle(event, now_s)
+    @handle.register(events.AttemptFenced)
+    def _serve(self, event: Event, now_s: float) -> list[Action]:
+        result = self._requests.handle(event, now_s)
+        self._observer.observe(event, result, now_s)
+        return result
