--- a/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/events.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/events.py
@@ -171,6 +171,10 @@
     detail: str = ""
     usage: Usage = Usage()
     first_token_ms: float = 0.0
+    # The connection broke or was refused, so the upstream may have restarted.
+    connection_lost: bool = False
+    # How long the upstream asks to be left alone.
+    retry_after_s: float = 0.0
 
 
 @attrs.frozen(kw_only=True)
