--- a/packages/cardamomnotch-core/src/cardamomnotch_core/configuration/deltas.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/configuration/deltas.py
@@ -22,7 +22,7 @@
 ) -> tuple[ChangedPart, ...] | None:
     """Return what turns ``former`` into ``current``; None if it takes all.
 
-    Parts are whole entries of a list, by name, or whole tables.
+    Parts are whole entries of a list, by name, or whole sections.
     """
     parts: list[ChangedPart] = []
     for section in {**former, **current}:
@@ -35,9 +35,9 @@
 def _section_parts(section: str, former: Any, current: Any) -> list[ChangedPart]:
     if former == current:
         return []
-    if not isinstance(current, Sequence):
+    if not _is_named(former or ()) or not _is_named(current or ()):
         return [ChangedPart(section=section, value=current)]
-    known, wanted = _by_name(former or ()), _by_name(current)
+    known, wanted = _by_name(former or ()), _by_name(current or ())
     removed = [
         ChangedPart(section=section, name=name) for name in known.keys() - wanted
     ]
@@ -49,6 +49,12 @@
     return removed + changed
 
 
+def _is_named(entries: Any) -> bool:
+    return not isinstance(entries, Mapping) and all(
+        isinstance(entry, Mapping) and "name" in entry for entry in entries
+    )
+
+
 def _by_name(entries: Sequence[Mapping[str, Any]]) -> dict[str, Mapping[str, Any]]:
     return {entry["name"]: entry for entry in entries}
 
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/actions.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/actions.py
@@ -25,6 +25,8 @@
     vm_id: str
     address: str
     message: AttemptRequest
+    # Whether the version misses the class's target, which the answer says.
+    below_target: bool = False
 
 
 @attrs.frozen(kw_only=True)
@@ -136,19 +138,6 @@
     reason: str
 
 
-@attrs.frozen(kw_only=True)
-class TellPeer(Action):
-    """Exchange revisions with another entry."""
-
-    vm_id: str
-    address: str
-
-
-@attrs.frozen(kw_only=True)
-class RefreshConfiguration(Action):
-    """Read the lists from the store now, not when the watch is due."""
-
-
 @attrs.frozen(kw_only=True)
 class FenceAttempt(Action):
     """Ask a sidecar whether the attempt started, and that it never will."""
@@ -166,3 +155,24 @@
 
     address: str
     message: AttemptRequest
+
+
+@attrs.frozen(kw_only=True)
+class BlameAttempt(Action):
+    """Tell the attempt's entry that the upstream crashed under it."""
+
+    attempt_id: str
+    co_suspects: tuple[str, ...]
+
+
+@attrs.frozen(kw_only=True)
+class TellPeer(Action):
+    """Exchange revisions with another entry."""
+
+    vm_id: str
+    address: str
+
+
+@attrs.frozen(kw_only=True)
+class RefreshConfiguration(Action):
+    """Read the lists from the store now, not when the watch is due."""
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/entry_node.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/entry_node.py
@@ -13,6 +13,9 @@
 from ..configuration.holder import ConfigurationHolder
 from ..membership.models import Upstream
 from ..membership.table import UpstreamTable
+from ..quality.book import QualityBook
+from ..quarantine.book import QuarantineBook
+from ..rollout.flow import EvidenceFlow
 from ..routing.observer import AttemptObserver
 from ..routing.router import Router
 from . import actions, events
@@ -25,19 +28,30 @@
 class EntryNode:
     """Turns events into actions; holds no socket and reads no clock."""
 
-    def __init__(self, identity: EntryIdentity, random_source: random.Random) -> None:
+    def __init__(
+        self,
+        identity: EntryIdentity,
+        random_source: random.Random,
+        wall_offset_s: float = 0.0,
+    ) -> None:
         self._identity = identity
         self._random = random_source
         self._configuration = ConfigurationHolder()
         self._follower = ConfigurationFollower(identity.vm_id, self._configuration)
         self._upstreams = UpstreamTable(identity.vm_id, identity.zone)
-        router = Router(identity.zone, self._upstreams, random_source)
-        self._observer = AttemptObserver(router, self._upstreams)
+        quality = QualityBook()
+        self._router = Router(identity.zone, self._upstreams, random_source, quality)
+        self._evidence = EvidenceFlow(
+            self._configuration, quality, self._router.rankings, random_source
+        )
+        self._observer = AttemptObserver(self._router, self._upstreams)
+        self._quarantine = QuarantineBook(self._configuration, wall_offset_s)
         self._requests = RequestFlow(
             identity,
             configuration=self._configuration,
             upstreams=self._upstreams,
-            router=router,
+            router=self._router,
+            quarantine=self._quarantine,
         )
         self._draining = False
 
@@ -64,6 +78,11 @@
         """Return the upstream on ``vm_id``."""
         return self._upstreams.get(vm_id)
 
+    @property
+    def evidence(self) -> EvidenceFlow:
+        """Return the ratings pooled with other entries."""
+        return self._evidence
+
     @property
     def requests_in_flight(self) -> int:
         """Return how many requests are being served."""
@@ -91,7 +110,11 @@
             "ready": self.is_ready,
             "requests_in_flight": len(self._requests),
             "vms_listed": self._upstreams.listed,
+            "suspects": list(self._requests.suspects.fingerprints),
+            "quarantined": list(self._quarantine.fingerprints),
             "upstreams": [attrs.asdict(item) for item in self.upstreams],
+            "routing": self._router.diagnostics(),
+            "rollout": self._evidence.diagnostics(),
         }
 
     @singledispatchmethod
@@ -105,9 +128,13 @@
         followed = self._follower.follow(event, now_s)
         if self._configuration.revision == former:
             return followed
+        self._requests.suspects.take_listed(
+            self._configuration.record.configuration, now_s
+        )
         self._observer.observe(event, (), now_s)
+        follow_up = self._evidence.handle(event, now_s)
         told = [actions.SendHeartbeat(vm_id=item.vm_id) for item in self.upstreams]
-        return [*followed, *told]
+        return [*followed, *told, *follow_up]
 
     @handle.register
     def _(self, event: events.DrainStarted, now_s: float) -> list[Action]:
@@ -117,13 +144,22 @@
     @handle.register
     def _(self, event: events.TimerDue, now_s: float) -> list[Action]:
         self._upstreams.expire(now_s)
-        return self._follower.follow(event, now_s)
+        self._requests.suspects.expire(now_s)
+        return [
+            *self._follower.follow(event, now_s),
+            *self._evidence.handle(event, now_s),
+        ]
+
+    @handle.register
+    def _(self, event: events.AnswerRated, now_s: float) -> list[Action]:
+        return self._evidence.handle(event, now_s)
 
     @handle.register
     def _(self, event: events.VmListReceived, now_s: float) -> list[Action]:
         followed = self._follower.follow(event, now_s)
         unknown = self._upstreams.take_vm_list(event.vms, self._served_names())
         self._observer.observe(event, (), now_s)
+        self._evidence.handle(event, now_s)
         return [*followed, *(actions.SendHeartbeat(vm_id=item) for item in unknown)]
 
     def _served_names(self) -> tuple[str, ...]:
@@ -154,8 +190,14 @@
             asked_at_s=event.asked_at_s,
             told_revision=event.told_revision,
         )
+        self._requests.suspects.take_reported(event.vm_id, event.reply.suspects, now_s)
         self._observer.observe(event, (), now_s)
-        revision = event.reply.revision
+        return [
+            *self._evidence.handle(event, now_s),
+            *self._bring_up_to_date(known, event.reply.revision),
+        ]
+
+    def _bring_up_to_date(self, known: Upstream, revision: int) -> list[Action]:
         if known.told_revision > revision:
             # It was told before and has not fetched, so it is sent.
             return [actions.SendConfiguration(vm_id=known.vm_id, address=known.address)]
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/events.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/events.py
@@ -122,6 +122,8 @@
     usage: Usage = Usage()
     load: Load = Load()
     started: bool = True
+    # Fingerprints in flight when the upstream crashed under the attempt.
+    co_suspects: tuple[str, ...] = ()
 
 
 @attrs.frozen(kw_only=True)
@@ -191,6 +193,36 @@
     """The upstream did not tell its load."""
 
 
+@attrs.frozen(kw_only=True)
+class AnswerRated(Event):
+    """The rating service scored a whole answer, from 0 to 1.
+
+    ``version`` is "model/version"; ``vm_id`` the upstream that answered.
+    """
+
+    request_id: str
+    vm_id: str
+    version: str
+    request_class: str
+    score: float
+
+
+@attrs.frozen(kw_only=True)
+class AttemptFenced(Event):
+    """A sidecar told whether an attempt has started; it cannot any more."""
+
+    request_id: str
+    attempt_id: str
+    state: AttemptState
+
+
+@attrs.frozen(kw_only=True)
+class UpstreamConnectionBroke(Event):
+    """A call's connection broke; the upstream will be asked why."""
+
+    attempt_id: str
+
+
 @attrs.frozen(kw_only=True)
 class StoreAnswered(Event):
     """The store told the revision of the lists; 0 means that it has none.
@@ -225,12 +257,3 @@
     revision: int
     source: str
     asked_at_s: float
-
-
-@attrs.frozen(kw_only=True)
-class AttemptFenced(Event):
-    """A sidecar told whether an attempt has started; it cannot any more."""
-
-    request_id: str
-    attempt_id: str
-    state: AttemptState
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/sidecar_node.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/sidecar_node.py
@@ -11,6 +11,8 @@
     AttemptRequest,
     FenceReply,
     HeartbeatReply,
+    HeartbeatRequest,
+    RatingTotals,
 )
 
 from ..admission.const import MAX_RETRY_AFTER_S
@@ -23,6 +25,9 @@
 from ..configuration.holder import ConfigurationHolder
 from ..membership.entries import EntryTable
 from ..membership.pauses import PauseWatch
+from ..quality.evidence import SidecarEvidence
+from ..quarantine.book import QuarantineBook
+from ..quarantine.watch import CrashWatch
 from . import actions, events
 from .actions import Action
 from .events import Event
@@ -32,7 +37,12 @@
 class SidecarNode:
     """Turns events into actions; holds no socket and reads no clock."""
 
-    def __init__(self, identity: SidecarIdentity, limiter: ConcurrencyLimiter) -> None:
+    def __init__(
+        self,
+        identity: SidecarIdentity,
+        limiter: ConcurrencyLimiter,
+        wall_offset_s: float = 0.0,
+    ) -> None:
         self._identity = identity
         self._limiter = limiter
         self._attempts = AttemptTable()
@@ -40,8 +50,18 @@
         self._entries = EntryTable()
         self._pauses = PauseWatch()
         self._draining = False
+        self._evidence = SidecarEvidence()
         self._upstream = UpstreamHealth(reachable=bool(identity.services))
-        self._gate = Gate(identity, self._configuration, limiter, self._upstream)
+        self._quarantine = QuarantineBook(self._configuration, wall_offset_s)
+        self._crashes = CrashWatch(self._quarantine)
+        self._gate = Gate(
+            identity,
+            self._configuration,
+            limiter,
+            self._upstream,
+            crashes=self._crashes,
+            quarantine=self._quarantine,
+        )
 
     @property
     def configuration(self) -> ConfigurationHolder:
@@ -76,6 +96,7 @@
                 "versions": list(self._upstream.versions),
             },
             "load": attrs.asdict(self._limiter.load),
+            "quarantined": list(self._quarantine.fingerprints),
             "warmth": self._limiter.warmth.value,
             "attempts_running": list(self._attempts.running_ids),
             "attempts_remembered": len(self._attempts),
@@ -96,6 +117,7 @@
         self._pauses.confirm(event.asked_at_s)
         if not self._configuration.offer(event.record):
             return []
+        self._crashes.take_listed(event.record.configuration, now_s)
         return [
             actions.ReportChange(
                 text=f"revision {event.record.revision} in force from {event.source}"
@@ -117,14 +139,25 @@
     @handle.register
     def _(self, event: events.HeartbeatArrived, now_s: float) -> list[Action]:
         self._entries.take(event.request.entry_id, now_s)
-        reply = actions.ReplyToHeartbeat(message=self._heartbeat_reply())
+        message = attrs.evolve(
+            self._heartbeat_reply(now_s),
+            ratings=self._pool_ratings(event.request, now_s),
+        )
+        reply = actions.ReplyToHeartbeat(message=message)
         behind = event.request.revision > self._configuration.revision
         if not behind and not self._pauses.in_doubt(now_s):
             return [reply]
         fetch = actions.FetchConfiguration(address=event.request.entry_address)
         return [reply, fetch]
 
-    def _heartbeat_reply(self) -> HeartbeatReply:
+    def _pool_ratings(
+        self, request: HeartbeatRequest, now_s: float
+    ) -> tuple[RatingTotals, ...]:
+        record = self._configuration.record
+        out = record.configuration.marks.versions_out if record else ()
+        return self._evidence.exchange(request.entry_epoch, request.ratings, out, now_s)
+
+    def _heartbeat_reply(self, now_s: float) -> HeartbeatReply:
         return HeartbeatReply(
             vm_id=self._identity.vm_id,
             zone=self._identity.zone,
@@ -135,6 +168,7 @@
             services=self._identity.services,
             load=self._limiter.load,
             heartbeat_after_s=self._entries.heartbeat_after_s,
+            suspects=self._crashes.reported(now_s),
         )
 
     @handle.register
@@ -164,6 +198,7 @@
         except CardamomnotchError as error:
             return [self._refusal(request, error)]
         self._attempts.start(request.attempt_id)
+        self._crashes.start(request, self._upstream.start_id, now_s)
         return [actions.AcceptAttempt(message=request)]
 
     def _refusal(self, request: AttemptRequest, error: CardamomnotchError) -> Action:
@@ -186,7 +221,22 @@
             self._upstream.busy_until_s = now_s + min(
                 MAX_RETRY_AFTER_S, event.retry_after_s
             )
+        together = self._crashes.end(
+            event.attempt_id,
+            connection_lost=event.connection_lost,
+            start_id=self._upstream.start_id if self._upstream.reachable else "",
+            now_s=now_s,
+        )
         self._attempts.finish(event.attempt_id, event.code, event.usage, now_s)
+        if not together:
+            return []
+        blame = actions.BlameAttempt(attempt_id=event.attempt_id, co_suspects=together)
+        return [blame]
+
+    @handle.register
+    def _(self, event: events.UpstreamConnectionBroke, now_s: float) -> list[Action]:
+        self._crashes.note_break(event.attempt_id)
+        self._limiter.note_restart(event.attempt_id)
         return []
 
     @handle.register
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/composition.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/composition.py
@@ -9,6 +9,8 @@
 from cardamomnotch_core.nodes import events
 from cardamomnotch_core.nodes.entry_node import EntryNode
 from cardamomnotch_core.nodes.identity import EntryIdentity
+from cardamomnotch_core.sessions.token import SessionSigner, derived_keys
+from cardamomnotch_platform.rating.client import RatingClient
 from cardamomnotch_platform.store.client import StoreClient
 from cardamomnotch_platform.vm_list.client import VmListClient
 from cardamomnotch_runtime.admin import create_admin_app
@@ -31,6 +33,8 @@
 from .lists.coordinator import ListsCoordinator
 from .metrics import EntryMetrics
 from .peers.coordinator import PeersCoordinator
+from .ratings.coordinator import RatingCoordinator
+from .sessions.caller_sessions import CallerSessions
 from .settings import EntrySettings
 
 
@@ -51,7 +55,11 @@
             zone=settings.node.zone,
             inner_address=settings.node.inner_address,
         )
-        self._node = EntryNode(self._identity, self._random)
+        self._node = EntryNode(
+            self._identity,
+            self._random,
+            wall_offset_s=time.time() - time.monotonic(),
+        )
         self._runner = NodeRunner(self._node, time.monotonic)
 
     @property
@@ -65,7 +73,11 @@
         inner_session = self._open_session(
             inner_headers(self._settings.node.inner_keys)
         )
-        callers = CallerServer(self._node, self._runner)
+        session_keys = self._settings.sessions.keys or derived_keys(
+            self._settings.node.inner_keys
+        )
+        sessions = CallerSessions(SessionSigner(session_keys), self._node.configuration)
+        callers = CallerServer(self._node, self._runner, sessions)
         fresh_session = self._open_session(
             inner_headers(self._settings.node.inner_keys), reuse=False
         )
@@ -92,6 +104,7 @@
             HttpServer(inner_app, self._inner_socket),
             HttpServer(admin_app, self._admin_socket),
         ]
+        self._start_ratings(platform_session, callers)
         for server in self._servers:
             await server.async_start()
         self._start_coordinators(platform_session, inner_session)
@@ -108,6 +121,22 @@
             clock=time.monotonic,
         )
 
+    def _start_ratings(
+        self, session: aiohttp.ClientSession, callers: CallerServer
+    ) -> None:
+        url = self._settings.platform.rating_url
+        if not url:
+            return
+        RatingCoordinator(
+            client=RatingClient(session, url),
+            node=self._node,
+            runner=self._runner,
+            callers=callers,
+            tasks=self._tasks,
+            random_source=self._random,
+            share=self._settings.ratings.share,
+        )
+
     def _start_coordinators(
         self,
         platform_session: aiohttp.ClientSession,
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/inner/attempt_client.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/inner/attempt_client.py
@@ -29,6 +29,7 @@
     ATTEMPT_CONNECT_S,
     ATTEMPT_SILENCE_S,
     FENCE_LIMIT_S,
+    HEADER_BELOW_TARGET,
     HEARTBEAT_TIMEOUT_S,
     REATTACH_LIMIT_S,
     REATTACH_PAUSE_S,
@@ -77,8 +78,11 @@
 
     def _start(self, action: actions.StartAttempt) -> None:
         exchange = self._callers.exchange(action.message.request_id)
-        if exchange is not None:
-            self._tasks.start(self._async_attempt(action, exchange, rejoin=False))
+        if exchange is None:
+            return
+        if action.below_target:
+            exchange.restart_answer({HEADER_BELOW_TARGET: "true"})
+        self._tasks.start(self._async_attempt(action, exchange, rejoin=False))
 
     def _rejoin(self, action: actions.RejoinAttempt) -> None:
         exchange = self._callers.exchange(action.message.request_id)
--- a/packages/cardamomnotch-protocol/src/cardamomnotch_protocol/models.py
+++ b/packages/cardamomnotch-protocol/src/cardamomnotch_protocol/models.py
@@ -54,6 +54,18 @@
     completion_tokens: int = 0
 
 
+@attrs.frozen(kw_only=True)
+class RatingTotals:
+    """Sums of ratings of a version's answers for one request class."""
+
+    version: str
+    request_class: str = ""
+    ratings: int = 0
+    score_sum: float = 0.0
+    # Ratings under the class's bound.
+    bad: int = 0
+
+
 @_message("attempt_request")
 @attrs.frozen(kw_only=True)
 class AttemptRequest(Message):
@@ -85,6 +97,8 @@
     fingerprint: str = ""
     # Crashes in which this request was already a suspect.
     suspected_crashes: int = 0
+    # Fingerprints that were in flight with it at those crashes.
+    co_suspects: tuple[str, ...] = ()
 
 
 @_message("attempt_accepted")
@@ -156,6 +170,8 @@
     load: Load = Load()
     # Whether the upstream may have run the request.
     started: bool = True
+    # Fingerprints in flight when the upstream crashed under this attempt.
+    co_suspects: tuple[str, ...] = ()
 
 
 @_message("fence_request")
@@ -189,6 +205,9 @@
     entry_id: str
     entry_address: str
     revision: int
+    # New with each start of the entry; names whose sums the ratings are.
+    entry_epoch: str = ""
+    ratings: tuple[RatingTotals, ...] = ()
 
 
 @_message("heartbeat_reply")
@@ -207,6 +226,10 @@
     load: Load = Load()
     # Time that the sidecar asks each entry to leave between heartbeats.
     heartbeat_after_s: float = 1.0
+    # Sums of the other entries' ratings of this upstream's answers.
+    ratings: tuple[RatingTotals, ...] = ()
+    # Fingerprints in flight at recent crashes of the upstream.
+    suspects: tuple[str, ...] = ()
 
 
 @_message("configuration")
@@ -247,7 +270,7 @@
 
     section: str
     name: str = ""
-    value: Mapping[str, Any] | None = None
+    value: Any = None
 
 
 @_message("configuration_changes")
--- a/packages/cardamomnotch-protocol/src/cardamomnotch_protocol/result_codes.py
+++ b/packages/cardamomnotch-protocol/src/cardamomnotch_protocol/result_codes.py
@@ -26,6 +26,7 @@
     DRAINING = 109
     CAPACITY_EXCEEDED = 110
     CALLER_GONE = 111
+    INVALID_SESSION = 112
     UNKNOWN_MODEL = 201
     MODEL_NOT_ALLOWED = 202
     NO_VERSION_IN_SERVICE = 203
@@ -52,6 +53,7 @@
     VERSION_NOT_LOADED = 316
     ATTEMPT_UNKNOWN = 317
     ATTEMPT_CANCELLED = 318
+    SUSPECT_BUSY = 319
     JOURNAL_UNAVAILABLE = 401
     KEY_EXPIRED = 402
     KEY_REUSED = 403
@@ -95,6 +97,7 @@
         (ResultCode.DRAINING, 503, "The process is stopping.", True),
         (ResultCode.CAPACITY_EXCEEDED, 429, "The plan's capacity is used up.", True),
         (ResultCode.CALLER_GONE, 408, "The caller closed the connection.", False),
+        (ResultCode.INVALID_SESSION, 400, "The session token is not valid.", False),
         (ResultCode.UNKNOWN_MODEL, 404, "The model is not in the catalogue.", False),
         (ResultCode.MODEL_NOT_ALLOWED, 403, "The plan excludes the model.", False),
         (ResultCode.NO_VERSION_IN_SERVICE, 503, "No version is in service.", True),
@@ -136,6 +139,12 @@
         (ResultCode.VERSION_NOT_LOADED, 503, "The engine lacks the version.", True),
         (ResultCode.ATTEMPT_UNKNOWN, 404, "The attempt is not known.", False),
         (ResultCode.ATTEMPT_CANCELLED, 503, "The attempt was cancelled.", True),
+        (
+            ResultCode.SUSPECT_BUSY,
+            503,
+            "The request waits for a verdict after an upstream crash.",
+            True,
+        ),
         (ResultCode.JOURNAL_UNAVAILABLE, 503, "The journal is unavailable.", True),
         (ResultCode.KEY_EXPIRED, 410, "The idempotency key has expired.", False),
         (ResultCode.KEY_REUSED, 422, "The key was used with another body.", False),
