Let operators rebase, wait for a change and see where it is in force

A writer whose answer was lost while others went on finds its change id among the former ones.

Seen to fail first: without the former ids, the overtaken writer was told that its accepted change was refused.

--- a/packages/cardamomnotch-core/src/cardamomnotch_core/configuration/deltas.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/configuration/deltas.py
@@ -24,12 +24,19 @@
 
     Parts are whole entries of a list, by name, or whole sections.
     """
-    parts: list[ChangedPart] = []
-    for section in {**former, **current}:
-        parts += _section_parts(section, former.get(section), current.get(section))
+    parts = list_changes(former, current)
     if len(parts) > MAX_CHANGED_PARTS:
         return None
-    return tuple(parts) if with_parts(former, parts) == current else None
+    return parts if with_parts(former, parts) == current else None
+
+
+def list_changes(former: _Document, current: _Document) -> tuple[ChangedPart, ...]:
+    """Return every entry that differs, whatever the order of the lists."""
+    return tuple(
+        part
+        for section in {**former, **current}
+        for part in _section_parts(section, former.get(section), current.get(section))
+    )
 
 
 def _section_parts(section: str, former: Any, current: Any) -> list[ChangedPart]:
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/cli/config.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/cli/config.py
@@ -1,5 +1,6 @@
 """Commands for the operators' lists."""
 
+import sys
 from pathlib import Path
 
 import attrs
@@ -10,9 +11,11 @@
 from cardamomnotch_core.configuration.exceptions import ConfigurationError
 from cardamomnotch_core.configuration.models import Configuration
 
+from ..lists.rebase import async_rebase
 from ..lists.writer import async_read_record, async_replace
 from .documents import load_configuration
-from .options import exit_with_error, run_command, settings_option
+from .fleet import async_wait_in_force
+from .options import EXIT_FAILED, exit_with_error, run_command, settings_option
 from .stores import async_open_store
 
 _FILE = click.argument("path", type=click.Path(path_type=Path))
@@ -42,11 +45,33 @@
 @_FILE
 @settings_option
 @click.option("--based-on", type=int, help="Revision that the file started from.")
-def apply(path: Path, settings_path: Path, based_on: int | None) -> None:
+@click.option(
+    "--rebase",
+    "base_path",
+    type=click.Path(path_type=Path),
+    help="Lists that PATH started from; only what differs is applied.",
+)
+@click.option("--wait", is_flag=True, help="Wait until it is in force everywhere.")
+@click.option("--wait-timeout", "timeout_s", default=30.0, show_default=True)
+def apply(
+    path: Path,
+    settings_path: Path,
+    based_on: int | None,
+    base_path: Path | None,
+    wait: bool,
+    timeout_s: float,
+) -> None:
     """Put the lists in PATH into the store."""
     configuration = _load(path)
-    revision = run_command(_async_apply(settings_path, configuration, based_on))
+    base = _load(base_path) if base_path else None
+    revision = run_command(
+        async_apply(settings_path, configuration, based_on=based_on, base=base)
+    )
     click.echo(f"revision {revision} accepted")
+    if wait and not run_command(
+        async_wait_in_force(settings_path, revision, timeout_s, click.echo)
+    ):
+        sys.exit(EXIT_FAILED)
 
 
 def _load(path: Path) -> Configuration:
@@ -68,10 +93,21 @@
     return orjson.dumps(document, option=orjson.OPT_INDENT_2).decode()
 
 
-async def _async_apply(
-    settings_path: Path, configuration: Configuration, based_on: int | None
+async def async_apply(
+    settings_path: Path,
+    configuration: Configuration,
+    *,
+    based_on: int | None = None,
+    base: Configuration | None = None,
 ) -> int:
+    """Return the accepted revision of ``configuration``.
+
+    With ``base``, what differs from it goes on top of whatever is accepted.
+    Raises RevisionConflictError that names the entries others have changed.
+    """
     async with async_open_store(settings_path) as store:
+        if base is not None:
+            return await async_rebase(store, configuration, base)
         # What entries have found out stays when operators apply a file.
         return await async_replace(
             store,
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/cli/inspection.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/cli/inspection.py
@@ -1,15 +1,18 @@
 """Commands that look into running processes."""
 
+from pathlib import Path
 from typing import Any
 
 import aiohttp
+import attrs
 import click
 import orjson
 
 from cardamomnotch_protocol.exceptions import CardamomnotchError
 from cardamomnotch_protocol.result_codes import ResultCode
 
-from .options import run_command
+from .fleet import ProcessStatus, async_fleet_status
+from .options import run_command, settings_option
 
 _TIMEOUT = aiohttp.ClientTimeout(total=5.0)
 
@@ -23,15 +26,27 @@
 
 
 @click.command()
-@click.argument("admin_addresses", nargs=-1, required=True)
-def status(admin_addresses: tuple[str, ...]) -> None:
-    """Print which revision is in force at entries and their upstreams."""
-    for address in admin_addresses:
-        data = run_command(_async_state(address))
-        identity = data["identity"]
-        click.echo(f"{identity['vm_id']} revision {data['revision']}")
-        for upstream in data.get("upstreams", ()):
-            click.echo(f"  {upstream['vm_id']} revision {upstream['revision']}")
+@settings_option
+@click.option("--json", "as_json", is_flag=True, help="Print JSON.")
+def status(settings_path: Path, as_json: bool) -> None:
+    """Print which revision is in force in every listed process."""
+    processes = run_command(async_fleet_status(settings_path))
+    if as_json:
+        data = [attrs.asdict(item) for item in processes]
+        click.echo(orjson.dumps(data, option=orjson.OPT_INDENT_2))
+        return
+    newest = max((item.revision or 0 for item in processes), default=0)
+    click.echo(f"newest revision {newest}")
+    for item in processes:
+        click.echo(_status_line(item, newest))
+
+
+def _status_line(item: ProcessStatus, newest: int) -> str:
+    line = f"{item.vm_id} {item.role} {item.zone} {item.state}"
+    if item.revision is None:
+        return f"{line} does not answer"
+    behind = "" if item.revision == newest else " BEHIND"
+    return f"{line} revision {item.revision}{behind}"
 
 
 async def _async_state(admin_address: str) -> dict[str, Any]:
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/cli/options.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/cli/options.py
@@ -13,7 +13,7 @@
 from cardamomnotch_runtime.settings import SettingsError
 
 _T = TypeVar("_T")
-_EXIT_FAILED = 1
+EXIT_FAILED = 1
 
 settings_option = click.option(
     "--settings",
@@ -37,4 +37,4 @@
     """Print one line and exit: 2 for bad input, 1 for a refused change."""
     sys.stderr.write(f"error: {error}\n")
     bad_input = isinstance(error, SettingsError) or hasattr(error, "problems")
-    sys.exit(EXIT_BAD_SETTINGS if bad_input else _EXIT_FAILED)
+    sys.exit(EXIT_BAD_SETTINGS if bad_input else EXIT_FAILED)
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/lists/writer.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/lists/writer.py
@@ -3,6 +3,8 @@
 import uuid
 from collections.abc import Callable
 
+import attrs
+
 from cardamomnotch_core.configuration.changes import ListsChange, apply_change
 from cardamomnotch_core.configuration.document import (
     configuration_from_document,
@@ -11,6 +13,7 @@
     record_from_message,
 )
 from cardamomnotch_core.configuration.models import Configuration, ConfigurationRecord
+from cardamomnotch_core.configuration.rebase import differing_paths
 from cardamomnotch_platform.exceptions import StoreError
 from cardamomnotch_platform.store.client import StoreClient
 from cardamomnotch_platform.store.configuration import (
@@ -18,8 +21,11 @@
     async_read_configuration,
     async_write_configuration,
 )
+from cardamomnotch_protocol.models import ConfigurationMessage
 
 _MAX_TRIES = 10
+# Later changes among which a writer still finds its own.
+_KEPT_CHANGE_IDS = 32
 
 
 async def async_read_record(store: StoreClient) -> ConfigurationRecord | None:
@@ -42,23 +48,54 @@
     current = record_from_message(stored.message) if stored.message else None
     revision = current.revision if current else 0
     if based_on is not None and based_on != revision:
-        raise RevisionConflictError(
-            f"the lists are at revision {revision}, not {based_on}"
-        )
-    edited = edit(current.configuration if current else Configuration())
+        raise _conflict(edit(_lists_of(current)), stored.message)
+    edited = edit(_lists_of(current))
     if current is not None and edited == current.configuration:
         # Another process made the same change; a revision spares nobody work.
         return revision
     record = ConfigurationRecord(
         revision=revision + 1, change_id=uuid.uuid4().hex, configuration=edited
     )
-    message = message_from_record(record)
+    message = attrs.evolve(
+        message_from_record(record),
+        former_change_ids=_former_change_ids(stored.message),
+    )
     try:
-        await async_write_configuration(store, message, stored.mod_revision)
+        await _async_write(store, message, stored.mod_revision)
+    except RevisionConflictError as error:
+        raise _conflict(edited, error.winner) from error
+    return record.revision
+
+
+async def _async_write(
+    store: StoreClient, message: ConfigurationMessage, mod_revision: int
+) -> None:
+    try:
+        await async_write_configuration(store, message, mod_revision)
     except StoreError:
         # The write may have taken effect before the answer was lost.
-        await async_write_configuration(store, message, stored.mod_revision)
-    return record.revision
+        await async_write_configuration(store, message, mod_revision)
+
+
+def _lists_of(record: ConfigurationRecord | None) -> Configuration:
+    return record.configuration if record else Configuration()
+
+
+def _conflict(
+    wanted: Configuration, winner: ConfigurationMessage | None
+) -> RevisionConflictError:
+    """Return the error that names what holds and where it differs."""
+    document = winner.document if winner else {}
+    paths = differing_paths(document, document_from_configuration(wanted))
+    revision = winner.revision if winner else 0
+    detail = f"revision {revision} was accepted first; {', '.join(paths)} differ"
+    return RevisionConflictError(detail, winner)
+
+
+def _former_change_ids(message: ConfigurationMessage | None) -> tuple[str, ...]:
+    if message is None:
+        return ()
+    return (message.change_id, *message.former_change_ids)[:_KEPT_CHANGE_IDS]
 
 
 async def async_make_change(store: StoreClient, change: ListsChange) -> int:
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/settings.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/settings.py
@@ -76,3 +76,5 @@
     """All tables of an operator's settings file."""
 
     platform: PlatformSettings
+    # Keys that processes accept, for commands that ask them.
+    inner_keys: tuple[str, ...] = attrs.field(default=(), repr=False)
--- a/packages/cardamomnotch-platform/src/cardamomnotch_platform/store/configuration.py
+++ b/packages/cardamomnotch-platform/src/cardamomnotch_platform/store/configuration.py
@@ -14,10 +14,14 @@
 
 
 class RevisionConflictError(CardamomnotchError):
-    """Another change was accepted first."""
+    """Another change was accepted first; ``winner`` is what holds now."""
 
     code = ResultCode.REVISION_CONFLICT
 
+    def __init__(self, detail: str, winner: ConfigurationMessage | None = None) -> None:
+        self.winner = winner
+        super().__init__(detail)
+
 
 @attrs.frozen(kw_only=True)
 class StoredConfiguration:
@@ -62,8 +66,11 @@
     if result.succeeded:
         return
     winner = read_entry(result.current).message
-    if winner is not None and winner.change_id == message.change_id:
+    if winner is not None and message.change_id in (
+        winner.change_id,
+        *winner.former_change_ids,
+    ):
         return
     raise RevisionConflictError(
-        f"revision {winner.revision if winner else 0} was accepted first"
+        f"revision {winner.revision if winner else 0} was accepted first", winner
     )
--- a/packages/cardamomnotch-protocol/src/cardamomnotch_protocol/models.py
+++ b/packages/cardamomnotch-protocol/src/cardamomnotch_protocol/models.py
@@ -241,6 +241,9 @@
     change_id: str
     digest: str
     document: Mapping[str, Any]
+    # The changes accepted before this one, latest first, for a writer whose
+    # answer was lost while others went on.
+    former_change_ids: tuple[str, ...] = ()
 
 
 @_message("configuration_reply")
@@ -272,6 +275,11 @@
     name: str = ""
     value: Any = None
 
+    @property
+    def path(self) -> str:
+        """Return where it stands in the document."""
+        return f"{self.section}[{self.name}]" if self.name else self.section
+
 
 @_message("configuration_changes")
 @attrs.frozen(kw_only=True)
