--- a/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/entry_node.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/entry_node.py
@@ -88,6 +88,10 @@
         """Return how many requests are being served."""
         return len(self._requests)
 
+    def is_serving(self, request_id: str) -> bool:
+        """Return whether the request is not ended yet."""
+        return self._requests.is_serving(request_id)
+
     @property
     def is_ready(self) -> bool:
         """Return whether the balancer should send callers here."""
@@ -192,8 +196,14 @@
         )
         self._requests.suspects.take_reported(event.vm_id, event.reply.suspects, now_s)
         self._observer.observe(event, (), now_s)
+        outcomes = (
+            [actions.FetchOutcomes(address=known.address)]
+            if event.reply.outcomes_due
+            else []
+        )
         return [
             *self._evidence.handle(event, now_s),
+            *outcomes,
             *self._bring_up_to_date(known, event.reply.revision),
         ]
 
@@ -229,6 +239,7 @@
     @handle.register(events.AttemptEnded)
     @handle.register(events.AttemptLost)
     @handle.register(events.AttemptFenced)
+    @handle.register(events.ClaimAnswered)
     def _serve(self, event: Event, now_s: float) -> list[Action]:
         result = self._requests.handle(event, now_s)
         self._observer.observe(event, result, now_s)
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/events.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/events.py
@@ -7,6 +7,7 @@
     FenceRequest,
     HeartbeatReply,
     HeartbeatRequest,
+    JournalResult,
     Load,
     Usage,
 )
@@ -216,6 +217,15 @@
     state: AttemptState
 
 
+@attrs.frozen(kw_only=True)
+class ClaimAnswered(Event):
+    """The journal told what became of a claim."""
+
+    request_id: str
+    attempt_id: str
+    result: JournalResult
+
+
 @attrs.frozen(kw_only=True)
 class UpstreamConnectionBroke(Event):
     """A call's connection broke; the upstream will be asked why."""
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/request_flow.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/request_flow.py
@@ -22,6 +22,7 @@
 from ..attempts.sidecar_table import AttemptState
 from ..configuration.holder import ConfigurationHolder
 from ..configuration.models import Configuration
+from ..journal.claim_flow import ClaimFlow, record_outcome, record_refusal
 from ..membership.table import UpstreamTable
 from ..quarantine.book import QuarantineBook
 from ..quarantine.changes import QuarantineChange
@@ -39,6 +40,7 @@
 # Refusals after which another upstream may still take the request.
 _ELSEWHERE = frozenset(
     (
+        ResultCode.JOURNAL_UNAVAILABLE,
         ResultCode.ATTEMPT_FENCED,
         ResultCode.INCARNATION_MISMATCH,
         ResultCode.REVISION_BEHIND,
@@ -54,6 +56,11 @@
     )
 )
 
+# Ends of attempts that another entry caused; their upstream may be used.
+_UPSTREAM_NOT_AT_FAULT = frozenset(
+    (ResultCode.ATTEMPT_FENCED, ResultCode.ATTEMPT_UNKNOWN)
+)
+
 
 class RequestFlow:
     """Decides which attempt a request is given, and how it ends."""
@@ -72,6 +79,7 @@
         self._upstreams = upstreams
         self._router = router
         self._requests = RequestTable()
+        self._claims = ClaimFlow(self._requests)
         self.suspects = SuspectTracker(
             quarantine, lambda request_id: self._requests.get(request_id) is not None
         )
@@ -80,6 +88,10 @@
         """Return how many requests are being served."""
         return len(self._requests)
 
+    def is_serving(self, request_id: str) -> bool:
+        """Return whether the request is not ended yet."""
+        return self._requests.get(request_id) is not None
+
     @singledispatchmethod
     def handle(self, event: Event, now_s: float) -> list[Action]:
         """Return the actions that follow from ``event``."""
@@ -143,8 +155,7 @@
                 now_s,
             )
         except CardamomnotchError as error:
-            self._requests.end(record.request.request_id)
-            return [_refusal(record, error)]
+            return self._end_refused(record, error)
         record = attrs.evolve(
             record,
             attempt_id=f"{record.request.request_id}-{record.attempts + 1}",
@@ -152,8 +163,10 @@
             route=route,
             state=RequestState.ATTEMPTING,
         )
+        start = self._start(record, route, now_s)
+        record = attrs.evolve(record, message=start.message)
         self._requests.put(record)
-        return [self._start(record, route, now_s)]
+        return [start] if route.idempotent else [self._claims.claim(record)]
 
     def _crashed_vms(self, record: RequestRecord, now_s: float) -> frozenset[str]:
         return self.suspects.crashed_vms(
@@ -214,12 +227,11 @@
             event.detail, code=event.code, retry_after_s=event.retry_after_s or None
         )
         may_go_on = record.attempts < MAX_ATTEMPTS_PER_REQUEST
+        record = attrs.evolve(record, replaces=event.attempt_id)
+        record = _note_tried(record, event.code)
         if event.code not in _ELSEWHERE or not may_go_on:
-            self._requests.end(event.request_id)
-            return [_refusal(record, error)]
-        return self._next_attempt(
-            attrs.evolve(record, tried=record.tried | {vm_id}), now_s
-        )
+            return self._end_refused(record, error)
+        return self._next_attempt(record, now_s)
 
     @handle.register
     def _(self, event: events.AttemptEnded, now_s: float) -> list[Action]:
@@ -231,7 +243,8 @@
             self.suspects.clear(_key_of(record))
             self._requests.end(event.request_id)
             return [
-                actions.CompleteRequest(request_id=event.request_id, usage=event.usage)
+                record_outcome(record, event.code, event.usage),
+                actions.CompleteRequest(request_id=event.request_id, usage=event.usage),
             ]
         if event.co_suspects:
             return self._after_crash(record, event, now_s)
@@ -267,7 +280,8 @@
         if record is None:
             return []
         upstream = record.route.upstream
-        self._upstreams.mark_unreachable(upstream.vm_id)
+        if event.code is not ResultCode.ATTEMPT_UNKNOWN:
+            self._upstreams.mark_unreachable(upstream.vm_id)
         error = CardamomnotchError(code=event.code)
         if not event.sent:
             return self._after_failure(record, error, now_s, started=False)
@@ -293,8 +307,7 @@
         if known and not record.route.idempotent and record.fences <= MAX_REJOINS:
             return [
                 actions.RejoinAttempt(
-                    address=record.route.upstream.address,
-                    message=self._start(record, record.route, now_s).message,
+                    address=record.route.upstream.address, message=record.message
                 )
             ]
         started = event.state is not AttemptState.NEVER_STARTED
@@ -310,20 +323,37 @@
         started: bool,
     ) -> list[Action]:
         """Retry what may be repeated, or end the request truthfully."""
-        record = attrs.evolve(
-            record,
-            maybe_ran=record.maybe_ran or started,
-            tried=record.tried | {record.route.upstream.vm_id},
-        )
+        record = attrs.evolve(record, maybe_ran=record.maybe_ran or started)
+        record = _note_tried(record, error.code)
         may_repeat = (
             (record.route.idempotent or not record.maybe_ran)
             and record.state is RequestState.ATTEMPTING
             and record.attempts < MAX_ATTEMPTS_PER_REQUEST
         )
+        if not started:
+            record = attrs.evolve(record, replaces=record.attempt_id)
         if may_repeat:
             return self._next_attempt(record, now_s)
+        return self._end_refused(record, error)
+
+    def _end_refused(
+        self, record: RequestRecord, error: CardamomnotchError
+    ) -> list[Action]:
+        """End the request with its final error, and tell the journal."""
         self._requests.end(record.request.request_id)
-        return [_refusal(record, error)]
+        return [*record_refusal(record), _refusal(record, error)]
+
+    @handle.register
+    def _(self, event: events.ClaimAnswered, now_s: float) -> list[Action]:
+        record = self._current(event.request_id, event.attempt_id)
+        if record is None or record.state is not RequestState.CLAIMING:
+            return []
+        try:
+            return self._claims.answered(record, event.result)
+        except CardamomnotchError as error:
+            # The former claim stays as it is: it is not this request's own.
+            self._requests.end(event.request_id)
+            return [_refusal(record, error)]
 
     @handle.register
     def _(self, event: events.CallerGone, now_s: float) -> list[Action]:
@@ -367,6 +397,13 @@
     return request_class.deadline_s if request_class else DEFAULT_DEADLINE_S
 
 
+def _note_tried(record: RequestRecord, code: ResultCode) -> RequestRecord:
+    """Return ``record`` with its present upstream among those not to try again."""
+    if code in _UPSTREAM_NOT_AT_FAULT:
+        return record
+    return attrs.evolve(record, tried=record.tried | {record.route.upstream.vm_id})
+
+
 def _refusal(record: RequestRecord, error: CardamomnotchError) -> Action:
     """Return the final answer to a request that is given up."""
     code, detail = error.code, error.detail
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/inner/attempt_client.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/inner/attempt_client.py
@@ -33,6 +33,7 @@
     HEARTBEAT_TIMEOUT_S,
     REATTACH_LIMIT_S,
     REATTACH_PAUSE_S,
+    REJOIN_PATIENCE_S,
 )
 from .follower import AttemptFollower
 
@@ -149,7 +150,7 @@
         follower = AttemptFollower(self._runner, exchange, action.message)
         try:
             if rejoin:
-                await self._async_reattach(action, follower)
+                await self._async_reattach(action, follower, REJOIN_PATIENCE_S)
             else:
                 await self._async_send(action, exchange.body, follower)
         except CallerGoneError:
@@ -178,8 +179,14 @@
         self,
         action: actions.StartAttempt | actions.RejoinAttempt,
         follower: AttemptFollower,
+        patience_s: float = 0.0,
     ) -> None:
-        """Follow the answer from where it stopped, over new connections."""
+        """Follow the answer from where it stopped, over new connections.
+
+        An attempt that the sidecar does not know may still be on its way for
+        ``patience_s`` seconds.
+        """
+        unknown_at_s = _now_s() + patience_s
         give_up_at_s = _now_s() + REATTACH_LIMIT_S
         while not follower.has_ended:
             offset = follower.offset
@@ -191,7 +198,9 @@
             try:
                 await _async_follow(call, follower)
             except AttemptForgottenError as error:
-                follower.lose(error.code)
+                if _now_s() >= unknown_at_s:
+                    follower.lose(error.code)
+                await asyncio.sleep(REATTACH_PAUSE_S)
             except _BROKEN:
                 if follower.offset > offset:
                     give_up_at_s = _now_s() + REATTACH_LIMIT_S
--- a/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/composition.py
+++ b/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/composition.py
@@ -21,6 +21,7 @@
 from cardamomnotch_runtime.tasks import TaskGroup, async_wait_until
 
 from .attempt_runner import AttemptRunner
+from .bills.server import OutcomeServer
 from .const import CONF_ENGINE, CONF_SERVICE, REPORT_INTERVAL_S
 from .coordinator import UpstreamCoordinator
 from .inner.server import InnerServer
@@ -77,6 +78,7 @@
             client,
             self._tasks,
             lambda: self._limiter.load,
+            self._node.outcomes,
             coordinator.async_poll,
         )
         fetcher = ConfigurationFetcher(
@@ -86,6 +88,7 @@
             runner=self._runner,
             attempts=attempts,
             fetcher=fetcher,
+            outcomes=OutcomeServer(self._node.outcomes),
             source=ConfigurationSource(self._node.configuration),
             incarnation=self._identity.incarnation,
             inner_keys=self._settings.node.inner_keys,
--- a/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/inner/server.py
+++ b/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/inner/server.py
@@ -38,6 +38,7 @@
 
 from ..answer_buffer import AnswerBuffer
 from ..attempt_runner import AttemptRunner
+from ..bills.server import OutcomeServer
 from ..const import READER_SILENCE_MS
 
 
@@ -50,6 +51,7 @@
         runner: NodeRunner,
         attempts: AttemptRunner,
         fetcher: ConfigurationFetcher,
+        outcomes: OutcomeServer,
         source: ConfigurationSource,
         incarnation: str,
         inner_keys: tuple[str, ...],
@@ -57,6 +59,7 @@
         self._runner = runner
         self._attempts = attempts
         self._fetcher = fetcher
+        self._outcomes = outcomes
         self._source = source
         self._incarnation = incarnation
         self._inner_keys = inner_keys
@@ -72,6 +75,7 @@
         app.router.add_post(PATH_FENCE, self._async_fence)
         app.router.add_post(PATH_HEARTBEAT, self._async_heartbeat)
         app.router.add_post(PATH_CONFIGURATION, self._async_configuration)
+        self._outcomes.add_routes(app)
         self._source.add_routes(app)
         return app
 
