--- a/packages/cardamomnotch-core/src/cardamomnotch_core/membership/subsets.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/membership/subsets.py
@@ -26,8 +26,10 @@
     def __init__(self, vm_id: str, zone: str = "") -> None:
         self._vm_id = vm_id
         self._zone = zone
-        self._entries: tuple[Vm, ...] = ()
-        # Results by upstream id, valid for the entries listed now.
+        self._zones: tuple[str, ...] = ()
+        # The entries of the own zone.
+        self._neighbours: tuple[str, ...] = ()
+        # Results by upstream id, valid for the two above.
         self._covering: dict[str, bool] = {}
 
     def choose(
@@ -48,9 +50,11 @@
         return tuple(chosen[vm_id] for vm_id in sorted(chosen))
 
     def _take_entries(self, entries: Iterable[Vm]) -> None:
-        found = tuple(sorted(entries, key=lambda vm: vm.vm_id))
-        if found != self._entries:
-            self._entries = found
+        found = tuple(entries)
+        zones = tuple(sorted({vm.zone for vm in found} | {self._zone}))
+        neighbours = tuple(sorted(vm.vm_id for vm in found if vm.zone == self._zone))
+        if (zones, neighbours) != (self._zones, self._neighbours):
+            self._zones, self._neighbours = zones, neighbours
             self._covering.clear()
 
     def _covers(self, upstream: Vm) -> bool:
@@ -66,18 +70,16 @@
         Zones are ranked first, so that only the own zone's entries have to
         be ranked.
         """
-        zones = sorted({vm.zone for vm in self._entries} | {self._zone})
-        nearest = sorted(zones, key=lambda zone: rank(upstream.vm_id, zone))
+        nearest = sorted(self._zones, key=lambda zone: rank(upstream.vm_id, zone))
         if self._zone not in nearest[:ENTRIES_PER_UPSTREAM]:
             return False
-        per_zone = math.ceil(ENTRIES_PER_UPSTREAM / len(zones))
+        per_zone = math.ceil(ENTRIES_PER_UPSTREAM / len(self._zones))
         own = rank(upstream.vm_id, self._vm_id)
         ahead = 0
-        for vm in self._entries:
-            if vm.zone == self._zone and vm.vm_id != self._vm_id:
-                ahead += rank(upstream.vm_id, vm.vm_id) > own
-                if ahead >= per_zone:
-                    return False
+        for vm_id in self._neighbours:
+            ahead += vm_id != self._vm_id and rank(upstream.vm_id, vm_id) > own
+            if ahead >= per_zone:
+                return False
         return True
 
     def _forget_gone(self, upstreams: Iterable[Vm]) -> None:
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/composition.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/composition.py
@@ -12,6 +12,7 @@
 from cardamomnotch_core.nodes.identity import EntryIdentity
 from cardamomnotch_core.sessions.token import SessionSigner, derived_keys
 from cardamomnotch_platform.rating.client import RatingClient
+from cardamomnotch_platform.store.budget import StoreBudget
 from cardamomnotch_platform.store.client import StoreClient
 from cardamomnotch_platform.vm_list.client import VmListClient
 from cardamomnotch_runtime.admin import create_admin_app
@@ -94,7 +95,12 @@
         ConfigurationFetcher(
             inner_session, self._runner, self._tasks, self._node.configuration
         )
-        self.store = StoreClient(platform_session, self._settings.platform.store_url)
+        self.store = StoreClient(
+            platform_session,
+            self._settings.platform.store_url,
+            budget=StoreBudget(time.monotonic),
+        )
+
         self._journal = Journal(
             store=self.store,
             address=self._identity.inner_address,
@@ -106,6 +112,7 @@
         )
         peers = self._create_peers(inner_session)
         metrics = EntryMetrics(self._node, self._runner)
+        metrics.count_store_calls(self.store)
         admin_app = create_admin_app(
             is_ready=lambda: self._node.is_ready,
             diagnostics=self._diagnostics,
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/coordinators/configuration.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/coordinators/configuration.py
@@ -9,6 +9,7 @@
 from cardamomnotch_core.configuration.holder import ConfigurationHolder
 from cardamomnotch_core.nodes import actions, events
 from cardamomnotch_platform.exceptions import StoreError
+from cardamomnotch_platform.store.budget import BackOff
 from cardamomnotch_platform.store.client import StoreClient
 from cardamomnotch_platform.store.configuration import (
     CONFIGURATION_KEY,
@@ -20,7 +21,7 @@
 from cardamomnotch_runtime.runner import NodeRunner
 from cardamomnotch_runtime.tasks import TaskGroup
 
-from ..const import WATCH_RENEWAL_S, WATCH_RETRY_S
+from ..const import MAX_WATCH_RETRY_S, WATCH_RENEWAL_S, WATCH_RETRY_S
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -45,6 +46,7 @@
         self._tasks = tasks
         self._clock = clock
         self._store_available = True
+        self._back_off = BackOff(WATCH_RETRY_S, MAX_WATCH_RETRY_S, random_source)
         runner.register(actions.RefreshConfiguration, self._refresh)
 
     async def async_follow(self) -> None:
@@ -54,11 +56,14 @@
             async with asyncio.timeout(self._jittered(WATCH_RENEWAL_S)):
                 await self._async_watch(stored.mod_revision + 1)
         except TimeoutError:
+            self._back_off.reset()
             return
         except StoreError:
             self._note_store(available=False)
             self._runner.dispatch(events.StoreSilent())
-            await asyncio.sleep(self._jittered(WATCH_RETRY_S))
+        # Also after a watch that the store has closed: all are closed at once
+        # when it restarts, and must not all come back at once.
+        await asyncio.sleep(self._back_off.next_delay_s())
 
     async def _async_read(self) -> StoredConfiguration:
         asked_revision, asked_at_s = self._holder.revision, self._clock()
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/lists/coordinator.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/lists/coordinator.py
@@ -6,6 +6,7 @@
 
 from cardamomnotch_core.nodes import actions
 from cardamomnotch_platform.exceptions import StoreError
+from cardamomnotch_platform.store.budget import BackOff
 from cardamomnotch_platform.store.client import StoreClient
 from cardamomnotch_platform.store.configuration import RevisionConflictError
 from cardamomnotch_protocol.exceptions import CardamomnotchError
@@ -38,14 +39,12 @@
         self._tasks.start(self._async_write(action))
 
     async def _async_write(self, action: actions.ChangeLists) -> None:
-        delay_s = _FIRST_RETRY_S
+        back_off = BackOff(_FIRST_RETRY_S, _MAX_RETRY_S, self._random)
         while True:
             try:
                 revision = await async_make_change(self._store, action.change)
             except (StoreError, RevisionConflictError):
-                # Full jitter keeps many entries from retrying in step.
-                await asyncio.sleep(self._random.uniform(0, delay_s))
-                delay_s = min(_MAX_RETRY_S, 2 * delay_s)
+                await asyncio.sleep(back_off.next_delay_s())
                 continue
             except CardamomnotchError as error:
                 _LOGGER.error("change of the lists refused: %s", error)
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/metrics.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/metrics.py
@@ -1,10 +1,15 @@
 """Metrics of the entry."""
 
+from collections.abc import Iterable
+
 from prometheus_client import CollectorRegistry, Counter, Gauge
+from prometheus_client.core import CounterMetricFamily, Metric
+from prometheus_client.registry import Collector
 
 from cardamomnotch_core.configuration.belief import BeliefState
 from cardamomnotch_core.nodes import actions
 from cardamomnotch_core.nodes.entry_node import EntryNode
+from cardamomnotch_platform.store.client import StoreClient
 from cardamomnotch_runtime.runner import NodeRunner
 
 
@@ -49,9 +54,31 @@
         runner.observe(actions.RefuseRequest, self._count_refusal)
         runner.observe(actions.CompleteRequest, self._count_completion)
 
+    def count_store_calls(self, store: StoreClient) -> None:
+        """Show the calls to the store, and those its budget kept back."""
+        self.registry.register(_StoreCallCollector(store))
+
     def _count_refusal(self, action: actions.RefuseRequest) -> None:
         self._ended.labels(code=int(action.code)).inc()
 
     def _count_completion(self, action: actions.CompleteRequest) -> None:
         self._ended.labels(code=0).inc()
         self._tokens.inc(action.usage.completion_tokens)
+
+
+class _StoreCallCollector(Collector):
+    """Reads the store client's own counts."""
+
+    def __init__(self, store: StoreClient) -> None:
+        self._store = store
+
+    def collect(self) -> Iterable[Metric]:
+        """Yield one counter for calls and one for those kept back."""
+        for name, text, counts in (
+            ("store_calls", "Calls to the store, by kind.", self._store.calls),
+            ("store_refused", "Calls over the budget.", self._store.refused),
+        ):
+            family = CounterMetricFamily(f"cardamomnotch_{name}", text, labels=["kind"])
+            for kind, count in counts.items():
+                family.add_metric([kind], count)
+            yield family
--- a/packages/cardamomnotch-platform/src/cardamomnotch_platform/store/client.py
+++ b/packages/cardamomnotch-platform/src/cardamomnotch_platform/store/client.py
@@ -9,6 +9,7 @@
 import orjson
 
 from ..exceptions import StoreError
+from .budget import StoreBudget
 from .models import Lease, StoreEntry, WriteResult
 
 _LOGGER = logging.getLogger(__name__)
@@ -47,13 +48,23 @@
     """
 
     def __init__(
-        self, session: aiohttp.ClientSession, url: str, timeout_s: float = _TIMEOUT_S
+        self,
+        session: aiohttp.ClientSession,
+        url: str,
+        timeout_s: float = _TIMEOUT_S,
+        budget: StoreBudget | None = None,
     ) -> None:
         self._session = session
         self._url = url.rstrip("/")
         self._timeout = aiohttp.ClientTimeout(total=timeout_s)
+        self._budget = budget
         self._calls: dict[str, int] = {}
 
+    @property
+    def refused(self) -> dict[str, int]:
+        """Return how many calls the budget has kept back, by kind."""
+        return self._budget.refused if self._budget else {}
+
     @property
     def calls(self) -> dict[str, int]:
         """Return how many calls were made, by kind."""
@@ -184,6 +195,8 @@
             raise StoreError(f"{path}: answer is not JSON") from error
 
     def _count(self, kind: str) -> None:
+        if self._budget is not None:
+            self._budget.take(kind)
         self._calls[kind] = self._calls.get(kind, 0) + 1
 
 
