--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/cli/config.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/cli/config.py
@@ -51,6 +51,11 @@
     type=click.Path(path_type=Path),
     help="Lists that PATH started from; only what differs is applied.",
 )
+@click.option(
+    "--above",
+    default=0,
+    help="Revision that processes act on, if the store was restored below it.",
+)
 @click.option("--wait", is_flag=True, help="Wait until it is in force everywhere.")
 @click.option("--wait-timeout", "timeout_s", default=30.0, show_default=True)
 def apply(
@@ -58,6 +63,7 @@
     settings_path: Path,
     based_on: int | None,
     base_path: Path | None,
+    above: int,
     wait: bool,
     timeout_s: float,
 ) -> None:
@@ -65,7 +71,9 @@
     configuration = _load(path)
     base = _load(base_path) if base_path else None
     revision = run_command(
-        async_apply(settings_path, configuration, based_on=based_on, base=base)
+        async_apply(
+            settings_path, configuration, based_on=based_on, base=base, above=above
+        )
     )
     click.echo(f"revision {revision} accepted")
     if wait and not run_command(
@@ -99,6 +107,7 @@
     *,
     based_on: int | None = None,
     base: Configuration | None = None,
+    above: int = 0,
 ) -> int:
     """Return the accepted revision of ``configuration``.
 
@@ -117,4 +126,5 @@
                 crashes=current.crashes,
             ),
             based_on,
+            above,
         )
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/lists/writer.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/lists/writer.py
@@ -38,9 +38,13 @@
     store: StoreClient,
     edit: Callable[[Configuration], Configuration],
     based_on: int | None = None,
+    above: int = 0,
 ) -> int:
     """Edit the lists once and return the accepted revision.
 
+    The revision comes out higher than ``above``, for a store that was
+    restored from an older copy than processes act on.
+
     Raises RevisionConflictError if the lists are not at ``based_on``, or if
     another change came first.
     """
@@ -50,11 +54,14 @@
     if based_on is not None and based_on != revision:
         raise _conflict(edit(_lists_of(current)), stored.message)
     edited = edit(_lists_of(current))
-    if current is not None and edited == current.configuration:
+    same = current is not None and edited == current.configuration
+    if same and above <= revision:
         # Another process made the same change; a revision spares nobody work.
         return revision
     record = ConfigurationRecord(
-        revision=revision + 1, change_id=uuid.uuid4().hex, configuration=edited
+        revision=max(revision, above) + 1,
+        change_id=uuid.uuid4().hex,
+        configuration=edited,
     )
     message = attrs.evolve(
         message_from_record(record),
--- a/tests/entry/test_configuration_races.py
+++ b/tests/entry/test_configuration_races.py
@@ -101,3 +101,10 @@
     revision = await async_replace(store, lambda lists: _with_limit(lists, "first", 2))
     assert revision == 2
     assert await _async_limits(store) == {"first": 2, "second": 3}
+
+
+async def test_restored_store_is_lifted_above_what_processes_act_on(store):
+    """The same lists get a revision above the one that is named, once."""
+    revision = await async_replace(store, lambda lists: lists, above=9)
+    assert revision == 10
+    assert await async_replace(store, lambda lists: lists, above=9) == 10
