--- a/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/entry_node.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/entry_node.py
@@ -40,7 +40,7 @@
         self._random = random_source
         self._configuration = ConfigurationHolder()
         self._follower = ConfigurationFollower(identity.vm_id, self._configuration)
-        self._upstreams = UpstreamTable()
+        self._upstreams = UpstreamTable(identity.vm_id, identity.zone)
         quality = QualityBook()
         self._router = Router(identity.zone, self._upstreams, random_source, quality)
         self._evidence = EvidenceFlow(
@@ -73,6 +73,10 @@
         """Return the upstreams that heartbeats go to."""
         return self._upstreams.upstreams
 
+    def heartbeats_due(self, now_s: float) -> tuple[Upstream, ...]:
+        """Return the upstreams of which too little was heard of late."""
+        return self._upstreams.heartbeats_due(self._configuration.revision, now_s)
+
     def upstream(self, vm_id: str) -> Upstream | None:
         """Return the upstream on ``vm_id``."""
         return self._upstreams.get(vm_id)
@@ -112,6 +116,7 @@
             "draining": self._draining,
             "ready": self.is_ready,
             "requests_in_flight": len(self._requests),
+            "vms_listed": self._upstreams.listed,
             "suspects": list(self._requests.suspects.fingerprints),
             "quarantined": list(self._quarantine.fingerprints),
             "upstreams": [attrs.asdict(item) for item in self.upstreams],
@@ -139,12 +144,8 @@
         )
         self._observer.observe(event, (), now_s)
         follow_up = self._evidence.handle(event, now_s)
-        behind = [
-            actions.SendConfiguration(vm_id=item.vm_id, address=item.address)
-            for item in self.upstreams
-            if item.is_known
-        ]
-        return [*followed, *behind, *follow_up]
+        told = [actions.SendHeartbeat(vm_id=item.vm_id) for item in self.upstreams]
+        return [*followed, *told, *follow_up]
 
     @handle.register
     def _(self, event: events.PlacementRead, now_s: float) -> list[Action]:
@@ -158,6 +159,7 @@
 
     @handle.register
     def _(self, event: events.TimerDue, now_s: float) -> list[Action]:
+        self._upstreams.expire(now_s)
         self._requests.suspects.expire(now_s)
         return [
             *self._follower.follow(event, now_s),
@@ -171,11 +173,16 @@
     @handle.register
     def _(self, event: events.VmListReceived, now_s: float) -> list[Action]:
         followed = self._follower.follow(event, now_s)
-        unknown = self._upstreams.take_vm_list(event.vms)
+        unknown = self._upstreams.take_vm_list(event.vms, self._served_names())
         self._observer.observe(event, (), now_s)
         self._evidence.handle(event, now_s)
         return [*followed, *(actions.SendHeartbeat(vm_id=item) for item in unknown)]
 
+    def _served_names(self) -> tuple[str, ...]:
+        record = self._configuration.record
+        return record.configuration.served_names if record else ()
+
+    @handle.register(events.ConfigurationConfirmed)
     @handle.register(events.StoreAnswered)
     @handle.register(events.StoreSilent)
     @handle.register(events.PeerTold)
@@ -189,26 +196,36 @@
 
     @handle.register
     def _(self, event: events.HeartbeatAnswered, now_s: float) -> list[Action]:
-        self._upstreams.take_heartbeat(event.vm_id, event.reply, now_s)
+        known = self._upstreams.get(event.vm_id)
+        if known is None:
+            return []
+        self._upstreams.take_heartbeat(
+            event.vm_id,
+            event.reply,
+            now_s,
+            asked_at_s=event.asked_at_s,
+            told_revision=event.told_revision,
+        )
         self._requests.suspects.take_reported(event.vm_id, event.reply.suspects, now_s)
         self._observer.observe(event, (), now_s)
-        result = self._evidence.handle(event, now_s)
-        upstream = self._upstreams.get(event.vm_id)
-        if upstream is None:
-            return result
-        if event.reply.outcomes_due:
-            result = [*result, actions.FetchOutcomes(address=upstream.address)]
-        if event.reply.revision >= self._configuration.revision:
-            # A sidecar may have heard of a change before any entry nearby.
-            fetch = self._follower.fetch_if_behind(
-                upstream.address, event.reply.revision
-            )
-            return [*result, *fetch]
+        outcomes = (
+            [actions.FetchOutcomes(address=known.address)]
+            if event.reply.outcomes_due
+            else []
+        )
         return [
-            *result,
-            actions.SendConfiguration(vm_id=event.vm_id, address=upstream.address),
+            *self._evidence.handle(event, now_s),
+            *outcomes,
+            *self._bring_up_to_date(known, event.reply.revision),
         ]
 
+    def _bring_up_to_date(self, known: Upstream, revision: int) -> list[Action]:
+        if known.told_revision > revision:
+            # It was told before and has not fetched, so it is sent.
+            return [actions.SendConfiguration(vm_id=known.vm_id, address=known.address)]
+        # A sidecar may have heard of a change before any entry nearby.
+        return self._follower.fetch_if_behind(known.address, revision)
+
     @handle.register
     def _(self, event: events.HeartbeatFailed, now_s: float) -> list[Action]:
         self._upstreams.mark_unreachable(event.vm_id)
@@ -227,7 +244,7 @@
                     retry_after_s=DEFAULT_RETRY_AFTER_S,
                 )
             ]
-        return self._requests.handle(event, now_s)
+        return self._serve(event, now_s)
 
     @handle.register(events.CallerGone)
     @handle.register(events.AttemptAnswered)
@@ -236,7 +253,7 @@
     @handle.register(events.AttemptLost)
     @handle.register(events.AttemptFenced)
     @handle.register(events.ClaimAnswered)
-    def _(self, event: Event, now_s: float) -> list[Action]:
+    def _serve(self, event: Event, now_s: float) -> list[Action]:
         result = self._requests.handle(event, now_s)
         self._observer.observe(event, result, now_s)
         return result
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/events.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/events.py
@@ -26,10 +26,14 @@
 
 @attrs.frozen(kw_only=True)
 class ConfigurationOffered(Event):
-    """A record came from the store, a peer or an entry."""
+    """A record came from the store, a peer or an entry.
+
+    ``asked_at_s`` is when it was asked for, if it was.
+    """
 
     record: ConfigurationRecord
     source: str
+    asked_at_s: float = float("-inf")
 
 
 @attrs.frozen(kw_only=True)
@@ -55,6 +59,9 @@
 
     vm_id: str
     reply: HeartbeatReply
+    # When it was asked for, and the revision that it was told.
+    asked_at_s: float | None = None
+    told_revision: int = 0
 
 
 @attrs.frozen(kw_only=True)
@@ -267,3 +274,12 @@
 
     placement: Placement
     serial: int
+
+
+@attrs.frozen(kw_only=True)
+class ConfigurationConfirmed(Event):
+    """A process that was asked holds nothing newer."""
+
+    revision: int
+    source: str
+    asked_at_s: float
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/composition.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/composition.py
@@ -12,6 +12,7 @@
 from cardamomnotch_core.nodes.identity import EntryIdentity
 from cardamomnotch_core.sessions.token import SessionSigner, derived_keys
 from cardamomnotch_platform.rating.client import RatingClient
+from cardamomnotch_platform.store.budget import StoreBudget
 from cardamomnotch_platform.store.client import StoreClient
 from cardamomnotch_platform.vm_list.client import VmListClient
 from cardamomnotch_runtime.admin import create_admin_app
@@ -26,7 +27,7 @@
 from cardamomnotch_runtime.tasks import TaskGroup, async_wait_until
 
 from .caller.server import CallerServer
-from .const import HEARTBEAT_INTERVAL_S, VM_LIST_INTERVAL_S
+from .const import HEARTBEAT_CHECK_S, VM_LIST_INTERVAL_S
 from .coordinators.configuration import ConfigurationCoordinator
 from .coordinators.membership import MembershipCoordinator
 from .inner.attempt_client import AttemptClient
@@ -96,7 +97,12 @@
         ConfigurationFetcher(
             inner_session, self._runner, self._tasks, self._node.configuration
         )
-        self.store = StoreClient(platform_session, self._settings.platform.store_url)
+        self.store = StoreClient(
+            platform_session,
+            self._settings.platform.store_url,
+            budget=StoreBudget(time.monotonic),
+        )
+
         self._journal = Journal(
             store=self.store,
             address=self._identity.inner_address,
@@ -108,6 +114,7 @@
         )
         peers = self._create_peers(inner_session)
         metrics = EntryMetrics(self._node, self._runner)
+        metrics.count_store_calls(self.store)
         admin_app = create_admin_app(
             is_ready=lambda: self._node.is_ready,
             diagnostics=self._diagnostics,
@@ -181,6 +188,8 @@
             vm_list=VmListClient(platform_session, platform.vm_list_url),
             session=inner_session,
             tasks=self._tasks,
+            random_source=self._random,
+            clock=time.monotonic,
         )
         placement = PlacementCoordinator(
             node=self._node,
@@ -193,7 +202,7 @@
         tasks.repeat(placement.interval_s, placement.async_step)
         tasks.repeat(lambda: 0.0, configuration.async_follow)
         tasks.repeat(lambda: VM_LIST_INTERVAL_S, membership.async_read_vm_list)
-        tasks.repeat(lambda: HEARTBEAT_INTERVAL_S, membership.async_send_heartbeats)
+        tasks.repeat(lambda: HEARTBEAT_CHECK_S, membership.async_send_heartbeats)
         tasks.repeat(lambda: TIMER_INTERVAL_S, self._async_tick)
 
     async def async_unload(self) -> None:
--- a/packages/cardamomnotch-protocol/src/cardamomnotch_protocol/models.py
+++ b/packages/cardamomnotch-protocol/src/cardamomnotch_protocol/models.py
@@ -238,6 +238,8 @@
     versions: tuple[str, ...] = ()
     services: tuple[str, ...] = ()
     load: Load = Load()
+    # Time that the sidecar asks each entry to leave between heartbeats.
+    heartbeat_after_s: float = 1.0
     # Outcomes that wait for an entry to bring them to the journal.
     outcomes_due: int = 0
     # Sums of the other entries' ratings of this upstream's answers.
@@ -255,6 +257,9 @@
     change_id: str
     digest: str
     document: Mapping[str, Any]
+    # The changes accepted before this one, latest first, for a writer whose
+    # answer was lost while others went on.
+    former_change_ids: tuple[str, ...] = ()
 
 
 @_message("configuration_reply")
@@ -371,3 +376,35 @@
     entry_id: str
     entry_address: str
     revision: int
+
+
+@attrs.frozen(kw_only=True)
+class ChangedPart:
+    """An entry of a list, by name, or a whole table, which has no name.
+
+    No value means that the entry was removed.
+    """
+
+    section: str
+    name: str = ""
+    value: Any = None
+
+    @property
+    def path(self) -> str:
+        """Return where it stands in the document."""
+        return f"{self.section}[{self.name}]" if self.name else self.section
+
+
+@_message("configuration_changes")
+@attrs.frozen(kw_only=True)
+class ConfigurationChanges(Message):
+    """What leads from one revision of the operators' lists to another.
+
+    ``digest`` is that of the whole document that results.
+    """
+
+    based_on: int
+    revision: int
+    change_id: str
+    digest: str
+    parts: tuple[ChangedPart, ...] = ()
--- a/tests/entry/test_configuration_spread.py
+++ b/tests/entry/test_configuration_spread.py
@@ -1,9 +1,20 @@
 """How a revision reaches processes that the store does not."""
 
+import asyncio
+
+import attrs
 import pytest
 
 from cardamomnotch_core.configuration.belief import BeliefState
 from cardamomnotch_core.configuration.marks import MarkKind, set_mark
+from cardamomnotch_protocol import codec
+from cardamomnotch_protocol.const import PATH_CONFIGURATION
+from cardamomnotch_protocol.models import (
+    ConfigurationChanges,
+    ConfigurationMessage,
+    ConfigurationReply,
+)
+from cardamomnotch_runtime import configuration
 from cardamomnotch_runtime.tasks import async_wait_until
 
 from tests.fixtures.in_process import InProcessSystem
@@ -11,6 +22,8 @@
 
 # The aim for one change, from accepted to in force at all.
 _IN_FORCE_WITHIN_S = 3.0
+# Every watch of the stand-in looks for the fault several times in this time.
+_DROP_FOR_S = 0.6
 
 
 async def _async_start_fleet(engines):
@@ -93,10 +106,9 @@
 
     store = entries_only.entries["entry-2"].entry.store
     monkeypatch.setattr(store, "async_watch", hang)
-    entries_only.store.faults.active["drop_watches"] = 3
-    assert await async_wait_until(
-        lambda: not entries_only.store.faults.active["drop_watches"], 5.0
-    )
+    entries_only.store.faults.active["drop_watches"] = True
+    await asyncio.sleep(_DROP_FOR_S)
+    entries_only.store.faults.active["drop_watches"] = False
     _put_changed(entries_only, 2)
     assert await async_wait_until(
         lambda: _everywhere(entries_only, 2), _IN_FORCE_WITHIN_S
@@ -124,5 +136,36 @@
     _put_changed(fleet, 2)
     message = fleet.store.entries[b"cardamomnotch/configuration"]["value"]
     gate = fleet.gates["engine-0"]
-    await fleet.async_post_inner(gate, "/inner/v1/configuration", message)
+    await fleet.async_call_inner(gate, PATH_CONFIGURATION, message)
+    assert await async_wait_until(lambda: _everywhere(fleet, 2), _IN_FORCE_WITHIN_S)
+
+
+@pytest.mark.parametrize(
+    ("known", "answer"),
+    [
+        pytest.param(1, ConfigurationChanges, id="logged revision"),
+        pytest.param(2, ConfigurationReply, id="same revision"),
+        pytest.param(0, ConfigurationMessage, id="nothing known"),
+        pytest.param("x", ConfigurationMessage, id="unreadable"),
+    ],
+)
+@pytest.mark.parametrize("part", ["entry-0", "engine-0"])
+async def test_answer_holds_no_more_than_is_lacking(fleet, part, known, answer):
+    """Entries and sidecars send changes, whole documents only when needed."""
+    _put_changed(fleet, 2)
+    assert await async_wait_until(lambda: _everywhere(fleet, 2), _IN_FORCE_WITHIN_S)
+    found = fleet.entries.get(part) or fleet.gates[part]
+    path = f"{PATH_CONFIGURATION}?revision={known}"
+    frame = codec.decode(await fleet.async_call_inner(found, path))
+    assert isinstance(frame.message, answer)
+
+
+async def test_broken_changes_are_replaced_by_the_whole(fleet, monkeypatch):
+    """Changes whose digest does not match lead to the whole document."""
+
+    def broken(message, _):
+        return attrs.evolve(message, digest="0" * 64)
+
+    monkeypatch.setattr(configuration, "message_from_changes", broken)
+    _put_changed(fleet, 2)
     assert await async_wait_until(lambda: _everywhere(fleet, 2), _IN_FORCE_WITHIN_S)
