Hold workspaces to their plans and share short capacity fairly

Cause: a plan's limits were listed but not enforced, a large workspace could fill every engine, and retries had no bound.

Each entry enforces its part of requests and tokens a second and of concurrent requests: the limit divided by the live entries of the VM list, which needs no message. From 80 % load of the engines on, whoever holds more than an equal part of the requests in flight waits; from 85 % on classes are shed from the lowest, at once, with a time to come back spread at random. A retry needs one of the budget's, a fifth of the first attempts.

--- /dev/null
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/capacity/__init__.py
@@ -0,0 +1,1 @@
+"""Capacity of workspaces, shared fairly when it is short."""
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/entry_node.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/entry_node.py
@@ -9,6 +9,8 @@
 from cardamomnotch_protocol.result_codes import ResultCode
 
 from ..attempts.const import DEFAULT_RETRY_AFTER_S
+from ..capacity.admission import Admission, refusal_of
+from ..capacity.workspaces import CapacityError
 from ..configuration.follower import ConfigurationFollower
 from ..configuration.holder import ConfigurationHolder
 from ..membership.models import Upstream
@@ -39,6 +41,9 @@
             self._configuration, quality, self._router.rankings, random_source
         )
         self._observer = AttemptObserver(self._router, self._upstreams)
+        self._admission = Admission(
+            self._configuration, self._upstreams, self._router.loads, random_source
+        )
         self._requests = RequestFlow(
             identity,
             configuration=self._configuration,
@@ -99,6 +104,7 @@
             "requests_in_flight": len(self._requests),
             "upstreams": [attrs.asdict(item) for item in self.upstreams],
             "routing": self._router.diagnostics(),
+            "capacity": self._admission.diagnostics(),
             "rollout": self._evidence.diagnostics(),
         }
 
@@ -115,6 +121,7 @@
             return followed
         self._observer.observe(event, (), now_s)
         follow_up = self._evidence.handle(event, now_s)
+        self._admission.observe(event, [])
         behind = [
             actions.SendConfiguration(vm_id=item.vm_id, address=item.address)
             for item in self.upstreams
@@ -144,6 +151,7 @@
         unknown = self._upstreams.take_vm_list(event.vms)
         self._observer.observe(event, (), now_s)
         self._evidence.handle(event, now_s)
+        self._admission.observe(event, [])
         return [*followed, *(actions.SendHeartbeat(vm_id=item) for item in unknown)]
 
     @handle.register(events.StoreAnswered)
@@ -193,7 +201,11 @@
                     retry_after_s=DEFAULT_RETRY_AFTER_S,
                 )
             ]
-        return self._requests.handle(event, now_s)
+        try:
+            self._admission.admit(event.request, now_s)
+        except CapacityError as error:
+            return [refusal_of(event.request.request_id, error)]
+        return self._serve(event, now_s)
 
     @handle.register(events.CallerGone)
     @handle.register(events.AttemptAnswered)
@@ -202,6 +214,10 @@
     @handle.register(events.AttemptLost)
     @handle.register(events.AttemptFenced)
     def _(self, event: Event, now_s: float) -> list[Action]:
+        return self._serve(event, now_s)
+
+    def _serve(self, event: Event, now_s: float) -> list[Action]:
         result = self._requests.handle(event, now_s)
         self._observer.observe(event, result, now_s)
+        self._admission.observe(event, result)
         return result
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/routing/router.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/routing/router.py
@@ -7,6 +7,7 @@
 from cardamomnotch_protocol.exceptions import CardamomnotchError
 from cardamomnotch_protocol.result_codes import ResultCode
 
+from ..capacity.retries import RetryBudget
 from ..configuration.models import ConfigurationRecord
 from ..membership.models import Upstream
 from ..membership.table import UpstreamTable
@@ -42,6 +43,7 @@
         self.health = HealthBook()
         self.loads = LoadBook()
         self.decisions = DecisionLog()
+        self.retries = RetryBudget()
         self.rankings = RankingCache(quality or QualityBook())
         self._random = random_source
         self._index = UpstreamIndex(zone, table)
@@ -50,6 +52,7 @@
     def diagnostics(self) -> dict[str, Any]:
         """Return the state for the dump."""
         return {
+            "retries_saved": self.retries.saved,
             "withdrawn_here": sorted(self.rankings.withdrawn),
             "recent_decisions": self.decisions.diagnostics(),
         }
@@ -65,11 +68,22 @@
 
         Raises PlanError, RankingError or RoutingError if there is none.
         """
+        self._count_attempt(is_retry=bool(tried))
         choose = self._choose_service if demand.service else self._choose_model
         decision = choose(record, demand, tried, now_s)
         self.decisions.add(decision)
         return decision.route
 
+    def _count_attempt(self, *, is_retry: bool) -> None:
+        if not is_retry:
+            self.retries.earn()
+        elif not self.retries.take():
+            raise RoutingError(
+                "retries exceed their share of the traffic",
+                code=ResultCode.OVERLOADED,
+                retry_after_s=RETRY_AFTER_S,
+            )
+
     def _choose_service(
         self,
         record: ConfigurationRecord,
