--- a/packages/cardamomnotch-core/src/cardamomnotch_core/capacity/admission.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/capacity/admission.py
@@ -150,6 +150,10 @@
     def _(self, action: actions.CompleteRequest) -> None:
         self._end(action.request_id, action.usage.completion_tokens)
 
+    @_release.register
+    def _(self, action: actions.AnswerFromJournal) -> None:
+        self._end(action.request_id, used_tokens=0)
+
     def _end(self, request_id: str, used_tokens: int | None = None) -> None:
         admitted = self._admitted.pop(request_id, None)
         if admitted is None:
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/entry_node.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/entry_node.py
@@ -16,6 +16,7 @@
 from ..membership.models import Upstream
 from ..membership.table import UpstreamTable
 from ..quality.book import QualityBook
+from ..quarantine.book import QuarantineBook
 from ..rollout.flow import EvidenceFlow
 from ..routing.observer import AttemptObserver
 from ..routing.router import Router
@@ -29,7 +30,12 @@
 class EntryNode:
     """Turns events into actions; holds no socket and reads no clock."""
 
-    def __init__(self, identity: EntryIdentity, random_source: random.Random) -> None:
+    def __init__(
+        self,
+        identity: EntryIdentity,
+        random_source: random.Random,
+        wall_offset_s: float = 0.0,
+    ) -> None:
         self._identity = identity
         self._random = random_source
         self._configuration = ConfigurationHolder()
@@ -44,11 +50,13 @@
         self._admission = Admission(
             self._configuration, self._upstreams, self._router.loads, random_source
         )
+        self._quarantine = QuarantineBook(self._configuration, wall_offset_s)
         self._requests = RequestFlow(
             identity,
             configuration=self._configuration,
             upstreams=self._upstreams,
             router=self._router,
+            quarantine=self._quarantine,
         )
         self._draining = False
 
@@ -81,6 +89,10 @@
         """Return how many requests are being served."""
         return len(self._requests)
 
+    def is_serving(self, request_id: str) -> bool:
+        """Return whether the request is not ended yet."""
+        return self._requests.is_serving(request_id)
+
     @property
     def is_ready(self) -> bool:
         """Return whether the balancer should send callers here."""
@@ -102,6 +114,8 @@
             "draining": self._draining,
             "ready": self.is_ready,
             "requests_in_flight": len(self._requests),
+            "suspects": list(self._requests.suspects.fingerprints),
+            "quarantined": list(self._quarantine.fingerprints),
             "upstreams": [attrs.asdict(item) for item in self.upstreams],
             "routing": self._router.diagnostics(),
             "capacity": self._admission.diagnostics(),
@@ -119,6 +133,9 @@
         followed = self._follower.follow(event, now_s)
         if self._configuration.revision == former:
             return followed
+        self._requests.suspects.take_listed(
+            self._configuration.record.configuration, now_s
+        )
         self._observer.observe(event, (), now_s)
         follow_up = self._evidence.handle(event, now_s)
         self._admission.observe(event, [])
@@ -136,6 +153,7 @@
 
     @handle.register
     def _(self, event: events.TimerDue, now_s: float) -> list[Action]:
+        self._requests.suspects.expire(now_s)
         return [
             *self._follower.follow(event, now_s),
             *self._evidence.handle(event, now_s),
@@ -168,11 +186,14 @@
     @handle.register
     def _(self, event: events.HeartbeatAnswered, now_s: float) -> list[Action]:
         self._upstreams.take_heartbeat(event.vm_id, event.reply, now_s)
+        self._requests.suspects.take_reported(event.vm_id, event.reply.suspects, now_s)
         self._observer.observe(event, (), now_s)
         result = self._evidence.handle(event, now_s)
         upstream = self._upstreams.get(event.vm_id)
         if upstream is None:
             return result
+        if event.reply.outcomes_due:
+            result = [*result, actions.FetchOutcomes(address=upstream.address)]
         if event.reply.revision >= self._configuration.revision:
             # A sidecar may have heard of a change before any entry nearby.
             fetch = self._follower.fetch_if_behind(
@@ -213,6 +234,7 @@
     @handle.register(events.AttemptEnded)
     @handle.register(events.AttemptLost)
     @handle.register(events.AttemptFenced)
+    @handle.register(events.ClaimAnswered)
     def _(self, event: Event, now_s: float) -> list[Action]:
         return self._serve(event, now_s)
 
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/request_flow.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/request_flow.py
@@ -22,7 +22,12 @@
 from ..attempts.sidecar_table import AttemptState
 from ..configuration.holder import ConfigurationHolder
 from ..configuration.models import Configuration
+from ..journal.claim_flow import ClaimFlow, record_outcome, record_refusal
 from ..membership.table import UpstreamTable
+from ..quarantine.book import QuarantineBook
+from ..quarantine.changes import QuarantineChange
+from ..quarantine.models import fingerprint_key
+from ..quarantine.tracker import SuspectTracker
 from ..routing.models import Demand, Route
 from ..routing.router import Router
 from . import actions, events
@@ -35,11 +40,13 @@
 # Refusals after which another upstream may still take the request.
 _ELSEWHERE = frozenset(
     (
+        ResultCode.JOURNAL_UNAVAILABLE,
         ResultCode.ATTEMPT_FENCED,
         ResultCode.INCARNATION_MISMATCH,
         ResultCode.REVISION_BEHIND,
         ResultCode.SIDECAR_DRAINING,
         ResultCode.SIDECAR_UNREACHABLE,
+        ResultCode.SUSPECT_BUSY,
         ResultCode.UPSTREAM_FULL,
         ResultCode.UPSTREAM_UNREACHABLE,
         ResultCode.VERSION_NOT_LOADED,
@@ -49,6 +56,11 @@
     )
 )
 
+# Ends of attempts that another entry caused; their upstream may be used.
+_UPSTREAM_NOT_AT_FAULT = frozenset(
+    (ResultCode.ATTEMPT_FENCED, ResultCode.ATTEMPT_UNKNOWN)
+)
+
 
 class RequestFlow:
     """Decides which attempt a request is given, and how it ends."""
@@ -60,17 +72,26 @@
         configuration: ConfigurationHolder,
         upstreams: UpstreamTable,
         router: Router,
+        quarantine: QuarantineBook,
     ) -> None:
         self._identity = identity
         self._configuration = configuration
         self._upstreams = upstreams
         self._router = router
         self._requests = RequestTable()
+        self._claims = ClaimFlow(self._requests)
+        self.suspects = SuspectTracker(
+            quarantine, lambda request_id: self._requests.get(request_id) is not None
+        )
 
     def __len__(self) -> int:
         """Return how many requests are being served."""
         return len(self._requests)
 
+    def is_serving(self, request_id: str) -> bool:
+        """Return whether the request is not ended yet."""
+        return self._requests.get(request_id) is not None
+
     @singledispatchmethod
     def handle(self, event: Event, now_s: float) -> list[Action]:
         """Return the actions that follow from ``event``."""
@@ -103,6 +124,7 @@
         workspace = configuration.workspaces_by_digest.get(request.key_digest)
         if workspace is None:
             raise CardamomnotchError(code=ResultCode.UNKNOWN_KEY)
+        self.suspects.check(_suspect_key(workspace.name, request), now_s)
         key = request.idempotency_key or request.request_id
         return RequestRecord(
             request=request,
@@ -127,11 +149,13 @@
             if now_s >= record.deadline_s:
                 raise CardamomnotchError(code=ResultCode.DEADLINE_PASSED)
             route = self._router.choose(
-                self._configuration.record, record.demand, record.tried, now_s
+                self._configuration.record,
+                record.demand,
+                record.tried | self._crashed_vms(record, now_s),
+                now_s,
             )
         except CardamomnotchError as error:
-            self._requests.end(record.request.request_id)
-            return [_refusal(record, error)]
+            return self._end_refused(record, error)
         record = attrs.evolve(
             record,
             attempt_id=f"{record.request.request_id}-{record.attempts + 1}",
@@ -139,11 +163,19 @@
             route=route,
             state=RequestState.ATTEMPTING,
         )
+        start = self._start(record, route, now_s)
+        record = attrs.evolve(record, message=start.message)
         self._requests.put(record)
-        return [self._start(record, route, now_s)]
+        return [start] if route.idempotent else [self._claims.claim(record)]
+
+    def _crashed_vms(self, record: RequestRecord, now_s: float) -> frozenset[str]:
+        return self.suspects.crashed_vms(
+            _key_of(record), record.request.request_id, now_s
+        )
 
     def _start(self, record: RequestRecord, route: Route, now_s: float) -> Action:
         request = record.request
+        suspicion = self.suspects.claim(_key_of(record), request.request_id, now_s)
         message = AttemptRequest(
             attempt_id=record.attempt_id,
             request_id=request.request_id,
@@ -165,6 +197,8 @@
             stream=request.stream,
             expected_tokens=request.expected_tokens,
             fingerprint=request.fingerprint,
+            suspected_crashes=suspicion.crashes,
+            co_suspects=suspicion.co_suspects,
         )
         return actions.StartAttempt(
             vm_id=route.upstream.vm_id,
@@ -193,12 +227,11 @@
             event.detail, code=event.code, retry_after_s=event.retry_after_s or None
         )
         may_go_on = record.attempts < MAX_ATTEMPTS_PER_REQUEST
+        record = attrs.evolve(record, replaces=event.attempt_id)
+        record = _note_tried(record, event.code)
         if event.code not in _ELSEWHERE or not may_go_on:
-            self._requests.end(event.request_id)
-            return [_refusal(record, error)]
-        return self._next_attempt(
-            attrs.evolve(record, tried=record.tried | {vm_id}), now_s
-        )
+            return self._end_refused(record, error)
+        return self._next_attempt(record, now_s)
 
     @handle.register
     def _(self, event: events.AttemptEnded, now_s: float) -> list[Action]:
@@ -207,20 +240,48 @@
             return []
         self._upstreams.take_load(record.route.upstream.vm_id, event.load, now_s)
         if event.code is ResultCode.OK:
+            self.suspects.clear(_key_of(record))
             self._requests.end(event.request_id)
             return [
-                actions.CompleteRequest(request_id=event.request_id, usage=event.usage)
+                record_outcome(record, event.code, event.usage),
+                actions.CompleteRequest(request_id=event.request_id, usage=event.usage),
             ]
+        if event.co_suspects:
+            return self._after_crash(record, event, now_s)
         error = CardamomnotchError(event.detail, code=event.code)
         return self._after_failure(record, error, now_s, started=event.started)
 
+    def _after_crash(
+        self, record: RequestRecord, event: events.AttemptEnded, now_s: float
+    ) -> list[Action]:
+        """Give the request up at once if it is the one that crashes upstreams."""
+        vm_id = record.route.upstream.vm_id
+        change = self.suspects.judge(
+            _key_of(record), event.request_id, vm_id, event.co_suspects, now_s
+        )
+        told = []
+        if change is not None:
+            reason = f"crash of the upstream on {vm_id}"
+            told = [actions.ChangeLists(change=change, reason=reason)]
+        error = CardamomnotchError(event.detail, code=event.code)
+        if not isinstance(change, QuarantineChange):
+            failed = self._after_failure(record, error, now_s, started=event.started)
+            return [*told, *failed]
+        self._requests.end(event.request_id)
+        error = CardamomnotchError(
+            code=ResultCode.REQUEST_QUARANTINED,
+            retry_after_s=change.until_s - change.made_at_s,
+        )
+        return [_refusal(attrs.evolve(record, maybe_ran=True), error), *told]
+
     @handle.register
     def _(self, event: events.AttemptLost, now_s: float) -> list[Action]:
         record = self._current(event.request_id, event.attempt_id)
         if record is None:
             return []
         upstream = record.route.upstream
-        self._upstreams.mark_unreachable(upstream.vm_id)
+        if event.code is not ResultCode.ATTEMPT_UNKNOWN:
+            self._upstreams.mark_unreachable(upstream.vm_id)
         error = CardamomnotchError(code=event.code)
         if not event.sent:
             return self._after_failure(record, error, now_s, started=False)
@@ -246,8 +307,7 @@
         if known and not record.route.idempotent and record.fences <= MAX_REJOINS:
             return [
                 actions.RejoinAttempt(
-                    address=record.route.upstream.address,
-                    message=self._start(record, record.route, now_s).message,
+                    address=record.route.upstream.address, message=record.message
                 )
             ]
         started = event.state is not AttemptState.NEVER_STARTED
@@ -263,20 +323,37 @@
         started: bool,
     ) -> list[Action]:
         """Retry what may be repeated, or end the request truthfully."""
-        record = attrs.evolve(
-            record,
-            maybe_ran=record.maybe_ran or started,
-            tried=record.tried | {record.route.upstream.vm_id},
-        )
+        record = attrs.evolve(record, maybe_ran=record.maybe_ran or started)
+        record = _note_tried(record, error.code)
         may_repeat = (
             (record.route.idempotent or not record.maybe_ran)
             and record.state is RequestState.ATTEMPTING
             and record.attempts < MAX_ATTEMPTS_PER_REQUEST
         )
+        if not started:
+            record = attrs.evolve(record, replaces=record.attempt_id)
         if may_repeat:
             return self._next_attempt(record, now_s)
+        return self._end_refused(record, error)
+
+    def _end_refused(
+        self, record: RequestRecord, error: CardamomnotchError
+    ) -> list[Action]:
+        """End the request with its final error, and tell the journal."""
         self._requests.end(record.request.request_id)
-        return [_refusal(record, error)]
+        return [*record_refusal(record), _refusal(record, error)]
+
+    @handle.register
+    def _(self, event: events.ClaimAnswered, now_s: float) -> list[Action]:
+        record = self._current(event.request_id, event.attempt_id)
+        if record is None or record.state is not RequestState.CLAIMING:
+            return []
+        try:
+            return self._claims.answered(record, event.result)
+        except CardamomnotchError as error:
+            # The former claim stays as it is: it is not this request's own.
+            self._requests.end(event.request_id)
+            return [_refusal(record, error)]
 
     @handle.register
     def _(self, event: events.CallerGone, now_s: float) -> list[Action]:
@@ -301,6 +378,15 @@
         return record
 
 
+def _suspect_key(workspace: str, request: CallerRequest) -> str:
+    """Return the fingerprint; plain services' calls have none."""
+    return "" if request.service else fingerprint_key(workspace, request.fingerprint)
+
+
+def _key_of(record: RequestRecord) -> str:
+    return _suspect_key(record.workspace, record.request)
+
+
 def _time_allowed_s(configuration: Configuration, request: CallerRequest) -> float:
     if request.timeout_s:
         return request.timeout_s
@@ -311,6 +397,13 @@
     return request_class.deadline_s if request_class else DEFAULT_DEADLINE_S
 
 
+def _note_tried(record: RequestRecord, code: ResultCode) -> RequestRecord:
+    """Return ``record`` with its present upstream among those not to try again."""
+    if code in _UPSTREAM_NOT_AT_FAULT:
+        return record
+    return attrs.evolve(record, tried=record.tried | {record.route.upstream.vm_id})
+
+
 def _refusal(record: RequestRecord, error: CardamomnotchError) -> Action:
     """Return the final answer to a request that is given up."""
     code, detail = error.code, error.detail
--- a/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/composition.py
+++ b/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/composition.py
@@ -21,6 +21,7 @@
 from cardamomnotch_runtime.tasks import TaskGroup, async_wait_until
 
 from .attempt_runner import AttemptRunner
+from .bills.server import OutcomeServer
 from .const import CONF_ENGINE, CONF_SERVICE, REPORT_INTERVAL_S
 from .coordinator import UpstreamCoordinator
 from .inner.server import InnerServer
@@ -50,7 +51,9 @@
             incarnation=uuid.uuid4().hex,
             services=settings.upstream.services,
         )
-        self._node = SidecarNode(self._identity, limiter)
+        self._node = SidecarNode(
+            self._identity, limiter, wall_offset_s=time.time() - time.monotonic()
+        )
         self._runner = NodeRunner(self._node, time.monotonic)
 
     @property
@@ -69,8 +72,14 @@
             upstream_session, upstream.url, upstream.silence_s
         )
         metrics = SidecarMetrics(self._node, self._runner)
+        coordinator = UpstreamCoordinator(self._runner, client)
         attempts = AttemptRunner(
-            self._runner, client, self._tasks, lambda: self._limiter.load
+            self._runner,
+            client,
+            self._tasks,
+            lambda: self._limiter.load,
+            self._node.outcomes,
+            coordinator.async_poll,
         )
         fetcher = ConfigurationFetcher(
             inner_session, self._runner, self._tasks, self._node.configuration
@@ -79,6 +88,7 @@
             runner=self._runner,
             attempts=attempts,
             fetcher=fetcher,
+            outcomes=OutcomeServer(self._node.outcomes),
             source=ConfigurationSource(self._node.configuration),
             incarnation=self._identity.incarnation,
             inner_keys=self._settings.node.inner_keys,
@@ -94,7 +104,6 @@
         ]
         for server in self._servers:
             await server.async_start()
-        coordinator = UpstreamCoordinator(self._runner, client)
         self._tasks.repeat(lambda: REPORT_INTERVAL_S, coordinator.async_poll)
         self._tasks.repeat(lambda: TIMER_INTERVAL_S, self._async_tick)
         self._tasks.repeat(lambda: TIMER_INTERVAL_S, attempts.async_cancel_orphans)
