--- a/packages/cardamomnotch-core/src/cardamomnotch_core/rollout/const.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/rollout/const.py
@@ -19,5 +19,9 @@
 # From this part of the alarm threshold on every answer is to be rated.
 SUSPICION_LEVEL: Final = 0.2
 
+# From this part on the version takes only a share, while others can serve.
+HOLD_BACK_LEVEL: Final = 0.4
+SUSPECT_SHARE: Final = 0.25
+
 DEFAULT_BAD_BELOW: Final = 0.5
 DEFAULT_BAD_SHARE: Final = 0.01
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/rollout/flow.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/rollout/flow.py
@@ -121,6 +121,7 @@
                 for name in sorted(withdrawn - self._rankings.withdrawn)
             ]
             self._rankings.set_withdrawn(withdrawn)
+        self._rankings.set_suspects(self._monitor.suspects)
         result += [
             actions.ChangeLists(change=item.change, reason=item.reason)
             for item in self._monitor.changes_due(now_s)
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/rollout/monitor.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/rollout/monitor.py
@@ -11,7 +11,7 @@
 from ..quality.book import QualityBook
 from ..quality.models import CellKey, RatingSums
 from .changes import RolloutShareChange
-from .const import DEFAULT_BAD_SHARE, GROWTH_FACTOR, STAGGER_S
+from .const import DEFAULT_BAD_SHARE, GROWTH_FACTOR, HOLD_BACK_LEVEL, STAGGER_S
 from .sequential import BadVersionTest, GrowthTest
 
 
@@ -47,6 +47,15 @@
         """Return bad versions that the lists do not show as out yet."""
         return self._withdrawn
 
+    @property
+    def suspects(self) -> frozenset[str]:
+        """Return versions that are held back until more ratings tell."""
+        return frozenset(
+            name
+            for name, item in self._judged.items()
+            if item.test.level >= HOLD_BACK_LEVEL
+        )
+
     def level(self, version: str) -> float:
         """Return how near ``version`` is to an alarm, from 0 to 1."""
         judged = self._judged.get(version)
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/routing/decisions.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/routing/decisions.py
@@ -19,6 +19,7 @@
     CASCADE = "cascade"
     CHEAPEST = "cheapest"
     EXPLORED = "explored"
+    HELD_BACK = "held_back"
     ROLLED_OUT = "rolled_out"
     SERVICE = "service"
     SESSION = "session"
@@ -58,6 +59,7 @@
         return {
             "version": item.full_name,
             "cost_per_1k_tokens": item.cost,
+            "is_suspect": item.is_suspect,
             "rollout_share": item.rollout_share,
             "meets_target": item in self.ranking.meeting,
             "estimate": attrs.asdict(item.estimate) if item.estimate else None,
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/routing/ranking.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/routing/ranking.py
@@ -29,6 +29,8 @@
     full_name: str
     estimate: Estimate | None = None
     rollout_share: float = 1.0
+    # Whether ratings speak against it, though not enough to withdraw it.
+    is_suspect: bool = False
 
     @property
     def cost(self) -> float:
@@ -68,6 +70,7 @@
     def __init__(self, quality: QualityBook) -> None:
         self._quality = quality
         self._withdrawn: frozenset[str] = frozenset()
+        self._suspects: frozenset[str] = frozenset()
         self._revision = -1
         self._rankings: dict[_Key, tuple[Ranking, int, float]] = {}
 
@@ -81,6 +84,12 @@
         self._withdrawn = versions
         self._rankings.clear()
 
+    def set_suspects(self, versions: frozenset[str]) -> None:
+        """Hold ``versions`` back from the next decision on."""
+        if versions != self._suspects:
+            self._suspects = versions
+            self._rankings.clear()
+
     def get(self, record: ConfigurationRecord, demand: Demand, now_s: float) -> Ranking:
         """Return the ranking for ``demand``; raise PlanError or RankingError."""
         if record.revision != self._revision:
@@ -142,6 +151,7 @@
                 else None
             ),
             rollout_share=version.rollout_share,
+            is_suspect=full_name in self._suspects,
         )
 
 
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/routing/router.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/routing/router.py
@@ -13,6 +13,7 @@
 from ..membership.table import UpstreamTable
 from ..plans.allowance import allowed_route
 from ..quality.book import QualityBook
+from ..rollout.const import SUSPECT_SHARE
 from ..rollout.share import is_in_share
 from .const import RETRY_AFTER_S
 from .decisions import Decision, DecisionLog, Reason
@@ -153,11 +154,19 @@
         explored = self._explored(ranking, demand)
         if explored is not None:
             yield explored, Reason.EXPLORED
+        held_back = []
         for item in ranking.meeting:
-            if item.rollout_share >= 1:
+            if item.is_suspect and not is_in_share(
+                item.full_name, demand.routing_key, SUSPECT_SHARE
+            ):
+                held_back.append(item)
+            elif item.rollout_share >= 1:
                 yield item, Reason.CHEAPEST
             elif is_in_share(item.full_name, demand.routing_key, item.rollout_share):
                 yield item, Reason.ROLLED_OUT
+        for item in held_back:
+            if item.rollout_share >= 1:
+                yield item, Reason.HELD_BACK
         if not ranking.meeting and _may_go_below(ranking):
             best = max(ranking.versions, key=_lower_bound)
             yield best, Reason.BELOW_TARGET
--- a/tests/core/routing/test_version_choice.py
+++ b/tests/core/routing/test_version_choice.py
@@ -119,6 +119,15 @@
     assert (route.version, route.replaced_version) == ("v2", "drafter/v1")
 
 
+def test_suspect_version_is_held_back_but_not_missed(world):
+    """A suspect takes a quarter while another serves, and all if none does."""
+    world.router.rankings.set_suspects(frozenset({"drafter/v1"}))
+    versions = world.versions(1000, request_class="quick")
+    assert 200 <= versions.count("drafter/v1") <= 300
+    world.mark(versions_out=("drafter/v2",))
+    assert set(world.versions(50, request_class="quick")) == {"drafter/v1"}
+
+
 def test_rollout_takes_its_share_and_keeps_its_keys(world):
     """A growing share only adds keys; one in the share stays in it."""
     _with_rollout(world, 0.1)
--- /dev/null
+++ b/tests/replay/__init__.py
@@ -0,0 +1,1 @@
+"""Replays of recorded traces against stated outcomes."""
--- /dev/null
+++ b/tests/traces/__init__.py
@@ -0,0 +1,1 @@
+"""Recorded traces and their generator."""
