--- a/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/entry_node.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/entry_node.py
@@ -10,6 +10,8 @@
 from cardamomnotch_protocol.result_codes import ResultCode
 
 from ..attempts.const import DEFAULT_RETRY_AFTER_S
+from ..capacity.admission import Admission, refusal_of
+from ..capacity.workspaces import CapacityError
 from ..configuration.follower import ConfigurationFollower
 from ..configuration.holder import ConfigurationHolder
 from ..membership.models import Upstream
@@ -47,6 +49,9 @@
             self._configuration, quality, self._router.rankings, random_source
         )
         self._observer = AttemptObserver(self._router, self._upstreams)
+        self._admission = Admission(
+            self._configuration, self._upstreams, self._router.loads, random_source
+        )
         self._quarantine = QuarantineBook(self._configuration, wall_offset_s)
         self._requests = RequestFlow(
             identity,
@@ -121,6 +126,7 @@
             "quarantined": list(self._quarantine.fingerprints),
             "upstreams": [attrs.asdict(item) for item in self.upstreams],
             "routing": self._router.diagnostics(),
+            "capacity": self._admission.diagnostics(),
             "rollout": self._evidence.diagnostics(),
         }
 
@@ -144,6 +150,7 @@
         )
         self._observer.observe(event, (), now_s)
         follow_up = self._evidence.handle(event, now_s)
+        self._admission.observe(event, [])
         told = [actions.SendHeartbeat(vm_id=item.vm_id) for item in self.upstreams]
         return [*followed, *told, *follow_up]
 
@@ -176,6 +183,7 @@
         unknown = self._upstreams.take_vm_list(event.vms, self._served_names())
         self._observer.observe(event, (), now_s)
         self._evidence.handle(event, now_s)
+        self._admission.observe(event, [])
         return [*followed, *(actions.SendHeartbeat(vm_id=item) for item in unknown)]
 
     def _served_names(self) -> tuple[str, ...]:
@@ -244,6 +252,10 @@
                     retry_after_s=DEFAULT_RETRY_AFTER_S,
                 )
             ]
+        try:
+            self._admission.admit(event.request, now_s)
+        except CapacityError as error:
+            return [refusal_of(event.request.request_id, error)]
         return self._serve(event, now_s)
 
     @handle.register(events.CallerGone)
@@ -253,7 +265,11 @@
     @handle.register(events.AttemptLost)
     @handle.register(events.AttemptFenced)
     @handle.register(events.ClaimAnswered)
+    def _(self, event: Event, now_s: float) -> list[Action]:
+        return self._serve(event, now_s)
+
     def _serve(self, event: Event, now_s: float) -> list[Action]:
         result = self._requests.handle(event, now_s)
         self._observer.observe(event, result, now_s)
+        self._admission.observe(event, result)
         return result
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/routing/router.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/routing/router.py
@@ -7,11 +7,13 @@
 from cardamomnotch_protocol.exceptions import CardamomnotchError
 from cardamomnotch_protocol.result_codes import ResultCode
 
+from ..capacity.retries import RetryBudget
 from ..configuration.models import ConfigurationRecord
 from ..membership.models import Upstream
 from ..membership.table import UpstreamTable
 from ..plans.allowance import allowed_route
 from ..quality.book import QualityBook
+from ..rollout.const import SUSPECT_SHARE
 from ..rollout.share import is_in_share
 from .const import RETRY_AFTER_S
 from .decisions import Decision, DecisionLog, Reason
@@ -42,6 +44,7 @@
         self.health = HealthBook()
         self.loads = LoadBook()
         self.decisions = DecisionLog()
+        self.retries = RetryBudget()
         self.rankings = RankingCache(quality or QualityBook())
         self._random = random_source
         self._index = UpstreamIndex(zone, table)
@@ -50,6 +53,7 @@
     def diagnostics(self) -> dict[str, Any]:
         """Return the state for the dump."""
         return {
+            "retries_saved": self.retries.saved,
             "withdrawn_here": sorted(self.rankings.withdrawn),
             "recent_decisions": self.decisions.diagnostics(),
         }
@@ -65,11 +69,22 @@
 
         Raises PlanError, RankingError or RoutingError if there is none.
         """
+        self._count_attempt(is_retry=bool(tried))
         choose = self._choose_service if demand.service else self._choose_model
         decision = choose(record, demand, tried, now_s)
         self.decisions.add(decision)
         return decision.route
 
+    def _count_attempt(self, *, is_retry: bool) -> None:
+        if not is_retry:
+            self.retries.earn()
+        elif not self.retries.take():
+            raise RoutingError(
+                "retries exceed their share of the traffic",
+                code=ResultCode.OVERLOADED,
+                retry_after_s=RETRY_AFTER_S,
+            )
+
     def _choose_service(
         self,
         record: ConfigurationRecord,
@@ -139,11 +154,19 @@
         explored = self._explored(ranking, demand)
         if explored is not None:
             yield explored, Reason.EXPLORED
+        held_back = []
         for item in ranking.meeting:
-            if item.rollout_share >= 1:
+            if item.is_suspect and not is_in_share(
+                item.full_name, demand.routing_key, SUSPECT_SHARE
+            ):
+                held_back.append(item)
+            elif item.rollout_share >= 1:
                 yield item, Reason.CHEAPEST
             elif is_in_share(item.full_name, demand.routing_key, item.rollout_share):
                 yield item, Reason.ROLLED_OUT
+        for item in held_back:
+            if item.rollout_share >= 1:
+                yield item, Reason.HELD_BACK
         if not ranking.meeting and _may_go_below(ranking):
             best = max(ranking.versions, key=_lower_bound)
             yield best, Reason.BELOW_TARGET
