Load the killed engine within the plan's request rate

The plan's 50 requests/s, now enforced, left 1 request at a time at each engine, so test_gate's check that the limit had grown failed. Longer answers (50 tokens, not 8) load the engines at fewer requests a second; the bounds are as before.

--- a/tests/processes/test_gate.py
+++ b/tests/processes/test_gate.py
@@ -47,7 +47,7 @@
     """Ask once; whether it is answered does not matter here."""
     body = {
         "model": "auto",
-        "max_tokens": 8,
+        "max_tokens": 50,
         "messages": [{"role": "user", "content": f"question {number}"}],
     }
     request = urllib.request.Request(
