--- a/packages/cardamomnotch-core/src/cardamomnotch_core/configuration/models.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/configuration/models.py
@@ -45,8 +45,6 @@
     # Whether a small share may go to cheaper versions of unsure quality.
     explore: bool = True
     explore_share: float = 0.02
-    # Whether a poor answer that is not streamed moves up to a better version.
-    cascade: bool = False
     # Serve the best version, and say so, where none meets the target.
     serve_below_target: bool = False
     bad_below: float = 0.5
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/routing/decisions.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/routing/decisions.py
@@ -16,7 +16,6 @@
     """Why a version was chosen."""
 
     BELOW_TARGET = "below_target"
-    CASCADE = "cascade"
     CHEAPEST = "cheapest"
     EXPLORED = "explored"
     HELD_BACK = "held_back"
