--- a/packages/cardamomnotch-core/src/cardamomnotch_core/configuration/models.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/configuration/models.py
@@ -5,6 +5,8 @@
 
 import attrs
 
+from cardamomnotch_protocol.models import ConfigurationMessage
+
 
 @attrs.frozen(kw_only=True)
 class Version:
@@ -20,6 +22,8 @@
     quality: Mapping[str, float] = attrs.field(factory=dict)
     quality_answers: int = 200
     rollout_share: float = 1.0
+    # Engines that load the version; 0 leaves it to the operators.
+    replicas: int = 0
 
 
 @attrs.frozen(kw_only=True)
@@ -110,6 +114,17 @@
     vms_out: tuple[str, ...] = ()
 
 
+@attrs.frozen(kw_only=True)
+class PlacementRules:
+    """What the planner may ask of the engines.
+
+    ``concurrent_loads`` bounds how many engines read the weight store.
+    """
+
+    versions_per_engine: int = 2
+    concurrent_loads: int = 1
+
+
 @attrs.frozen(kw_only=True)
 class QuarantinedRequest:
     """A request that crashed upstreams; ``until_s`` is wall-clock time."""
@@ -139,6 +154,7 @@
     marks: Marks = Marks()
     quarantined: tuple[QuarantinedRequest, ...] = ()
     crashes: tuple[UpstreamCrash, ...] = ()
+    placement: PlacementRules = PlacementRules()
 
     @cached_property
     def quarantined_until(self) -> Mapping[str, float]:
@@ -165,6 +181,16 @@
         """Return the plans by name."""
         return {plan.name: plan for plan in self.plans}
 
+    @cached_property
+    def served_names(self) -> tuple[str, ...]:
+        """Return every version as "model/version", and every plain service."""
+        versions = tuple(
+            f"{model.name}/{version.name}"
+            for model in self.models
+            for version in model.versions
+        )
+        return versions + tuple(service.name for service in self.services)
+
     @cached_property
     def workspaces_by_name(self) -> Mapping[str, Workspace]:
         """Return the workspaces by name."""
@@ -187,3 +213,7 @@
     revision: int
     change_id: str
     configuration: Configuration
+    # What it was read from, so that it is passed on as it was accepted.
+    message: ConfigurationMessage | None = attrs.field(
+        default=None, eq=False, repr=False
+    )
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/entry_node.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/entry_node.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from cardamomnotch_protocol.models import EnginePlacement
 from cardamomnotch_protocol.result_codes import ResultCode
 
 from ..attempts.const import DEFAULT_RETRY_AFTER_S
@@ -15,6 +16,7 @@
 from ..configuration.holder import ConfigurationHolder
 from ..membership.models import Upstream
 from ..membership.table import UpstreamTable
+from ..placement.book import PlacementBook
 from ..quality.book import QualityBook
 from ..quarantine.book import QuarantineBook
 from ..rollout.flow import EvidenceFlow
@@ -40,7 +42,7 @@
         self._random = random_source
         self._configuration = ConfigurationHolder()
         self._follower = ConfigurationFollower(identity.vm_id, self._configuration)
-        self._upstreams = UpstreamTable()
+        self._upstreams = UpstreamTable(identity.vm_id, identity.zone)
         quality = QualityBook()
         self._router = Router(identity.zone, self._upstreams, random_source, quality)
         self._evidence = EvidenceFlow(
@@ -59,6 +61,7 @@
             quarantine=self._quarantine,
         )
         self._draining = False
+        self._placement = PlacementBook()
 
     @property
     def configuration(self) -> ConfigurationHolder:
@@ -75,6 +78,10 @@
         """Return the upstreams that heartbeats go to."""
         return self._upstreams.upstreams
 
+    def heartbeats_due(self, now_s: float) -> tuple[Upstream, ...]:
+        """Return the upstreams of which too little was heard of late."""
+        return self._upstreams.heartbeats_due(self._configuration.revision, now_s)
+
     def upstream(self, vm_id: str) -> Upstream | None:
         """Return the upstream on ``vm_id``."""
         return self._upstreams.get(vm_id)
@@ -114,6 +121,7 @@
             "draining": self._draining,
             "ready": self.is_ready,
             "requests_in_flight": len(self._requests),
+            "vms_listed": self._upstreams.listed,
             "suspects": list(self._requests.suspects.fingerprints),
             "quarantined": list(self._quarantine.fingerprints),
             "upstreams": [attrs.asdict(item) for item in self.upstreams],
@@ -122,6 +130,10 @@
             "rollout": self._evidence.diagnostics(),
         }
 
+    def placement_for(self, vm_id: str) -> EnginePlacement | None:
+        """Return what the engine on ``vm_id`` is to load, if anything is said."""
+        return self._placement.of(vm_id)
+
     @singledispatchmethod
     def handle(self, event: Event, now_s: float) -> list[Action]:
         """Return the actions that follow from ``event``."""
@@ -139,12 +151,13 @@
         self._observer.observe(event, (), now_s)
         follow_up = self._evidence.handle(event, now_s)
         self._admission.observe(event, [])
-        behind = [
-            actions.SendConfiguration(vm_id=item.vm_id, address=item.address)
-            for item in self.upstreams
-            if item.is_known
-        ]
-        return [*followed, *behind, *follow_up]
+        told = [actions.SendHeartbeat(vm_id=item.vm_id) for item in self.upstreams]
+        return [*followed, *told, *follow_up]
+
+    @handle.register
+    def _(self, event: events.PlacementRead, now_s: float) -> list[Action]:
+        self._placement.take(event.placement, event.serial)
+        return []
 
     @handle.register
     def _(self, event: events.DrainStarted, now_s: float) -> list[Action]:
@@ -153,6 +166,7 @@
 
     @handle.register
     def _(self, event: events.TimerDue, now_s: float) -> list[Action]:
+        self._upstreams.expire(now_s)
         self._requests.suspects.expire(now_s)
         return [
             *self._follower.follow(event, now_s),
@@ -166,12 +180,17 @@
     @handle.register
     def _(self, event: events.VmListReceived, now_s: float) -> list[Action]:
         followed = self._follower.follow(event, now_s)
-        unknown = self._upstreams.take_vm_list(event.vms)
+        unknown = self._upstreams.take_vm_list(event.vms, self._served_names())
         self._observer.observe(event, (), now_s)
         self._evidence.handle(event, now_s)
         self._admission.observe(event, [])
         return [*followed, *(actions.SendHeartbeat(vm_id=item) for item in unknown)]
 
+    def _served_names(self) -> tuple[str, ...]:
+        record = self._configuration.record
+        return record.configuration.served_names if record else ()
+
+    @handle.register(events.ConfigurationConfirmed)
     @handle.register(events.StoreAnswered)
     @handle.register(events.StoreSilent)
     @handle.register(events.PeerTold)
@@ -185,26 +204,36 @@
 
     @handle.register
     def _(self, event: events.HeartbeatAnswered, now_s: float) -> list[Action]:
-        self._upstreams.take_heartbeat(event.vm_id, event.reply, now_s)
+        known = self._upstreams.get(event.vm_id)
+        if known is None:
+            return []
+        self._upstreams.take_heartbeat(
+            event.vm_id,
+            event.reply,
+            now_s,
+            asked_at_s=event.asked_at_s,
+            told_revision=event.told_revision,
+        )
         self._requests.suspects.take_reported(event.vm_id, event.reply.suspects, now_s)
         self._observer.observe(event, (), now_s)
-        result = self._evidence.handle(event, now_s)
-        upstream = self._upstreams.get(event.vm_id)
-        if upstream is None:
-            return result
-        if event.reply.outcomes_due:
-            result = [*result, actions.FetchOutcomes(address=upstream.address)]
-        if event.reply.revision >= self._configuration.revision:
-            # A sidecar may have heard of a change before any entry nearby.
-            fetch = self._follower.fetch_if_behind(
-                upstream.address, event.reply.revision
-            )
-            return [*result, *fetch]
+        outcomes = (
+            [actions.FetchOutcomes(address=known.address)]
+            if event.reply.outcomes_due
+            else []
+        )
         return [
-            *result,
-            actions.SendConfiguration(vm_id=event.vm_id, address=upstream.address),
+            *self._evidence.handle(event, now_s),
+            *outcomes,
+            *self._bring_up_to_date(known, event.reply.revision),
         ]
 
+    def _bring_up_to_date(self, known: Upstream, revision: int) -> list[Action]:
+        if known.told_revision > revision:
+            # It was told before and has not fetched, so it is sent.
+            return [actions.SendConfiguration(vm_id=known.vm_id, address=known.address)]
+        # A sidecar may have heard of a change before any entry nearby.
+        return self._follower.fetch_if_behind(known.address, revision)
+
     @handle.register
     def _(self, event: events.HeartbeatFailed, now_s: float) -> list[Action]:
         self._upstreams.mark_unreachable(event.vm_id)
@@ -219,6 +248,7 @@
                     request_id=event.request.request_id,
                     code=ResultCode.NOT_READY,
                     detail="catching up after a pause",
+                    not_run=True,
                     retry_after_s=DEFAULT_RETRY_AFTER_S,
                 )
             ]
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/events.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/events.py
@@ -17,6 +17,7 @@
 from ..attempts.sidecar_table import AttemptState
 from ..configuration.models import ConfigurationRecord
 from ..membership.models import Vm
+from ..placement.models import Placement
 
 
 class Event:
@@ -25,10 +26,14 @@
 
 @attrs.frozen(kw_only=True)
 class ConfigurationOffered(Event):
-    """A record came from the store, a peer or an entry."""
+    """A record came from the store, a peer or an entry.
+
+    ``asked_at_s`` is when it was asked for, if it was.
+    """
 
     record: ConfigurationRecord
     source: str
+    asked_at_s: float = float("-inf")
 
 
 @attrs.frozen(kw_only=True)
@@ -54,6 +59,9 @@
 
     vm_id: str
     reply: HeartbeatReply
+    # When it was asked for, and the revision that it was told.
+    asked_at_s: float | None = None
+    told_revision: int = 0
 
 
 @attrs.frozen(kw_only=True)
@@ -180,6 +188,8 @@
     start_id: str
     waiting: int = 0
     versions: tuple[str, ...] = ()
+    # Highest fencing number that the engine has taken an order with.
+    fencing: int = 0
 
 
 @attrs.frozen(kw_only=True)
@@ -251,3 +261,25 @@
     address: str
     revision: int
     asked_at_s: float
+
+
+@attrs.frozen(kw_only=True)
+class OrderEnded(Event):
+    """The engine has answered an order, or has not."""
+
+
+@attrs.frozen(kw_only=True)
+class PlacementRead(Event):
+    """The store's placement was read; ``serial`` is its revision there."""
+
+    placement: Placement
+    serial: int
+
+
+@attrs.frozen(kw_only=True)
+class ConfigurationConfirmed(Event):
+    """A process that was asked holds nothing newer."""
+
+    revision: int
+    source: str
+    asked_at_s: float
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/sidecar_node.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/sidecar_node.py
@@ -25,6 +25,9 @@
 from ..attempts.sidecar_table import AttemptState, AttemptTable
 from ..configuration.holder import ConfigurationHolder
 from ..journal.holder import OutcomeHolder
+from ..membership.entries import EntryTable
+from ..membership.pauses import PauseWatch
+from ..placement.orders import OrderDesk
 from ..quality.evidence import SidecarEvidence
 from ..quarantine.book import QuarantineBook
 from ..quarantine.watch import CrashWatch
@@ -48,11 +51,14 @@
         self._attempts = AttemptTable()
         self._outcomes = OutcomeHolder()
         self._configuration = ConfigurationHolder()
+        self._entries = EntryTable()
+        self._pauses = PauseWatch()
         self._draining = False
         self._evidence = SidecarEvidence()
         self._upstream = UpstreamHealth(reachable=bool(identity.services))
         self._quarantine = QuarantineBook(self._configuration, wall_offset_s)
         self._crashes = CrashWatch(self._quarantine)
+        self._orders = OrderDesk()
         self._gate = Gate(
             identity,
             self._configuration,
@@ -60,6 +66,7 @@
             self._upstream,
             crashes=self._crashes,
             quarantine=self._quarantine,
+            orders=self._orders,
         )
 
     @property
@@ -91,6 +98,7 @@
         return {
             "identity": attrs.asdict(self._identity),
             "revision": self._configuration.revision,
+            "entries": list(self._entries.entry_ids),
             "draining": self._draining,
             "ready": self.is_ready,
             "upstream": {
@@ -99,6 +107,12 @@
                 "versions": list(self._upstream.versions),
             },
             "load": attrs.asdict(self._limiter.load),
+            "orders": {
+                "wanted": attrs.asdict(self._orders.wanted)
+                if self._orders.wanted
+                else None,
+                "obsolete_placements": self._orders.obsolete,
+            },
             "quarantined": list(self._quarantine.fingerprints),
             "warmth": self._limiter.warmth.value,
             "attempts_running": list(self._attempts.running_ids),
@@ -111,8 +125,14 @@
         """Return the actions that follow from ``event``."""
         raise TypeError(f"no handler for {type(event).__name__}")
 
+    @handle.register
+    def _(self, event: events.ConfigurationConfirmed, now_s: float) -> list[Action]:
+        self._pauses.confirm(event.asked_at_s)
+        return []
+
     @handle.register
     def _(self, event: events.ConfigurationOffered, now_s: float) -> list[Action]:
+        self._pauses.confirm(event.asked_at_s)
         was_out = self._gate.is_marked_out
         if not self._configuration.offer(event.record):
             return []
@@ -134,16 +154,21 @@
     @handle.register
     def _(self, event: events.TimerDue, now_s: float) -> list[Action]:
         self._attempts.expire(now_s)
+        self._entries.expire(now_s)
+        self._pauses.tick(now_s)
         return []
 
     @handle.register
     def _(self, event: events.HeartbeatArrived, now_s: float) -> list[Action]:
+        self._entries.take(event.request.entry_id, now_s)
         message = attrs.evolve(
             self._heartbeat_reply(now_s),
             ratings=self._pool_ratings(event.request, now_s),
         )
+        self._orders.take_placement(event.request.placement)
         reply = actions.ReplyToHeartbeat(message=message)
-        if event.request.revision <= self._configuration.revision:
+        behind = event.request.revision > self._configuration.revision
+        if not behind and not self._pauses.in_doubt(now_s):
             return [reply]
         fetch = actions.FetchConfiguration(address=event.request.entry_address)
         return [reply, fetch]
@@ -165,6 +190,7 @@
             versions=self._upstream.versions,
             services=self._identity.services,
             load=self._limiter.load,
+            heartbeat_after_s=self._entries.heartbeat_after_s,
             outcomes_due=self._outcomes.count_due(now_s),
             suspects=self._crashes.reported(now_s),
         )
@@ -175,7 +201,12 @@
         known = self._attempts.get(request.attempt_id)
         if known is not None and known.state is not AttemptState.NEVER_STARTED:
             return [actions.FollowAttempt(attempt_id=request.attempt_id)]
-        behind = request.revision > self._configuration.revision
+        # An attempt may have waited here while this process was paused, and so
+        # proves nothing about what has been accepted since.
+        behind = (
+            request.revision > self._configuration.revision
+            or self._pauses.in_doubt(now_s)
+        )
         if behind and not event.caught_up:
             return [
                 actions.FetchConfiguration(address=request.entry_address, retry=request)
@@ -196,6 +227,9 @@
         except CardamomnotchError as error:
             return [self._refusal(request, error)]
         self._attempts.start(request.attempt_id)
+        self._orders.start_attempt(
+            request.attempt_id, f"{request.model}/{request.version}"
+        )
         self._crashes.start(request, self._upstream.start_id, now_s)
         return [actions.AcceptAttempt(message=request)]
 
@@ -219,6 +253,7 @@
             self._upstream.busy_until_s = now_s + min(
                 MAX_RETRY_AFTER_S, event.retry_after_s
             )
+        self._orders.end_attempt(event.attempt_id)
         together = self._crashes.end(
             event.attempt_id,
             connection_lost=event.connection_lost,
@@ -272,8 +307,20 @@
         self._upstream.start_id = event.start_id
         self._upstream.reachable = True
         self._upstream.versions = event.versions
+        order = self._orders.next_order(
+            loaded=event.versions, fencing=event.fencing, now_s=now_s
+        )
+        result: list[Action] = []
+        if order is not None:
+            result.append(actions.GiveOrder(placement=order))
         if changed or came_back:
-            return [actions.ReportChange(text=f"upstream up, start {event.start_id}")]
+            text = f"upstream up, start {event.start_id}"
+            result.append(actions.ReportChange(text=text))
+        return result
+
+    @handle.register
+    def _(self, event: events.OrderEnded, now_s: float) -> list[Action]:
+        self._orders.end_order(now_s)
         return []
 
     @handle.register
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/const.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/const.py
@@ -26,11 +26,12 @@
 # Time that another caller's attempt gets to arrive at its sidecar.
 REJOIN_PATIENCE_S: Final = 1.0
 FENCE_LIMIT_S: Final = 3.0
-HEARTBEAT_INTERVAL_S: Final = 1.0
+HEARTBEAT_CHECK_S: Final = 0.2
 HEARTBEAT_TIMEOUT_S: Final = 1.0
 VM_LIST_INTERVAL_S: Final = 1.0
 WATCH_RENEWAL_S: Final = 20.0
-WATCH_RETRY_S: Final = 1.0
+WATCH_RETRY_S: Final = 0.5
+MAX_WATCH_RETRY_S: Final = 20.0
 DEFAULT_DRAIN_GRACE_S: Final = 300.0
 DEFAULT_EXPECTED_TOKENS: Final = 256
 MAX_IDEMPOTENCY_KEY_CHARS: Final = 255
--- a/packages/cardamomnotch-platform/src/cardamomnotch_platform/vm_list/client.py
+++ b/packages/cardamomnotch-platform/src/cardamomnotch_platform/vm_list/client.py
@@ -1,5 +1,7 @@
 """Client of the VM list."""
 
+from typing import Any
+
 import aiohttp
 import attrs
 import orjson
@@ -15,13 +17,17 @@
 
 @attrs.frozen(kw_only=True)
 class ListedVm:
-    """A VM as the platform lists it; ``address`` is "ip:port"."""
+    """A VM as the platform lists it; ``address`` is "ip:port".
+
+    ``serves`` may name the models, versions or services it is meant for.
+    """
 
     vm_id: str
     address: str
     zone: str
     role: str
     state: str = "live"
+    serves: tuple[str, ...] = ()
 
 
 @attrs.frozen
@@ -51,7 +57,7 @@
                     return None
                 if response.status != 200:
                     raise VmListError(f"status {response.status}")
-                data = orjson.loads(await response.read())
+                data = _checked(orjson.loads(await response.read()))
                 etag = response.headers.get("ETag", "")
             vms = structure(_CONVERTER, data, _VmList).vms
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
@@ -60,3 +66,10 @@
             raise VmListError(str(error)) from error
         self._etag = etag
         return vms
+
+
+def _checked(data: Any) -> Any:
+    """Return ``data`` if it holds a list; nothing else may look like no VMs."""
+    if not isinstance(data, dict) or not isinstance(data.get("vms"), list):
+        raise VmListError("vms is not a list")
+    return data
--- a/packages/cardamomnotch-protocol/src/cardamomnotch_protocol/models.py
+++ b/packages/cardamomnotch-protocol/src/cardamomnotch_protocol/models.py
@@ -66,6 +66,18 @@
     bad: int = 0
 
 
+@attrs.frozen(kw_only=True)
+class EnginePlacement:
+    """The versions that one engine is to load.
+
+    ``serial`` rises with each placement, ``fencing`` with each planner.
+    """
+
+    serial: int
+    fencing: int
+    versions: tuple[str, ...] = ()
+
+
 @_message("attempt_request")
 @attrs.frozen(kw_only=True)
 class AttemptRequest(Message):
@@ -208,6 +220,8 @@
     # New with each start of the entry; names whose sums the ratings are.
     entry_epoch: str = ""
     ratings: tuple[RatingTotals, ...] = ()
+    # What this sidecar's engine is to load, if a planner has said so.
+    placement: EnginePlacement | None = None
 
 
 @_message("heartbeat_reply")
@@ -224,6 +238,8 @@
     versions: tuple[str, ...] = ()
     services: tuple[str, ...] = ()
     load: Load = Load()
+    # Time that the sidecar asks each entry to leave between heartbeats.
+    heartbeat_after_s: float = 1.0
     # Outcomes that wait for an entry to bring them to the journal.
     outcomes_due: int = 0
     # Sums of the other entries' ratings of this upstream's answers.
@@ -241,6 +257,9 @@
     change_id: str
     digest: str
     document: Mapping[str, Any]
+    # The changes accepted before this one, latest first, for a writer whose
+    # answer was lost while others went on.
+    former_change_ids: tuple[str, ...] = ()
 
 
 @_message("configuration_reply")
@@ -357,3 +376,35 @@
     entry_id: str
     entry_address: str
     revision: int
+
+
+@attrs.frozen(kw_only=True)
+class ChangedPart:
+    """An entry of a list, by name, or a whole table, which has no name.
+
+    No value means that the entry was removed.
+    """
+
+    section: str
+    name: str = ""
+    value: Any = None
+
+    @property
+    def path(self) -> str:
+        """Return where it stands in the document."""
+        return f"{self.section}[{self.name}]" if self.name else self.section
+
+
+@_message("configuration_changes")
+@attrs.frozen(kw_only=True)
+class ConfigurationChanges(Message):
+    """What leads from one revision of the operators' lists to another.
+
+    ``digest`` is that of the whole document that results.
+    """
+
+    based_on: int
+    revision: int
+    change_id: str
+    digest: str
+    parts: tuple[ChangedPart, ...] = ()
