End an attempt at once when its sidecar's process is gone

Cause: an entry kept asking for 6 s to re-attach and 3 s to fence although every connection was refused. A refused connection means that nothing listens there, so the incarnation that held the attempt is gone; three in a row end the asking, one ends the fence. A cut network gives timeouts, not refusals, and keeps its patience.

--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/const.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/const.py
@@ -23,6 +23,8 @@
 # Longest time without a new byte in which a lost answer is asked for again.
 REATTACH_LIMIT_S: Final = 6.0
 REATTACH_PAUSE_S: Final = 0.2
+# Connections refused in a row after which a sidecar's process counts as gone.
+MAX_REFUSED_REATTACHES: Final = 3
 # Time that another caller's attempt gets to arrive at its sidecar.
 REJOIN_PATIENCE_S: Final = 1.0
 FENCE_LIMIT_S: Final = 3.0
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/inner/attempt_client.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/inner/attempt_client.py
@@ -19,7 +19,7 @@
 from cardamomnotch_protocol.exceptions import CardamomnotchError, ProtocolError
 from cardamomnotch_protocol.models import FenceReply, FenceRequest
 from cardamomnotch_protocol.result_codes import ResultCode
-from cardamomnotch_runtime.frames import async_call
+from cardamomnotch_runtime.frames import ProcessGoneError, async_call, is_refused
 from cardamomnotch_runtime.runner import NodeRunner
 from cardamomnotch_runtime.tasks import TaskGroup
 
@@ -31,6 +31,7 @@
     FENCE_LIMIT_S,
     HEADER_BELOW_TARGET,
     HEARTBEAT_TIMEOUT_S,
+    MAX_REFUSED_REATTACHES,
     REATTACH_LIMIT_S,
     REATTACH_PAUSE_S,
     REJOIN_PATIENCE_S,
@@ -117,6 +118,9 @@
         while True:
             try:
                 reply = await self._async_call_fence(action.address, message)
+            except ProcessGoneError:
+                # What the process knew of the attempt has ended with it.
+                break
             except CardamomnotchError as error:
                 _LOGGER.debug("attempt not fenced: %s", error)
             else:
@@ -184,8 +188,10 @@
         """Follow the answer from where it stopped, over new connections.
 
         An attempt that the sidecar does not know may still be on its way for
-        ``patience_s`` seconds.
+        ``patience_s`` seconds. A process that refuses connections is gone, and
+        the attempt with it.
         """
+        refusals = 0
         unknown_at_s = _now_s() + patience_s
         give_up_at_s = _now_s() + REATTACH_LIMIT_S
         while not follower.has_ended:
@@ -201,8 +207,11 @@
                 if _now_s() >= unknown_at_s:
                     follower.lose(error.code)
                 await asyncio.sleep(REATTACH_PAUSE_S)
-            except _BROKEN:
-                if follower.offset > offset:
+            except _BROKEN as error:
+                refusals = refusals + 1 if is_refused(error) else 0
+                if refusals >= MAX_REFUSED_REATTACHES:
+                    follower.lose(ResultCode.SIDECAR_UNREACHABLE)
+                elif follower.offset > offset:
                     give_up_at_s = _now_s() + REATTACH_LIMIT_S
                 elif _now_s() >= give_up_at_s:
                     follower.lose(ResultCode.SIDECAR_UNREACHABLE)
--- a/packages/cardamomnotch-protocol/src/cardamomnotch_protocol/schema.py
+++ b/packages/cardamomnotch-protocol/src/cardamomnotch_protocol/schema.py
@@ -1,5 +1,6 @@
 """Strict conversion of plain data into attrs classes."""
 
+from collections.abc import Mapping
 from typing import Any, TypeVar
 
 import cattrs
@@ -69,6 +70,8 @@
 
     Raises SchemaError with one line for each problem and its path.
     """
+    if not isinstance(data, Mapping):
+        raise SchemaError((f"expected an object, not {type(data).__name__}",))
     try:
         return converter.structure(data, cls)
     except (ClassValidationError, IterableValidationError) as error:
--- a/packages/cardamomnotch-runtime/src/cardamomnotch_runtime/frames.py
+++ b/packages/cardamomnotch-runtime/src/cardamomnotch_runtime/frames.py
@@ -33,12 +33,26 @@
     return web.Response(body=codec.encode(message), headers=_HEADERS)
 
 
+class ProcessGoneError(CardamomnotchError):
+    """Nothing listens at the address, so the process there has ended."""
+
+    code = ResultCode.SIDECAR_UNREACHABLE
+
+
+def is_refused(error: BaseException) -> bool:
+    """Return whether ``error`` says that a connection was refused."""
+    return isinstance(error, aiohttp.ClientConnectorError) and isinstance(
+        error.os_error, ConnectionRefusedError
+    )
+
+
 async def async_call(
     session: aiohttp.ClientSession, url: str, message: Message, timeout_s: float
 ) -> Message:
     """Send ``message`` and return the message that answers it.
 
-    Raises CardamomnotchError with SIDECAR_UNREACHABLE, or ProtocolError.
+    Raises CardamomnotchError with SIDECAR_UNREACHABLE, as ProcessGoneError if
+    the connection was refused, or ProtocolError.
     """
     data = codec.encode(message)
     return await _async_exchange(session, "POST", url, timeout_s, data)
@@ -69,9 +83,10 @@
             body = await response.read()
             status = response.status
     except (aiohttp.ClientError, TimeoutError, OSError) as error:
-        raise CardamomnotchError(
-            f"{url}: {type(error).__name__}", code=ResultCode.SIDECAR_UNREACHABLE
-        ) from error
+        detail = f"{url}: {type(error).__name__}"
+        if is_refused(error):
+            raise ProcessGoneError(detail) from error
+        raise CardamomnotchError(detail, code=ResultCode.SIDECAR_UNREACHABLE) from error
     if status != 200:
         raise ProtocolError(f"{url}: status {status}")
     return codec.decode(body).message
--- a/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/upstream/engine.py
+++ b/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/upstream/engine.py
@@ -5,8 +5,10 @@
 import aiohttp
 import orjson
 
+from cardamomnotch_protocol.exceptions import SchemaError
 from cardamomnotch_protocol.models import AttemptRequest, EnginePlacement
 from cardamomnotch_protocol.result_codes import ResultCode
+from cardamomnotch_protocol.schema import strict_converter, structure
 
 from ..answer_buffer import AnswerBuffer
 from ..const import HEADER_REQUEST_ID
@@ -20,6 +22,7 @@
 _BUSY_STATUSES = frozenset((429, 503))
 # Loading weights takes long; an answer that is lost is read back.
 _ORDER_TIMEOUT = aiohttp.ClientTimeout(total=600.0, sock_connect=1.0)
+_CONVERTER = strict_converter(forbid_extra_keys=False)
 _REPORT_TIMEOUT = aiohttp.ClientTimeout(total=2.0)
 
 
@@ -39,13 +42,7 @@
             async with self._session.get(
                 self._url + _LOAD_PATH, timeout=_REPORT_TIMEOUT
             ) as response:
-                data = orjson.loads(await response.read())
-        return UpstreamReport(
-            start_id=str(data.get("start_id", "")),
-            waiting=int(data.get("waiting", 0)),
-            versions=tuple(data.get("versions", ())),
-            fencing=int(data.get("fencing", 0)),
-        )
+                return _read_report(await response.read())
 
     async def async_order(self, placement: EnginePlacement) -> None:
         """Order the engine to load these versions and no others.
@@ -83,6 +80,15 @@
                 return await _async_whole(response, buffer, started_at_s)
 
 
+def _read_report(body: bytes) -> UpstreamReport:
+    try:
+        return structure(_CONVERTER, orjson.loads(body), UpstreamReport)
+    except (orjson.JSONDecodeError, SchemaError) as error:
+        raise UpstreamError(
+            f"load report: {error}", code=ResultCode.UPSTREAM_FAILED
+        ) from error
+
+
 def _engine_body(request: AttemptRequest, body: bytes) -> bytes:
     data = orjson.loads(body)
     data["model"] = f"{request.model}/{request.version}"
@@ -130,16 +136,14 @@
 ) -> CallResult:
     body = await response.read()
     try:
-        data = orjson.loads(body)
-    except orjson.JSONDecodeError as error:
+        usage = usage_from_json(orjson.loads(body))
+    except (AttributeError, TypeError, ValueError) as error:
         raise UpstreamError(
-            "the answer is not JSON", code=ResultCode.SHORT_ANSWER
+            "the answer is not a completion", code=ResultCode.SHORT_ANSWER
         ) from error
     buffer.set_head(response.status, {"Content-Type": "application/json"})
     buffer.append(body)
-    return CallResult(
-        usage=usage_from_json(data), first_token_ms=_elapsed_ms(started_at_s)
-    )
+    return CallResult(usage=usage, first_token_ms=_elapsed_ms(started_at_s))
 
 
 def _elapsed_ms(started_at_s: float) -> float:
--- a/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/upstream/models.py
+++ b/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/upstream/models.py
@@ -23,7 +23,7 @@
 class UpstreamReport:
     """What an upstream tells about itself."""
 
-    start_id: str
+    start_id: str = ""
     waiting: int = 0
     versions: tuple[str, ...] = ()
     fencing: int = 0
--- a/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/upstream/sse.py
+++ b/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/upstream/sse.py
@@ -28,7 +28,7 @@
     """Checks a stream event by event and knows whether it is whole."""
 
     def __init__(self) -> None:
-        self._buffer = bytearray()
+        self._buffer = b""
         self._completion_id = ""
         self._done = False
         self._finish_reason = ""
@@ -49,10 +49,11 @@
 
         Raises UpstreamError for an event of another answer or a broken one.
         """
-        self._buffer += data.replace(b"\r\n", b"\n")
+        # The end of a line may have been cut between two reads.
+        self._buffer = (self._buffer + data).replace(b"\r\n", b"\n")
         while (end := self._buffer.find(_SEPARATOR)) >= 0:
-            event = bytes(self._buffer[: end + len(_SEPARATOR)])
-            del self._buffer[: end + len(_SEPARATOR)]
+            event = self._buffer[: end + len(_SEPARATOR)]
+            self._buffer = self._buffer[end + len(_SEPARATOR) :]
             if self._accept(event):
                 yield event
 
@@ -65,12 +66,11 @@
             self._done = True
             return False
         try:
-            chunk = orjson.loads(text)
-        except orjson.JSONDecodeError as error:
+            self._accept_chunk(orjson.loads(text))
+        except (AttributeError, TypeError, ValueError) as error:
             raise UpstreamError(
-                "event is not JSON", code=ResultCode.UPSTREAM_FAILED
+                "event is not a chunk", code=ResultCode.UPSTREAM_FAILED
             ) from error
-        self._accept_chunk(chunk)
         return True
 
     def _accept_chunk(self, chunk: dict[str, Any]) -> None:
