--- a/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/request_flow.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/request_flow.py
@@ -5,7 +5,6 @@
 import attrs
 
 from cardamomnotch_protocol.exceptions import CardamomnotchError
-from cardamomnotch_protocol.models import AttemptRequest
 from cardamomnotch_protocol.result_codes import ResultCode
 
 from ..attempts.const import (
@@ -19,24 +18,26 @@
     RequestState,
     RequestTable,
 )
+from ..attempts.requests import (
+    attempt_request,
+    open_request,
+    suspect_key,
+    suspect_key_of,
+)
 from ..attempts.sidecar_table import AttemptState
 from ..configuration.holder import ConfigurationHolder
-from ..configuration.models import Configuration
 from ..journal.claim_flow import ClaimFlow, record_outcome, record_refusal
 from ..membership.table import UpstreamTable
 from ..quarantine.book import QuarantineBook
 from ..quarantine.changes import QuarantineChange
-from ..quarantine.models import fingerprint_key
 from ..quarantine.tracker import SuspectTracker
-from ..routing.models import Demand, Route
+from ..routing.models import Route
 from ..routing.router import Router
 from . import actions, events
 from .actions import Action
 from .events import Event
 from .identity import EntryIdentity
 
-DEFAULT_DEADLINE_S = 120.0
-
 # Refusals after which another upstream may still take the request.
 _ELSEWHERE = frozenset(
     (
@@ -124,25 +125,8 @@
         workspace = configuration.workspaces_by_digest.get(request.key_digest)
         if workspace is None:
             raise CardamomnotchError(code=ResultCode.UNKNOWN_KEY)
-        self.suspects.check(_suspect_key(workspace.name, request), now_s)
-        key = request.idempotency_key or request.request_id
-        return RequestRecord(
-            request=request,
-            demand=Demand(
-                workspace=workspace.name,
-                model=request.model,
-                request_class=request.request_class,
-                session_version=request.session_version,
-                service=request.service,
-                method=request.method,
-                path=request.path,
-                request_id=request.request_id,
-                routing_key=key,
-            ),
-            workspace=workspace.name,
-            request_key=f"{workspace.name}:{key}",
-            deadline_s=now_s + _time_allowed_s(configuration, request),
-        )
+        self.suspects.check(suspect_key(workspace.name, request), now_s)
+        return open_request(configuration, workspace.name, request, now_s)
 
     def _next_attempt(self, record: RequestRecord, now_s: float) -> list[Action]:
         try:
@@ -170,35 +154,20 @@
 
     def _crashed_vms(self, record: RequestRecord, now_s: float) -> frozenset[str]:
         return self.suspects.crashed_vms(
-            _key_of(record), record.request.request_id, now_s
+            suspect_key_of(record), record.request.request_id, now_s
         )
 
     def _start(self, record: RequestRecord, route: Route, now_s: float) -> Action:
-        request = record.request
-        suspicion = self.suspects.claim(_key_of(record), request.request_id, now_s)
-        message = AttemptRequest(
-            attempt_id=record.attempt_id,
-            request_id=request.request_id,
-            request_key=record.request_key,
-            workspace=record.workspace,
-            incarnation=route.upstream.incarnation,
+        suspicion = self.suspects.claim(
+            suspect_key_of(record), record.request.request_id, now_s
+        )
+        message = attempt_request(
+            record,
+            route,
+            self._identity,
+            suspicion,
             revision=self._configuration.revision,
-            timeout_ms=int((record.deadline_s - now_s) * 1000),
-            entry_address=self._identity.inner_address,
-            model=route.model,
-            version=route.version,
-            service=route.service,
-            method=request.method,
-            path=request.path,
-            headers=dict(request.headers),
-            request_class=request.request_class,
-            priority=route.priority,
-            idempotent=route.idempotent,
-            stream=request.stream,
-            expected_tokens=request.expected_tokens,
-            fingerprint=request.fingerprint,
-            suspected_crashes=suspicion.crashes,
-            co_suspects=suspicion.co_suspects,
+            now_s=now_s,
         )
         return actions.StartAttempt(
             vm_id=route.upstream.vm_id,
@@ -240,7 +209,7 @@
             return []
         self._upstreams.take_load(record.route.upstream.vm_id, event.load, now_s)
         if event.code is ResultCode.OK:
-            self.suspects.clear(_key_of(record))
+            self.suspects.clear(suspect_key_of(record))
             self._requests.end(event.request_id)
             return [
                 record_outcome(record, event.code, event.usage),
@@ -257,7 +226,7 @@
         """Give the request up at once if it is the one that crashes upstreams."""
         vm_id = record.route.upstream.vm_id
         change = self.suspects.judge(
-            _key_of(record), event.request_id, vm_id, event.co_suspects, now_s
+            suspect_key_of(record), event.request_id, vm_id, event.co_suspects, now_s
         )
         told = []
         if change is not None:
@@ -378,32 +347,6 @@
         return record
 
 
-def _suspect_key(workspace: str, request: CallerRequest) -> str:
-    """Return the fingerprint; plain services' calls have none."""
-    return "" if request.service else fingerprint_key(workspace, request.fingerprint)
-
-
-def _key_of(record: RequestRecord) -> str:
-    return _suspect_key(record.workspace, record.request)
-
-
-def _time_allowed_s(configuration: Configuration, request: CallerRequest) -> float:
-    if request.timeout_s:
-        return request.timeout_s
-    service = configuration.services_by_name.get(request.service)
-    if service is not None:
-        return service.deadline_s
-    request_class = configuration.classes_by_name.get(request.request_class)
-    return request_class.deadline_s if request_class else DEFAULT_DEADLINE_S
-
-
-def _note_tried(record: RequestRecord, code: ResultCode) -> RequestRecord:
-    """Return ``record`` with its present upstream among those not to try again."""
-    if code in _UPSTREAM_NOT_AT_FAULT:
-        return record
-    return attrs.evolve(record, tried=record.tried | {record.route.upstream.vm_id})
-
-
 def _refusal(record: RequestRecord, error: CardamomnotchError) -> Action:
     """Return the final answer to a request that is given up."""
     code, detail = error.code, error.detail
@@ -416,3 +359,10 @@
         retry_after_s=error.retry_after_s,
         not_run=not record.maybe_ran,
     )
+
+
+def _note_tried(record: RequestRecord, code: ResultCode) -> RequestRecord:
+    """Return ``record`` with its present upstream among those not to try again."""
+    if code in _UPSTREAM_NOT_AT_FAULT:
+        return record
+    return attrs.evolve(record, tried=record.tried | {record.route.upstream.vm_id})
