Be ready only when every listed upstream was asked once

Ruled out: any one upstream that answers, since it may be of another kind; all of them accepting, since one dead VM would keep an entry out.

--- a/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/entry_node.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/entry_node.py
@@ -15,6 +15,7 @@
 from ..configuration.follower import ConfigurationFollower
 from ..configuration.holder import ConfigurationHolder
 from ..membership.models import Upstream
+from ..membership.survey import FirstSurvey
 from ..membership.table import UpstreamTable
 from ..placement.book import PlacementBook
 from ..quality.book import QualityBook
@@ -62,6 +63,8 @@
         )
         self._draining = False
         self._placement = PlacementBook()
+        self._survey = FirstSurvey()
+        self._vms_listed = False
 
     @property
     def configuration(self) -> ConfigurationHolder:
@@ -106,6 +109,8 @@
         record = self._configuration.record
         if record is None or self._draining or not self._follower.may_serve:
             return False
+        if not self._survey.is_complete:
+            return False
         marks = record.configuration.marks
         return (
             self._identity.zone not in marks.zones_out
@@ -148,6 +153,7 @@
         self._requests.suspects.take_listed(
             self._configuration.record.configuration, now_s
         )
+        self._check_survey()
         self._observer.observe(event, (), now_s)
         follow_up = self._evidence.handle(event, now_s)
         self._admission.observe(event, [])
@@ -181,11 +187,17 @@
     def _(self, event: events.VmListReceived, now_s: float) -> list[Action]:
         followed = self._follower.follow(event, now_s)
         unknown = self._upstreams.take_vm_list(event.vms, self._served_names())
+        self._vms_listed = True
+        self._check_survey()
         self._observer.observe(event, (), now_s)
         self._evidence.handle(event, now_s)
         self._admission.observe(event, [])
         return [*followed, *(actions.SendHeartbeat(vm_id=item) for item in unknown)]
 
+    def _check_survey(self) -> None:
+        if self._vms_listed and self._configuration.record is not None:
+            self._survey.check(self.upstreams)
+
     def _served_names(self) -> tuple[str, ...]:
         record = self._configuration.record
         return record.configuration.served_names if record else ()
@@ -214,6 +226,7 @@
             asked_at_s=event.asked_at_s,
             told_revision=event.told_revision,
         )
+        self._check_survey()
         self._requests.suspects.take_reported(event.vm_id, event.reply.suspects, now_s)
         self._observer.observe(event, (), now_s)
         outcomes = (
@@ -237,6 +250,8 @@
     @handle.register
     def _(self, event: events.HeartbeatFailed, now_s: float) -> list[Action]:
         self._upstreams.mark_unreachable(event.vm_id)
+        self._survey.note_failure(event.vm_id)
+        self._check_survey()
         self._observer.observe(event, (), now_s)
         return []
 
