Plan placements in linear time

Cause: for each engine with no free slot, the planner counted the loaded replicas of what it holds over all engines, so a plan grew with their square. Counts are kept as the draft changes instead. The planner's tests are unchanged.

--- a/packages/cardamomnotch-core/src/cardamomnotch_core/placement/planner.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/placement/planner.py
@@ -18,18 +18,28 @@
     slots: int
     wanted: Mapping[str, int]
     out: Collection[str]
+    # Engines that are to hold a version and have loaded it, by version.
+    loaded_counts: Counter[str] = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.loaded_counts = Counter(
+            version
+            for vm_id, held in self.versions.items()
+            for version in held & self.engines[vm_id].loaded
+        )
 
     def holders(self, version: str) -> list[str]:
         """Return the engines that are to hold ``version``."""
         return [vm_id for vm_id, held in self.versions.items() if version in held]
 
-    def loaded(self, version: str) -> list[str]:
-        """Return those of the holders that have loaded it already."""
-        return [
-            vm_id
-            for vm_id in self.holders(version)
-            if version in self.engines[vm_id].loaded
-        ]
+    def replace(self, vm_id: str, former: str | None, version: str) -> None:
+        """Have the engine hold ``version``, and no longer ``former``."""
+        loaded = self.engines[vm_id].loaded
+        self.versions[vm_id] -= {former}
+        self.versions[vm_id].add(version)
+        self.loaded_counts[version] += version in loaded
+        if former is not None:
+            self.loaded_counts[former] -= former in loaded
 
     def loads_pending(self) -> int:
         """Return how many loads are asked for and not read back."""
@@ -98,8 +108,7 @@
     if not options:
         return False
     *_, vm_id, drop = min(options, key=lambda option: option[:4])
-    draft.versions[vm_id] -= {drop}
-    draft.versions[vm_id].add(version)
+    draft.replace(vm_id, drop, version)
     return True
 
 
@@ -115,5 +124,6 @@
 def _is_spare(draft: _Draft, version: str, vm_id: str) -> bool:
     if version in draft.out:
         return True
-    others = [one for one in draft.loaded(version) if one != vm_id]
-    return len(others) >= max(1, draft.wanted.get(version, 0))
+    is_loaded_here = version in draft.engines[vm_id].loaded
+    loaded_elsewhere = draft.loaded_counts[version] - is_loaded_here
+    return loaded_elsewhere >= max(1, draft.wanted.get(version, 0))
