Hold an entry's heartbeats to a budget of its own

Cause: an entry sent each of its upstreams a heartbeat a second, and one to all at each change. Now the interval grows so that all of them together get 12 a second, silence is judged by the interval in use (also in the picker, which had a fixed 3 s), and a change is told to 12 upstreams at once; calls carry the revision to busy ones, and with 21 entries to a sidecar an idle one is reached by the next heartbeat of any. Ruled out: fewer upstreams an entry, which would leave versions thin when an availability zone is out.

The new test fails without the table's change at 60 and 364 upstreams (one a second each) and passes with it.

--- a/packages/cardamomnotch-core/src/cardamomnotch_core/membership/const.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/membership/const.py
@@ -15,6 +15,8 @@
 HEARTBEAT_INTERVAL_S: Final = 1.0
 # Answers to attempts stand in for heartbeats no longer than this.
 HEARTBEAT_AT_LEAST_EVERY_S: Final = 5.0
+# Heartbeats that an entry sends to all its upstreams together.
+HEARTBEATS_PER_ENTRY_PER_S: Final = 12
 # Heartbeats that a sidecar takes from all its entries together.
 HEARTBEATS_PER_SIDECAR_PER_S: Final = 20
 # An entry that a sidecar has not heard of for this long is forgotten.
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/membership/table.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/membership/table.py
@@ -6,8 +6,7 @@
 
 from cardamomnotch_protocol.models import HeartbeatReply, Load
 
-from .const import HEARTBEAT_AT_LEAST_EVERY_S
-from .const import SILENT_AFTER_S as SILENT_AFTER_S
+from .const import HEARTBEAT_AT_LEAST_EVERY_S, HEARTBEATS_PER_ENTRY_PER_S
 from .models import Upstream, Vm
 from .rendezvous import rank
 from .states import MemberSignal, MemberState, next_state
@@ -44,6 +43,11 @@
         """Return how many VMs the list names, in use or not."""
         return self._listed
 
+    @property
+    def _interval_s(self) -> float:
+        """Return the time between heartbeats to one upstream that this entry needs."""
+        return len(self._upstreams) / HEARTBEATS_PER_ENTRY_PER_S
+
     def get(self, vm_id: str) -> Upstream | None:
         """Return the upstream on ``vm_id``."""
         return self._upstreams.get(vm_id)
@@ -121,7 +125,7 @@
                 load=reply.load,
                 heard_at_s=max(known.heard_at_s, sent_at_s),
                 heartbeat_at_s=sent_at_s,
-                heartbeat_after_s=reply.heartbeat_after_s,
+                heartbeat_after_s=max(reply.heartbeat_after_s, self._interval_s),
             )
         )
 
@@ -187,7 +191,8 @@
         return (
             now_s - upstream.heard_at_s >= interval_s
             or upstream.revision < revision
-            or now_s - upstream.heartbeat_at_s >= HEARTBEAT_AT_LEAST_EVERY_S
+            or now_s - upstream.heartbeat_at_s
+            >= max(HEARTBEAT_AT_LEAST_EVERY_S, interval_s)
         )
 
 
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/entry_node.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/entry_node.py
@@ -14,6 +14,7 @@
 from ..capacity.workspaces import CapacityError
 from ..configuration.follower import ConfigurationFollower
 from ..configuration.holder import ConfigurationHolder
+from ..membership.const import HEARTBEATS_PER_ENTRY_PER_S
 from ..membership.models import Upstream
 from ..membership.survey import FirstSurvey
 from ..membership.table import UpstreamTable
@@ -157,8 +158,14 @@
         self._observer.observe(event, (), now_s)
         follow_up = self._evidence.handle(event, now_s)
         self._admission.observe(event, [])
-        told = [actions.SendHeartbeat(vm_id=item.vm_id) for item in self.upstreams]
-        return [*followed, *told, *follow_up]
+        return [*followed, *self._tell_upstreams(), *follow_up]
+
+    def _tell_upstreams(self) -> list[Action]:
+        """Tell as many as the budget allows; calls and heartbeats tell the rest."""
+        upstreams = self.upstreams
+        count = min(len(upstreams), HEARTBEATS_PER_ENTRY_PER_S)
+        told = self._random.sample(upstreams, count)
+        return [actions.SendHeartbeat(vm_id=item.vm_id) for item in told]
 
     @handle.register
     def _(self, event: events.PlacementRead, now_s: float) -> list[Action]:
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/routing/picker.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/routing/picker.py
@@ -6,7 +6,7 @@
 import attrs
 
 from ..membership.models import Upstream
-from ..membership.table import SILENT_AFTER_S, UpstreamTable
+from ..membership.table import UpstreamTable
 from .const import MAX_DRAWS, MAX_EJECTED_SHARE
 from .health import HealthBook
 from .load import LoadBook
@@ -105,9 +105,7 @@
         self, vm_id: str, tried: Collection[str], now_s: float
     ) -> Candidate | None:
         upstream = self._table.get(vm_id)
-        if upstream is None or vm_id in tried:
-            return None
-        if now_s - upstream.heard_at_s > SILENT_AFTER_S:
+        if upstream is None or vm_id in tried or upstream.is_silent(now_s):
             return None
         in_flight = self._loads.in_flight(upstream, now_s)
         limit = max(1.0, upstream.load.limit * self._health.ramp(vm_id, now_s))
--- a/tests/core/membership/test_table.py
+++ b/tests/core/membership/test_table.py
@@ -19,6 +19,9 @@
 _REPLY = HeartbeatReply(
     vm_id="u", zone="a", incarnation="i", revision=1, accepting=True
 )
+_STEP_S = 0.2
+_WATCHED_STEPS = 500
+_MOST_HEARTBEATS_PER_S = 19
 
 
 @pytest.fixture
@@ -116,3 +119,26 @@
     assert entries.heartbeat_after_s == 10.0
     entries.expire(1000.0)
     assert entries.heartbeat_after_s == 1.0
+
+
+@pytest.mark.parametrize("count", [1, 12, 60, 364])
+def test_heartbeats_of_an_entry_stay_within_its_share(count):
+    """However many upstreams it has, an entry's control keeps to 19 KB/s.
+
+    A heartbeat with its answer takes about 1 KB, HTTP included.
+    """
+    vm_ids = [f"u-{number}" for number in range(count)]
+    upstreams = UpstreamTable("entry-0", "a")
+    upstreams.take_vm_list([attrs.evolve(_VM, vm_id=vm_id) for vm_id in vm_ids])
+    known = [item.vm_id for item in upstreams.upstreams]
+    sent = 0
+    for vm_id in known:
+        upstreams.take_heartbeat(vm_id, attrs.evolve(_REPLY, vm_id=vm_id), 0.0)
+    for step in range(1, _WATCHED_STEPS + 1):
+        now_s = step * _STEP_S
+        for upstream in upstreams.heartbeats_due(1, now_s):
+            reply = attrs.evolve(_REPLY, vm_id=upstream.vm_id)
+            upstreams.take_heartbeat(upstream.vm_id, reply, now_s)
+            sent += 1
+        assert len(upstreams.usable(now_s)) == len(known)
+    assert sent / (_WATCHED_STEPS * _STEP_S) <= _MOST_HEARTBEATS_PER_S
