--- a/script/benchmarks/_system.py
+++ b/script/benchmarks/_system.py
@@ -68,10 +68,7 @@
             cold_concurrency=_MAX_CONCURRENCY,
         )
         system.add_entry(ENTRY, ZONES[0])
-        system.publish_vm_list()
-        system.wait_for(f"{system.store_url}/counts")
-        system.operate("config", "apply", str(_write_lists(directory)))
-        system.wait_until_ready()
+        system.put_in_force(_write_lists(directory))
         system.set_faults(system.gates[ENGINE].upstream_url, token_s=token_s)
     except BaseException:
         system.stop()
--- a/tests/processes/test_faults.py
+++ b/tests/processes/test_faults.py
@@ -12,7 +12,7 @@
     check_booking,
     check_stream,
 )
-from tests.fixtures.local_system import LISTS, ZONES, LocalSystem
+from tests.fixtures.local_system import ZONES, LocalSystem
 
 _VERSIONS = ["drafter/v1", "drafter/v2"]
 _ENGINES = ("engine-0", "engine-1")
@@ -27,8 +27,7 @@
 @pytest.fixture(scope="module")
 def system(tmp_path_factory):
     """Return one entry before two engines and a booking service."""
-    running = LocalSystem(tmp_path_factory.mktemp("faults"))
-    try:
+    with LocalSystem(tmp_path_factory.mktemp("faults")) as running:
         running.start_platform()
         for vm_id, zone in zip(_ENGINES, ZONES, strict=False):
             running.add_gate(vm_id, zone, "engine", _VERSIONS, silence_s=_SILENCE_S)
@@ -40,13 +39,8 @@
             silence_s=_SILENCE_S,
         )
         running.add_entry("entry-0", ZONES[0])
-        running.publish_vm_list()
-        running.wait_for(f"{running.store_url}/counts")
-        running.operate("config", "apply", str(LISTS))
-        running.wait_until_ready()
+        running.put_in_force()
         yield running
-    finally:
-        running.stop()
 
 
 @pytest.fixture
--- a/tests/processes/test_gate.py
+++ b/tests/processes/test_gate.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from tests.fixtures.local_system import LISTS, ZONES, LocalSystem
+from tests.fixtures.local_system import ZONES, LocalSystem
 
 _COLD_LIMIT = 2
 _WARM_AFTER = 6
@@ -21,8 +21,7 @@
 @pytest.fixture(scope="module")
 def system(tmp_path_factory):
     """Return two entries before two engines that start cold."""
-    running = LocalSystem(tmp_path_factory.mktemp("gate"))
-    try:
+    with LocalSystem(tmp_path_factory.mktemp("gate")) as running:
         running.start_platform()
         for index in range(2):
             running.add_gate(
@@ -34,13 +33,8 @@
                 warm_up_completions=_WARM_AFTER,
             )
             running.add_entry(f"entry-{index}", ZONES[index])
-        running.publish_vm_list()
-        running.wait_for(f"{running.store_url}/counts")
-        running.operate("config", "apply", str(LISTS))
-        running.wait_until_ready()
+        running.put_in_force()
         yield running
-    finally:
-        running.stop()
 
 
 def _ask(url, number):
--- a/tests/processes/test_membership_processes.py
+++ b/tests/processes/test_membership_processes.py
@@ -19,8 +19,7 @@
 @pytest.fixture(scope="module")
 def system(tmp_path_factory):
     """Return three entries, six engines and three booking services."""
-    running = LocalSystem(tmp_path_factory.mktemp("fleet"))
-    try:
+    with LocalSystem(tmp_path_factory.mktemp("fleet")) as running:
         running.start_platform()
         for index in range(6):
             zone = ZONES[index % 3]
@@ -30,13 +29,8 @@
             running.add_gate(name, zone, "plain_service", services=["booking"])
         for index, zone in enumerate(ZONES):
             running.add_entry(f"entry-{index}", zone)
-        running.publish_vm_list()
-        running.wait_for(f"{running.store_url}/counts")
-        running.operate("config", "apply", str(LISTS))
-        running.wait_until_ready()
+        running.put_in_force()
         yield running
-    finally:
-        running.stop()
 
 
 def _statuses(system):
--- a/tests/processes/test_pairs.py
+++ b/tests/processes/test_pairs.py
@@ -13,7 +13,7 @@
     check_booking,
     check_stream,
 )
-from tests.fixtures.local_system import LISTS, ZONES, LocalSystem, fetch_json
+from tests.fixtures.local_system import ZONES, LocalSystem, fetch_json
 
 _VERSIONS = ["drafter/v1", "drafter/v2"]
 _ENGINES = ("engine-0", "engine-1")
@@ -26,20 +26,15 @@
 @pytest.fixture(scope="module")
 def running(tmp_path_factory):
     """Return two entries before two engines and a booking service."""
-    system = LocalSystem(tmp_path_factory.mktemp("pairs"))
-    try:
+    with LocalSystem(tmp_path_factory.mktemp("pairs")) as system:
         system.start_platform()
         for vm_id, zone in zip(_ENGINES, ZONES, strict=False):
             system.add_gate(vm_id, zone, "engine", _VERSIONS, silence_s=_SILENCE_S)
         system.add_gate(_BOOKING, ZONES[0], "plain_service", services=["booking"])
         for index in range(2):
             system.add_entry(f"entry-{index}", ZONES[index])
-        system.publish_vm_list()
-        system.wait_for(f"{system.store_url}/counts")
-        system.operate("config", "apply", str(LISTS))
+        system.put_in_force()
         yield system
-    finally:
-        system.stop()
 
 
 @pytest.fixture
--- a/tests/processes/test_pairs_journal.py
+++ b/tests/processes/test_pairs_journal.py
@@ -6,7 +6,7 @@
 import pytest
 
 from tests.fixtures.answers import async_book, async_stream, check_booking
-from tests.fixtures.local_system import LISTS, ZONES, LocalSystem
+from tests.fixtures.local_system import ZONES, LocalSystem
 
 _BOOKING = "booking-0"
 _ENTRIES = ("entry-0", "entry-1")
@@ -21,19 +21,14 @@
 @pytest.fixture(scope="module")
 def running(tmp_path_factory):
     """Return two entries before an engine and a booking service."""
-    system = LocalSystem(tmp_path_factory.mktemp("journal"))
-    try:
+    with LocalSystem(tmp_path_factory.mktemp("journal")) as system:
         system.start_platform()
         system.add_gate("engine-0", ZONES[0], "engine", ["drafter/v1", "drafter/v2"])
         system.add_gate(_BOOKING, ZONES[0], "plain_service", services=["booking"])
         for vm_id, zone in zip(_ENTRIES, ZONES, strict=False):
             system.add_entry(vm_id, zone)
-        system.publish_vm_list()
-        system.wait_for(f"{system.store_url}/counts")
-        system.operate("config", "apply", str(LISTS))
+        system.put_in_force()
         yield system
-    finally:
-        system.stop()
 
 
 @pytest.fixture
