Serve callers by TLS, with a certificate that is read again

Cause: callers' keys went in clear unless the balancer ended TLS. Ruled out: a new server for each certificate, which would cut open streams.

--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/composition.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/composition.py
@@ -2,6 +2,7 @@
 
 import random
 import time
+from pathlib import Path
 from typing import Any
 
 import aiohttp
@@ -25,6 +26,7 @@
 from cardamomnotch_runtime.runner import NodeRunner
 from cardamomnotch_runtime.server import HttpServer, bind
 from cardamomnotch_runtime.tasks import TaskGroup, async_wait_until
+from cardamomnotch_runtime.tls import CERTIFICATE_CHECK_S, ServerCertificate
 
 from .caller.server import CallerServer
 from .const import HEARTBEAT_CHECK_S, VM_LIST_INTERVAL_S
@@ -51,6 +53,13 @@
         self._caller_socket = bind(settings.caller.address, "caller.address")
         self._inner_socket = bind(settings.node.inner_address, "node.inner_address")
         self._admin_socket = bind(settings.node.admin_address, "node.admin_address")
+        self._certificate = (
+            ServerCertificate(
+                Path(settings.caller.certificate), Path(settings.caller.private_key)
+            )
+            if settings.caller.certificate
+            else None
+        )
         self._sessions: list[aiohttp.ClientSession] = []
         self._servers: list[HttpServer] = []
         self._tasks = TaskGroup()
@@ -98,7 +107,7 @@
         self._journal = self._create_journal(callers, inner_session)
         peers = self._create_peers(inner_session)
         self._servers = [
-            HttpServer(callers.create_app(), self._caller_socket),
+            self._create_caller_server(callers),
             HttpServer(self._create_inner_app(source, peers), self._inner_socket),
             HttpServer(self._create_admin_app(), self._admin_socket),
         ]
@@ -108,6 +117,13 @@
         self._start_coordinators(platform_session, inner_session)
         self._tasks.repeat(peers.interval_s, peers.async_exchange)
 
+    def _create_caller_server(self, callers: CallerServer) -> HttpServer:
+        app = callers.create_app()
+        if self._certificate is None:
+            return HttpServer(app, self._caller_socket)
+        self._tasks.repeat(lambda: CERTIFICATE_CHECK_S, self._certificate.async_check)
+        return HttpServer(app, self._caller_socket, self._certificate.context)
+
     def _create_sessions(self) -> CallerSessions:
         keys = self._settings.sessions.keys or derived_keys(
             self._settings.node.inner_keys
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/settings.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/settings.py
@@ -27,9 +27,20 @@
 
 @attrs.frozen(kw_only=True)
 class CallerSettings:
-    """Table ``caller``: the address that the platform's balancer uses."""
+    """Table ``caller``: the address that the platform's balancer uses.
+
+    With ``certificate`` and ``private_key``, files in PEM form, callers use
+    TLS; changed files are read again within seconds.
+    """
 
     address: str = address_field()
+    certificate: str = ""
+    private_key: str = attrs.field(default="", repr=False)
+
+    @private_key.validator
+    def _check_pair(self, _: attrs.Attribute, value: str) -> None:
+        if bool(value) != bool(self.certificate):
+            raise ValueError("certificate and private_key go together")
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/cardamomnotch-runtime/src/cardamomnotch_runtime/server.py
+++ b/packages/cardamomnotch-runtime/src/cardamomnotch_runtime/server.py
@@ -1,6 +1,7 @@
 """Listening sockets of one process."""
 
 import socket
+import ssl
 
 from aiohttp import web
 
@@ -30,16 +31,22 @@
 class HttpServer:
     """One aiohttp application on one bound socket."""
 
-    def __init__(self, app: web.Application, bound: socket.socket) -> None:
+    def __init__(
+        self,
+        app: web.Application,
+        bound: socket.socket,
+        ssl_context: ssl.SSLContext | None = None,
+    ) -> None:
         self._runner = web.AppRunner(
             app, access_log=None, handle_signals=False, handler_cancellation=True
         )
         self._socket = bound
+        self._ssl_context = ssl_context
 
     async def async_start(self) -> None:
         """Start accepting connections."""
         await self._runner.setup()
-        site = web.SockSite(self._runner, self._socket)
+        site = web.SockSite(self._runner, self._socket, ssl_context=self._ssl_context)
         await site.start()
 
     async def async_stop(self) -> None:
