Derive the first survey from the table, and drop what nothing calls

The survey kept a set of failed upstreams of its own, although the table notes failures since heartbeats without an answer count against the interval. Three functions without a caller go: async_delete_if, optional_address_field, is_finished. Behaviour and tests are unchanged: core, protocol, platform, runtime and docs 466 passed, entry 112, sidecar with two files of process tests 24; the other process tests were not run on this commit.

--- a/packages/cardamomnotch-core/src/cardamomnotch_core/membership/models.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/membership/models.py
@@ -53,6 +53,11 @@
         """Return whether its sidecar has answered."""
         return bool(self.incarnation)
 
+    @property
+    def was_asked(self) -> bool:
+        """Return whether its sidecar has answered or failed to."""
+        return self.is_known or self.failed_at_s > float("-inf")
+
     @property
     def silent_after_s(self) -> float:
         """Return the silence after which it gets no new work."""
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/membership/survey.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/membership/survey.py
@@ -12,7 +12,6 @@
     """
 
     def __init__(self) -> None:
-        self._failed: set[str] = set()
         self._is_complete = False
 
     @property
@@ -20,14 +19,8 @@
         """Return whether all upstreams were asked."""
         return self._is_complete
 
-    def note_failure(self, vm_id: str) -> None:
-        """Note that the upstream on ``vm_id`` did not answer."""
-        if not self._is_complete:
-            self._failed.add(vm_id)
-
     def check(self, upstreams: Iterable[Upstream]) -> None:
         """Look whether one of ``upstreams`` has still to be asked."""
         self._is_complete = self._is_complete or all(
-            upstream.is_known or upstream.vm_id in self._failed
-            for upstream in upstreams
+            upstream.was_asked for upstream in upstreams
         )
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/entry_node.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/entry_node.py
@@ -257,7 +257,6 @@
     @handle.register
     def _(self, event: events.HeartbeatFailed, now_s: float) -> list[Action]:
         self._upstreams.take_failure(event.vm_id, now_s)
-        self._survey.note_failure(event.vm_id)
         self._check_survey()
         self._observer.observe(event, (), now_s)
         return []
--- a/packages/cardamomnotch-platform/src/cardamomnotch_platform/store/client.py
+++ b/packages/cardamomnotch-platform/src/cardamomnotch_platform/store/client.py
@@ -104,11 +104,6 @@
         }
         return await self._async_transaction(key, mod_revision, put)
 
-    async def async_delete_if(self, key: str, mod_revision: int) -> WriteResult:
-        """Delete ``key`` if it is still at ``mod_revision``."""
-        delete = {"request_delete_range": {"key": _key_to_base64(key)}}
-        return await self._async_transaction(key, mod_revision, delete)
-
     async def async_delete_prefix(self, prefix: str, end: str = "") -> None:
         """Delete the keys under ``prefix``, up to but without ``end``."""
         range_end = _key_to_base64(end) if end else _range_end(prefix)
--- a/packages/cardamomnotch-runtime/src/cardamomnotch_runtime/settings.py
+++ b/packages/cardamomnotch-runtime/src/cardamomnotch_runtime/settings.py
@@ -38,16 +38,6 @@
     return attrs.field(validator=_check_address)
 
 
-def optional_address_field() -> Any:
-    """Return an attrs field that holds "ip:port" or nothing."""
-
-    def check(instance: Any, attribute: attrs.Attribute, value: str) -> None:
-        if value:
-            _check_address(instance, attribute, value)
-
-    return attrs.field(default="", validator=check)
-
-
 def host_and_port(address: str) -> tuple[str, int]:
     """Return the parts of a checked "ip:port"."""
     host, _, port = address.rpartition(":")
--- a/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/answer_buffer.py
+++ b/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/answer_buffer.py
@@ -50,11 +50,6 @@
         """Return the content type of the answer."""
         return self._head.headers.get("Content-Type", "") if self._head else ""
 
-    @property
-    def is_finished(self) -> bool:
-        """Return whether the attempt has ended."""
-        return self._finished is not None
-
     def unread_s(self) -> float:
         """Return for how many seconds nobody has followed the answer."""
         return 0.0 if self._readers else time.monotonic() - self._unread_since_s
