--- /dev/null
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/__init__.py
@@ -0,0 +1,1 @@
+"""Relaying of requests to upstreams by route, without I/O."""
--- /dev/null
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/const.py
@@ -0,0 +1,49 @@
+"""Limits and weights of the relay."""
+
+from typing import Final
+
+# Part of the route's attempts that a request may use for the first run of a
+# cascade; the larger model needs one, and one is kept for a failure.
+CASCADE_MIN_ATTEMPTS: Final = 2
+# An answer below this confidence, from 0 to 100, is asked of a larger model.
+DEFAULT_CONFIDENCE_FLOOR: Final = 50
+
+# Share of a service's requests that a version in roll-out gets at first; well
+# below the platform's bound on exposure, which counts the whole roll-out.
+ROLLOUT_FIRST_SHARE: Final = 0.08
+
+# An upstream that could not be reached is tried last for this time, in
+# seconds; it is doubled with each further failure.
+PENALTY_S: Final = 1.0
+MAX_PENALTY_S: Final = 8.0
+
+# Requests in flight that one upstream may have beyond the mean before the
+# next one of the rendezvous order is taken, as a factor and a number.
+LOAD_FACTOR: Final = 1.3
+LOAD_SLACK: Final = 2.0
+
+# Part of the platform's retry budget that the entries use together; the rest
+# covers requests counted in different windows.
+RETRY_BUDGET_PART: Final = 0.8
+
+# Part of the bound on a cold upstream's rate that the entries use together;
+# the rest covers requests that were sent in one second and arrive in the next.
+COLD_RATE_PART: Final = 0.9
+
+# Time that an upstream missing from the list is kept after the store has been
+# away, in seconds: live upstreams register again within two seconds.
+RETURN_GRACE_S: Final = 2.5
+
+# How often a request may crash an upstream before it is refused.
+MAX_CRASHES: Final = 2
+# Time that such a request stays refused, in seconds.
+QUARANTINE_S: Final = 60.0
+
+# Time that one token of a prompt takes to be read, in milliseconds.
+PREFILL_MS_PER_TOKEN: Final = 0.02
+# Time by which one running request delays another one's first token, in ms.
+RUNNING_REQUEST_MS: Final = 8.0
+# What a kilobyte sent to another availability zone counts as, in ms.
+CROSS_ZONE_MS_PER_KB: Final = 5.0
+# Tokens of prompts that an upstream's cache is expected to hold.
+CACHED_PROMPT_TOKENS: Final = 300_000
--- /dev/null
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/fleet.py
@@ -0,0 +1,125 @@
+"""The upstreams that are known, and what is known of each."""
+
+from collections.abc import Iterator
+
+import attrs
+
+from .const import MAX_PENALTY_S, PENALTY_S, RETURN_GRACE_S
+from .models import Upstream
+
+
+@attrs.define
+class UpstreamState:
+    """An upstream, and this process's own experience with it."""
+
+    upstream: Upstream
+    cold_until_s: float = 0.0
+    # Set while the upstream is missing from the list after an outage.
+    remove_at_s: float | None = None
+    in_flight: int = 0
+    # Tokens of prompts that were sent and of which no event has come yet.
+    prefilling_tokens: int = 0
+    penalty_until_s: float = 0.0
+    failures: int = 0
+
+    @property
+    def upstream_id(self) -> str:
+        """Return the upstream's id."""
+        return self.upstream.upstream_id
+
+    def is_cold(self, now_s: float) -> bool:
+        """Return whether the upstream bears only a small rate."""
+        return now_s < self.cold_until_s
+
+    def is_penalized(self, now_s: float) -> bool:
+        """Return whether the upstream failed lately."""
+        return now_s < self.penalty_until_s
+
+    def note_failure(self, now_s: float) -> None:
+        """Try others first for a while."""
+        penalty_s = min(MAX_PENALTY_S, PENALTY_S * 2**self.failures)
+        self.failures += 1
+        self.penalty_until_s = now_s + penalty_s
+
+    def note_success(self) -> None:
+        """Forget earlier failures."""
+        self.failures = 0
+        self.penalty_until_s = 0.0
+
+
+class Fleet:
+    """Upstreams by id, with zones that are out of service."""
+
+    def __init__(self) -> None:
+        self._states: dict[str, UpstreamState] = {}
+        self._zones_out: set[str] = set()
+        self._returned_at_s = float("-inf")
+
+    @property
+    def zones_out(self) -> frozenset[str]:
+        """Return the availability zones that get no new work."""
+        return frozenset(self._zones_out)
+
+    def __iter__(self) -> Iterator[UpstreamState]:
+        return iter(self._states.values())
+
+    def __len__(self) -> int:
+        return len(self._states)
+
+    def get(self, upstream_id: str) -> UpstreamState | None:
+        """Return the state of an upstream that is listed."""
+        return self._states.get(upstream_id)
+
+    def note_store_returned(self, now_s: float) -> None:
+        """Keep upstreams for a while that the store has lost meanwhile."""
+        self._returned_at_s = now_s
+
+    def put(self, upstream: Upstream, now_s: float) -> None:
+        """Add an upstream, or take over what it now says of itself."""
+        cold_until_s = now_s + upstream.cold_left_s
+        state = self._states.get(upstream.upstream_id)
+        if state is None or state.upstream.started_ms != upstream.started_ms:
+            state = UpstreamState(upstream)
+            self._states[upstream.upstream_id] = state
+        state.upstream = upstream
+        state.cold_until_s = cold_until_s
+        state.remove_at_s = None
+
+    def remove(self, upstream_id: str, now_s: float) -> None:
+        """Drop an upstream that is no longer listed.
+
+        Just after the store was away it is kept for a moment, since live
+        upstreams register again.
+        """
+        state = self._states.get(upstream_id)
+        if state is None:
+            return
+        until_s = self._returned_at_s + RETURN_GRACE_S
+        if now_s < until_s and not state.upstream.is_draining:
+            state.remove_at_s = until_s
+            return
+        del self._states[upstream_id]
+
+    def keep_only(self, upstream_ids: set[str], now_s: float) -> None:
+        """Drop every upstream that a full list does not name."""
+        for upstream_id in tuple(self._states):
+            if upstream_id not in upstream_ids:
+                self.remove(upstream_id, now_s)
+
+    def set_zone_out(self, zone: str, out: bool) -> None:
+        """Take an availability zone out of service, or back."""
+        (self._zones_out.add if out else self._zones_out.discard)(zone)
+
+    def candidates(self, service: str, now_s: float) -> list[UpstreamState]:
+        """Return the upstreams of ``service`` that may get new work."""
+        found = []
+        for state in tuple(self._states.values()):
+            if state.remove_at_s is not None and now_s >= state.remove_at_s:
+                del self._states[state.upstream_id]
+                continue
+            upstream = state.upstream
+            if upstream.service != service or upstream.is_draining:
+                continue
+            if upstream.zone not in self._zones_out:
+                found.append(state)
+        return found
--- /dev/null
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/node.py
@@ -0,0 +1,245 @@
+"""All decisions of one relaying entry, wired."""
+
+from functools import singledispatchmethod
+
+import attrs
+import xxhash
+
+from cardamomnotch_protocol.result_codes import ResultCode
+
+from . import changes
+from .cascade import Cascade
+from .cold import ColdLimiter
+from .exceptions import RefusalError
+from .fleet import Fleet, UpstreamState
+from .limits import RelayLimits
+from .models import RequestFacts, Route, Service
+from .placing import Placement, Placer
+from .quarantine import CrashBook
+from .retries import RetryBudget
+from .routes import RouteTable
+from .versions import VersionBook
+
+# When to come back after a refusal for want of an upstream, in seconds.
+_RETRY_NO_UPSTREAM_S = 0.3
+_RETRY_COLD_S = 0.5
+
+
+@attrs.frozen(kw_only=True)
+class RelayIdentity:
+    """Who this entry is."""
+
+    name: str
+    zone: str
+    incarnation: str
+
+
+class RelayNode:
+    """What one entry knows, and what it decides for each request."""
+
+    def __init__(self, identity: RelayIdentity, limits: RelayLimits) -> None:
+        self._identity = identity
+        self.limits = limits
+        self.routes = RouteTable(limits.knowledge_max_age_s)
+        self.fleet = Fleet()
+        self.versions = VersionBook()
+        self.crashes = CrashBook()
+        self.cascade = Cascade()
+        self._cold = ColdLimiter(limits.cold_overshoot, limits.cold_slack)
+        self._retries = RetryBudget(
+            limits.retry_ratio, limits.retry_slack, limits.retry_window_s
+        )
+        self._placer = Placer(identity.zone)
+        self._entries: set[str] = {identity.name}
+
+    @property
+    def identity(self) -> RelayIdentity:
+        """Return who this entry is."""
+        return self._identity
+
+    @property
+    def entries(self) -> tuple[str, ...]:
+        """Return the names of the live entries, this one included."""
+        return tuple(sorted(self._entries))
+
+    @singledispatchmethod
+    def apply(self, change: object, now_s: float) -> None:
+        """Take over a change from the store."""
+        raise TypeError(type(change).__name__)
+
+    @apply.register
+    def _(self, change: changes.DocumentWritten, now_s: float) -> None:
+        self.routes.apply(change.document)
+
+    @apply.register
+    def _(self, change: changes.UpstreamListed, now_s: float) -> None:
+        self.fleet.put(change.upstream, now_s)
+
+    @apply.register
+    def _(self, change: changes.UpstreamUnlisted, now_s: float) -> None:
+        self.fleet.remove(change.upstream_id, now_s)
+        if self.fleet.get(change.upstream_id) is None:
+            self._placer.forget(change.upstream_id)
+            self._cold.forget(change.upstream_id)
+
+    @apply.register
+    def _(self, change: changes.ZoneTakenOut, now_s: float) -> None:
+        self.fleet.set_zone_out(change.zone, True)
+
+    @apply.register
+    def _(self, change: changes.ZoneTakenBack, now_s: float) -> None:
+        self.fleet.set_zone_out(change.zone, False)
+
+    @apply.register
+    def _(self, change: changes.RolloutOrdered, now_s: float) -> None:
+        self.versions.order(change.order, change.order_id, now_s)
+
+    @apply.register
+    def _(self, change: changes.RolloutWithdrawn, now_s: float) -> None:
+        self.versions.withdraw(change.service)
+
+    @apply.register
+    def _(self, change: changes.RolloutReported, now_s: float) -> None:
+        self.versions.set_status(
+            change.service, change.target, change.state, change.revision
+        )
+
+    @apply.register
+    def _(self, change: changes.EntryReported, now_s: float) -> None:
+        record = change.record
+        if record.entry == self._identity.name:
+            return
+        self._entries.add(record.entry)
+        self._retries.set_entries(len(self._entries))
+        for service, report in record.rollouts.items():
+            self.versions.set_report(record.entry, service, report)
+        self.crashes.set_counts(record.entry, record.crashes)
+
+    @apply.register
+    def _(self, change: changes.EntryGone, now_s: float) -> None:
+        if change.entry == self._identity.name:
+            return
+        self._entries.discard(change.entry)
+        self._retries.set_entries(len(self._entries))
+        self.versions.forget_entry(change.entry)
+        self.crashes.forget_entry(change.entry)
+
+    def record(self, now_s: float) -> changes.EntryRecord:
+        """Return what the other entries should know of this one."""
+        rollouts = {
+            rollout.order.service: rollout.report(now_s)
+            for rollout in self.versions.rollouts
+        }
+        return changes.EntryRecord(
+            entry=self._identity.name,
+            incarnation=self._identity.incarnation,
+            rollouts=rollouts,
+            crashes=self.crashes.own_counts,
+        )
+
+    def admit(self, route: Route, facts: RequestFacts, now_s: float) -> Service:
+        """Count a request and return its service.
+
+        Raises RefusalError if it must not run.
+        """
+        service = self._service_of(route, facts)
+        self._retries.note_request(service.name, now_s)
+        if self.crashes.is_quarantined(facts.fingerprint, now_s):
+            raise RefusalError(
+                ResultCode.REQUEST_QUARANTINED, "the request has crashed upstreams"
+            )
+        return service
+
+    def allow_retry(self, service: str, now_s: float) -> bool:
+        """Return whether one more attempt fits the budget, and count it."""
+        return self._retries.take(service, now_s)
+
+    def place(
+        self,
+        service: Service,
+        facts: RequestFacts,
+        model: str,
+        body_bytes: int,
+        now_s: float,
+        *,
+        tried: frozenset[str] = frozenset(),
+    ) -> Placement:
+        """Return the upstream for an attempt.
+
+        Upstreams in ``tried`` come last. Raises RefusalError if there is none.
+        """
+        known = self.fleet.candidates(service.name, now_s)
+        allowed = self.versions.allowed(service.name, known, facts, now_s)
+        if not allowed:
+            raise RefusalError(
+                ResultCode.NO_UPSTREAM, "no upstream is known", _RETRY_NO_UPSTREAM_S
+            )
+        open_now = [
+            state for state in allowed if self._bears_one_more(state, service, now_s)
+        ]
+        if not open_now:
+            raise RefusalError(
+                ResultCode.UPSTREAM_FULL, "the upstreams are cold", _RETRY_COLD_S
+            )
+        fresh = [state for state in open_now if state.upstream_id not in tried]
+        placement = self._placer.choose(
+            fresh or open_now, facts, model, body_bytes, now_s
+        )
+        assert placement is not None
+        return placement
+
+    def note_sent(
+        self, state: UpstreamState, facts: RequestFacts, model: str, now_s: float
+    ) -> None:
+        """Count an attempt that is about to be sent."""
+        state.in_flight += 1
+        state.prefilling_tokens += facts.prompt_tokens
+        self._cold.note_sent(state.upstream_id, now_s)
+        self._placer.note_sent(state, facts, model)
+        rollout = self.versions.get(state.upstream.service)
+        if rollout is not None:
+            rollout.side(state.upstream.version).in_flight += 1
+
+    def note_first_byte(self, state: UpstreamState, facts: RequestFacts) -> None:
+        """Note that the upstream has read the attempt's prompt."""
+        state.prefilling_tokens -= facts.prompt_tokens
+
+    def note_ended(self, state: UpstreamState) -> None:
+        """Note that an attempt is over, however it ended."""
+        state.in_flight -= 1
+        rollout = self.versions.get(state.upstream.service)
+        if rollout is not None:
+            side = rollout.side(state.upstream.version)
+            side.in_flight = max(0, side.in_flight - 1)
+
+    def _bears_one_more(
+        self, state: UpstreamState, service: Service, now_s: float
+    ) -> bool:
+        if not service.cold_rate or not state.is_cold(now_s):
+            return True
+        return self._cold.allows(
+            state.upstream_id,
+            service.cold_rate,
+            self._identity.name,
+            self.entries,
+            now_s,
+        )
+
+    def _service_of(self, route: Route, facts: RequestFacts) -> Service:
+        document = self.routes.document
+        assert document is not None
+        name = _draw_share(route, facts)
+        return document.services.get(name) or Service(name=name, max_connections=1)
+
+
+def _draw_share(route: Route, facts: RequestFacts) -> str:
+    if len(route.shares) == 1:
+        return route.shares[0].service
+    key = facts.session or facts.request_id
+    point = xxhash.xxh3_64_intdigest(b"share" + key.encode()) / 2**64
+    point *= sum(share.weight for share in route.shares)
+    for share in route.shares:
+        point -= share.weight
+        if point < 0:
+            return share.service
+    return route.shares[-1].service
--- /dev/null
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/retries.py
@@ -0,0 +1,54 @@
+"""The budget of requests that are sent to a further upstream."""
+
+from collections import deque
+
+import attrs
+
+from .const import RETRY_BUDGET_PART
+
+
+@attrs.define
+class _Window:
+    firsts: deque[float] = attrs.field(factory=deque)
+    extras: deque[float] = attrs.field(factory=deque)
+
+
+class RetryBudget:
+    """Bounds extra attempts by service within a sliding window.
+
+    The bound over all entries is ``ratio`` times the requests plus ``slack``
+    in any ``window_s`` seconds. Each entry holds the ratio by itself and its
+    part of the slack, so the sum holds without a message.
+    """
+
+    def __init__(self, ratio: float, slack: float, window_s: float) -> None:
+        self._ratio = ratio * RETRY_BUDGET_PART
+        self._slack = slack * RETRY_BUDGET_PART
+        self._window_s = window_s
+        self._entries = 1
+        self._windows: dict[str, _Window] = {}
+
+    def set_entries(self, count: int) -> None:
+        """Share the slack with ``count`` entries, this one included."""
+        self._entries = max(1, count)
+
+    def note_request(self, service: str, now_s: float) -> None:
+        """Count a caller's request."""
+        self._window(service, now_s).firsts.append(now_s)
+
+    def take(self, service: str, now_s: float) -> bool:
+        """Count an extra attempt if the budget allows it; return whether."""
+        window = self._window(service, now_s)
+        allowed = self._ratio * len(window.firsts) + self._slack / self._entries
+        if len(window.extras) + 1 > allowed:
+            return False
+        window.extras.append(now_s)
+        return True
+
+    def _window(self, service: str, now_s: float) -> _Window:
+        window = self._windows.setdefault(service, _Window())
+        oldest = now_s - self._window_s
+        for times in (window.firsts, window.extras):
+            while times and times[0] < oldest:
+                times.popleft()
+        return window
--- /dev/null
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/rollout.py
@@ -0,0 +1,159 @@
+"""Moving a service to another version, and back if it is bad."""
+
+import math
+from enum import StrEnum
+
+import attrs
+
+from .const import ROLLOUT_FIRST_SHARE
+from .models import RolloutOrder
+
+# Parts of the roll-out's time at which the share grows, with the share.
+_STAGES = ((0.75, 1.0), (0.55, 0.3), (0.0, ROLLOUT_FIRST_SHARE))
+# Part of the roll-out's time before whose end it is reported as completed,
+# whether or not the old version is idle.
+_REPORT_BY = 0.94
+# Bad answers that a verdict needs at least.
+_MIN_BAD = 4
+# A version is bad if it fails this much more often than the old one.
+_BAD_EXCESS = 0.08
+# A version is bad if it takes this many times as long as the old one.
+_SLOW_RATIO = 3.0
+_MIN_TIMED = 8
+
+
+class RolloutState(StrEnum):
+    """How far a roll-out is."""
+
+    IN_PROGRESS = "in_progress"
+    COMPLETED = "completed"
+    REVERTED = "reverted"
+
+
+@attrs.define
+class Evidence:
+    """Answers of one side of a roll-out, as one entry has seen them."""
+
+    answers: int = 0
+    bad: int = 0
+    # Sum of the logarithms of the times to the first byte, and their number.
+    log_time_sum: float = 0.0
+    timed: int = 0
+    in_flight: int = 0
+
+    def add(self, other: "Evidence") -> None:
+        """Add what another entry has seen."""
+        self.answers += other.answers
+        self.bad += other.bad
+        self.log_time_sum += other.log_time_sum
+        self.timed += other.timed
+        self.in_flight += other.in_flight
+
+    @property
+    def bad_share(self) -> float:
+        """Return the share of bad answers, drawn towards good ones."""
+        return self.bad / (self.answers + 1)
+
+    @property
+    def mean_log_time(self) -> float:
+        """Return the mean logarithm of the times to the first byte."""
+        return self.log_time_sum / self.timed if self.timed else 0.0
+
+
+@attrs.frozen(kw_only=True)
+class RolloutReport:
+    """What one entry has seen of one roll-out."""
+
+    order_id: int
+    # The largest share at which this entry sends to the new version.
+    share: float
+    new: Evidence
+    old: Evidence
+
+
+@attrs.define
+class Rollout:
+    """One order, with this entry's own evidence and the others'."""
+
+    order: RolloutOrder
+    # Identifies the order; a later one of the same service is larger.
+    order_id: int
+    started_at_s: float
+    state: RolloutState = RolloutState.IN_PROGRESS
+    # True once this entry has reason to go back, reported or not.
+    is_bad: bool = False
+    new: Evidence = attrs.field(factory=Evidence)
+    old: Evidence = attrs.field(factory=Evidence)
+    reports: dict[str, RolloutReport] = attrs.field(factory=dict)
+
+    def side(self, version: str) -> Evidence:
+        """Return this entry's evidence for ``version``."""
+        return self.new if version == self.order.target else self.old
+
+    def share(self, now_s: float) -> float:
+        """Return the share of requests that the new version gets."""
+        if self.state is RolloutState.COMPLETED:
+            return 1.0
+        if self.state is RolloutState.REVERTED or self.is_bad:
+            return 0.0
+        passed = self._passed(now_s)
+        return next(share for start, share in _STAGES if passed >= start)
+
+    def note_answer(self, version: str, bad: bool, seconds: float | None) -> None:
+        """Count an answer; ``seconds`` is the time to its first byte."""
+        side = self.side(version)
+        side.answers += 1
+        side.bad += bad
+        if seconds is not None and not bad:
+            side.log_time_sum += math.log(max(seconds, 1e-3))
+            side.timed += 1
+
+    def judge(self) -> bool:
+        """Return whether all evidence together says that the version is bad."""
+        if self.is_bad or self.state is not RolloutState.IN_PROGRESS:
+            return self.is_bad
+        new, old = self.pooled()
+        fails = new.bad >= _MIN_BAD and new.bad_share > old.bad_share + _BAD_EXCESS
+        slow = min(
+            new.timed, old.timed
+        ) >= _MIN_TIMED and new.mean_log_time - old.mean_log_time > math.log(
+            _SLOW_RATIO
+        )
+        self.is_bad = fails or slow
+        return self.is_bad
+
+    def pooled(self) -> tuple[Evidence, Evidence]:
+        """Return the evidence of all entries for the new and the old version."""
+        new, old = attrs.evolve(self.new), attrs.evolve(self.old)
+        for report in self.reports.values():
+            new.add(report.new)
+            old.add(report.old)
+        return new, old
+
+    def next_state(self, now_s: float) -> RolloutState:
+        """Return the state that should be reported now."""
+        if self.state is not RolloutState.IN_PROGRESS:
+            return self.state
+        if self.judge():
+            return RolloutState.REVERTED
+        if self.share(now_s) < 1.0:
+            return RolloutState.IN_PROGRESS
+        if self._passed(now_s) >= _REPORT_BY:
+            return RolloutState.COMPLETED
+        moved = all(report.share >= 1.0 for report in self.reports.values())
+        _, old = self.pooled()
+        if moved and not old.in_flight and self.new.answers:
+            return RolloutState.COMPLETED
+        return RolloutState.IN_PROGRESS
+
+    def report(self, now_s: float) -> RolloutReport:
+        """Return what the other entries should know."""
+        return RolloutReport(
+            order_id=self.order_id,
+            share=self.share(now_s),
+            new=attrs.evolve(self.new),
+            old=attrs.evolve(self.old),
+        )
+
+    def _passed(self, now_s: float) -> float:
+        return (now_s - self.started_at_s) / self.order.duration_s
--- /dev/null
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/versions.py
@@ -0,0 +1,108 @@
+"""Which version of a service answers a request."""
+
+from collections.abc import Sequence
+
+import xxhash
+
+from .fleet import UpstreamState
+from .models import RequestFacts, RolloutOrder
+from .rollout import Rollout, RolloutReport, RolloutState
+
+_BUCKETS = 10_000
+
+
+class VersionBook:
+    """Roll-outs by service, and the version that each request gets.
+
+    A session's version follows from its id alone, so that every entry
+    chooses the same one.
+    """
+
+    def __init__(self) -> None:
+        self._rollouts: dict[str, Rollout] = {}
+        self._statuses: dict[str, tuple[int, str, RolloutState]] = {}
+
+    @property
+    def rollouts(self) -> tuple[Rollout, ...]:
+        """Return the roll-outs, finished ones included."""
+        return tuple(self._rollouts.values())
+
+    def get(self, service: str) -> Rollout | None:
+        """Return the service's newest roll-out."""
+        return self._rollouts.get(service)
+
+    def order(self, order: RolloutOrder, order_id: int, now_s: float) -> None:
+        """Take an order that was written at store revision ``order_id``."""
+        known = self._rollouts.get(order.service)
+        if known is not None and known.order_id >= order_id:
+            return
+        self._rollouts[order.service] = Rollout(order, order_id, now_s)
+        self._apply_status(order.service)
+
+    def withdraw(self, service: str) -> None:
+        """Drop a roll-out whose order is gone while it was under way."""
+        rollout = self._rollouts.get(service)
+        if rollout and rollout.state is RolloutState.IN_PROGRESS:
+            del self._rollouts[service]
+
+    def set_status(
+        self, service: str, target: str, state: RolloutState, revision: int
+    ) -> None:
+        """Take over what was reported at store revision ``revision``."""
+        self._statuses[service] = (revision, target, state)
+        self._apply_status(service)
+
+    def set_report(self, entry: str, service: str, report: RolloutReport) -> None:
+        """Take over another entry's evidence."""
+        rollout = self._rollouts.get(service)
+        if rollout and rollout.order_id == report.order_id:
+            rollout.reports[entry] = report
+
+    def forget_entry(self, entry: str) -> None:
+        """Drop the evidence of an entry that has left."""
+        for rollout in self._rollouts.values():
+            report = rollout.reports.get(entry)
+            if report is not None:
+                # What it has seen stays true; what it runs has ended.
+                report.new.in_flight = report.old.in_flight = 0
+
+    def allowed(
+        self,
+        service: str,
+        candidates: Sequence[UpstreamState],
+        facts: RequestFacts,
+        now_s: float,
+    ) -> list[UpstreamState]:
+        """Return the candidates of the version that the request should get.
+
+        The other version steps in where the chosen one has no upstream,
+        unless it is bad or on its way out.
+        """
+        rollout = self._rollouts.get(service)
+        if rollout is None:
+            return list(candidates)
+        target = rollout.order.target
+        new = [state for state in candidates if state.upstream.version == target]
+        old = [state for state in candidates if state.upstream.version != target]
+        share = rollout.share(now_s)
+        if share <= 0.0:
+            return old
+        if share >= 1.0:
+            return new or old
+        if _bucket(facts) < share * _BUCKETS:
+            return new or old
+        return old
+
+    def _apply_status(self, service: str) -> None:
+        rollout = self._rollouts.get(service)
+        status = self._statuses.get(service)
+        if rollout is None or status is None:
+            return
+        revision, target, state = status
+        if revision > rollout.order_id and target == rollout.order.target:
+            rollout.state = state
+
+
+def _bucket(facts: RequestFacts) -> int:
+    key = facts.session or facts.request_id
+    return xxhash.xxh3_64_intdigest(key.encode()) % _BUCKETS
--- /dev/null
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/__init__.py
@@ -0,0 +1,1 @@
+"""Relaying of callers' requests to upstreams, byte for byte."""
--- /dev/null
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/attempts.py
@@ -0,0 +1,188 @@
+"""One attempt of a request at one upstream."""
+
+from collections.abc import AsyncIterator, Callable
+
+from aiohttp import ClientError, ClientResponse
+
+from cardamomnotch_core.relay.models import RequestFacts
+from cardamomnotch_core.relay.node import RelayNode
+from cardamomnotch_core.relay.placing import Placement
+
+from .exceptions import LostAnswerError, UnreachableError
+from .interfaces import Wire
+from .models import (
+    AnswerHead,
+    AttemptLog,
+    AttemptOutcome,
+    AttemptTerms,
+    CallerRequest,
+)
+from .upstream_client import UpstreamClient
+
+_FIRST_FAILURE_STATUS = 500
+# Outcomes that say nothing about the upstream's version.
+_NEUTRAL = frozenset(
+    {AttemptOutcome.NOT_RUN, AttemptOutcome.UNREACHABLE, AttemptOutcome.CANCELLED}
+)
+_BAD = frozenset({AttemptOutcome.FAILED, AttemptOutcome.LOST, AttemptOutcome.BROKEN})
+# Added to the expected time when times to the first byte are compared, in ms.
+_EXPECTED_FLOOR_MS = 50.0
+
+
+class Attempt:
+    """Sends a request to the upstream of ``placement``, once."""
+
+    def __init__(
+        self,
+        node: RelayNode,
+        client: UpstreamClient,
+        wire: Wire,
+        clock: Callable[[], float],
+        placement: Placement,
+        model: str,
+    ) -> None:
+        self._node = node
+        self._client = client
+        self._wire = wire
+        self._clock = clock
+        self._placement = placement
+        self._state = placement.state
+        self._model = model
+        self._facts: RequestFacts | None = None
+        self._response: ClientResponse | None = None
+        self._head: AnswerHead | None = None
+        self._sent_at_s = 0.0
+        self._reading_prompt = False
+        self._closed = False
+        self._first_byte_s: float | None = None
+        upstream = self._state.upstream
+        self.log = AttemptLog(
+            upstream=upstream.upstream_id,
+            version=upstream.version,
+            model=model,
+            started_ms=0,
+            cost_ms=int(placement.cost_ms),
+            cached_tokens=placement.cached_tokens,
+        )
+
+    @property
+    def model(self) -> str:
+        """Return the model that the router named; empty if the caller did."""
+        return self._model
+
+    @property
+    def upstream_id(self) -> str:
+        """Return the id of the upstream."""
+        return self._state.upstream_id
+
+    @property
+    def address(self) -> str:
+        """Return the address of the upstream."""
+        return self._state.upstream.address
+
+    @property
+    def head(self) -> AnswerHead:
+        """Return the head of the answer, once the attempt is open."""
+        assert self._head is not None
+        return self._head
+
+    async def async_open(
+        self, request: CallerRequest, terms: AttemptTerms, body: bytes
+    ) -> AnswerHead:
+        """Send the request and return the checked head of its answer.
+
+        Raises UnreachableError if it was not sent, LostAnswerError if it may
+        have run without an answer that can be trusted.
+        """
+        self._facts = request.facts
+        self._sent_at_s = self._clock()
+        self._reading_prompt = True
+        self._node.note_sent(self._state, request.facts, self._model, self._sent_at_s)
+        headers = self._wire.encode_attempt(request, terms)
+        try:
+            response = await self._client.async_send(
+                self.address, request.method, request.target, headers, body
+            )
+        except UnreachableError:
+            self._state.note_failure(self._clock())
+            self.close(AttemptOutcome.UNREACHABLE)
+            raise
+        except LostAnswerError:
+            self._state.note_failure(self._clock())
+            self.close(AttemptOutcome.LOST)
+            raise
+        self._response = response
+        self._note_first_byte()
+        head = self._wire.decode_answer(response.status, response.headers)
+        self._head = head
+        self.log.status = head.status
+        self.log.confidence = -1 if head.confidence is None else head.confidence
+        self._check(head, request)
+        return head
+
+    async def async_body(self) -> AsyncIterator[bytes]:
+        """Yield the body as it comes; raises LostAnswerError if it breaks."""
+        assert self._response is not None
+        try:
+            async for data in self._response.content.iter_any():
+                yield data
+        except (ClientError, OSError) as error:
+            self._state.note_failure(self._clock())
+            self.close(AttemptOutcome.BROKEN)
+            raise LostAnswerError(f"{type(error).__name__}: {error}") from error
+
+    async def async_read(self) -> bytes:
+        """Return the whole body; raises LostAnswerError if it breaks."""
+        return b"".join([data async for data in self.async_body()])
+
+    def close(self, outcome: AttemptOutcome) -> None:
+        """End the attempt; the upstream stops if it is still at work."""
+        if self._closed:
+            return
+        self._closed = True
+        self.log.outcome = outcome.value
+        if self._facts is not None:
+            if self._reading_prompt:
+                self._node.note_first_byte(self._state, self._facts)
+            self._node.note_ended(self._state)
+        if self._response is not None:
+            self._response.close()
+        if outcome not in _NEUTRAL:
+            self._note_evidence(outcome)
+
+    def _check(self, head: AnswerHead, request: CallerRequest) -> None:
+        if head.not_run:
+            return
+        reason = _reason_for_distrust(head, request)
+        if reason:
+            self.close(AttemptOutcome.LOST)
+            raise LostAnswerError(reason)
+        if head.status < _FIRST_FAILURE_STATUS:
+            self._state.note_success()
+
+    def _note_first_byte(self) -> None:
+        assert self._facts is not None
+        self._reading_prompt = False
+        self._node.note_first_byte(self._state, self._facts)
+        self._first_byte_s = self._clock() - self._sent_at_s
+        self.log.first_byte_ms = int(self._first_byte_s * 1000)
+
+    def _note_evidence(self, outcome: AttemptOutcome) -> None:
+        rollout = self._node.versions.get(self._state.upstream.service)
+        if rollout is None:
+            return
+        ratio = None
+        if self._first_byte_s is not None:
+            expected_ms = self._placement.cost_ms + _EXPECTED_FLOOR_MS
+            ratio = self._first_byte_s * 1000 / expected_ms
+        rollout.note_answer(self._state.upstream.version, outcome in _BAD, ratio)
+
+
+def _reason_for_distrust(head: AnswerHead, request: CallerRequest) -> str:
+    if head.request_id != request.facts.request_id:
+        return "the answer is another request's"
+    if not head.is_signed:
+        return "the answer is not signed"
+    if not head.is_plain:
+        return "the answer's body is encoded"
+    return ""
--- /dev/null
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/composition.py
@@ -0,0 +1,155 @@
+"""The composition root of a relaying entry."""
+
+import asyncio
+import logging
+import time
+
+import attrs
+from aiohttp import web
+
+from cardamomnotch_core.relay.limits import RelayLimits
+from cardamomnotch_core.relay.node import RelayIdentity, RelayNode
+from cardamomnotch_runtime.admin import create_admin_app
+from cardamomnotch_runtime.server import HttpServer, bind
+from cardamomnotch_runtime.structured_log import log_event
+from cardamomnotch_runtime.tasks import TaskGroup, async_wait_until
+
+from .const import (
+    BALANCER_NOTICE_S,
+    IDLE_MARGIN_S,
+    MAX_LINE_BYTES,
+    PUBLISH_INTERVAL_S,
+    STOP_MARGIN_S,
+)
+from .coordinator import StoreCoordinator
+from .diagnostics import diagnostics
+from .interfaces import Feed, Wire
+from .metrics import RelayMetrics
+from .server import RelayServer
+from .upstream_client import UpstreamClient
+
+_LOGGER = logging.getLogger(__name__)
+# Connections that may wait to be accepted.
+_BACKLOG = 512
+# Idle timeout until the operators set one, in seconds.
+_DEFAULT_IDLE_S = 15.0
+
+
+def boot_clock() -> float:
+    """Return seconds of a clock that goes on while the VM is suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+@attrs.frozen(kw_only=True)
+class RelaySettings:
+    """Settings of a relaying entry."""
+
+    name: str
+    zone: str
+    # Address for callers, "ip:port".
+    caller_address: str
+    # Address for the balancer's and operators' questions, "ip:port".
+    admin_address: str
+    limits: RelayLimits
+
+
+class RelayEntry:
+    """All parts of one relaying entry, wired."""
+
+    def __init__(self, settings: RelaySettings, wire: Wire) -> None:
+        self._settings = settings
+        self._wire = wire
+        self._caller_socket = bind(settings.caller_address, "caller_address")
+        self._admin_socket = bind(settings.admin_address, "admin_address")
+        self._tasks = TaskGroup()
+        self._node = RelayNode(
+            RelayIdentity(
+                name=settings.name,
+                zone=settings.zone,
+                incarnation=f"{time.time_ns():x}",
+            ),
+            settings.limits,
+        )
+        self._draining = False
+
+    @property
+    def node(self) -> RelayNode:
+        """Return the node, for diagnostics."""
+        return self._node
+
+    @property
+    def is_ready(self) -> bool:
+        """Return whether the balancer should send new connections."""
+        return not self._draining and self._node.routes.is_fresh(boot_clock())
+
+    async def async_setup(self, feed: Feed) -> None:
+        """Start serving."""
+        self._client = UpstreamClient()
+        metrics = RelayMetrics(self._node)
+        self._server = RelayServer(
+            node=self._node,
+            client=self._client,
+            wire=self._wire,
+            clock=boot_clock,
+            metrics=metrics,
+        )
+        self._coordinator = StoreCoordinator(self._node, feed, boot_clock)
+        self._admin = HttpServer(
+            create_admin_app(
+                is_ready=lambda: self.is_ready,
+                diagnostics=lambda: diagnostics(self._node, self._server, boot_clock()),
+                registry=metrics.registry,
+            ),
+            self._admin_socket,
+        )
+        await self._admin.async_start()
+        self._callers = web.Server(
+            self._server.async_handle,
+            handler_cancellation=True,
+            access_log=None,
+            keepalive_timeout=_DEFAULT_IDLE_S + IDLE_MARGIN_S,
+            max_line_size=MAX_LINE_BYTES,
+            max_field_size=MAX_LINE_BYTES,
+        )
+        loop = asyncio.get_running_loop()
+        self._listener = await loop.create_server(
+            self._callers, sock=self._caller_socket, backlog=_BACKLOG
+        )
+        self._tasks.repeat(lambda: 0.0, self._coordinator.async_follow)
+        self._tasks.repeat(lambda: PUBLISH_INTERVAL_S, self._coordinator.async_publish)
+        log_event(
+            _LOGGER,
+            "entry started",
+            zone=self._settings.zone,
+            incarnation=self._node.identity.incarnation,
+            caller_address=self._settings.caller_address,
+        )
+
+    async def async_unload(self) -> None:
+        """Finish what is in flight, then stop."""
+        self._draining = True
+        self._server.start_draining()
+        log_event(_LOGGER, "entry is draining", in_flight=self._server.in_flight)
+        started_at_s = boot_clock()
+        grace_s = max(0.0, self._settings.limits.grace_s - STOP_MARGIN_S)
+        await async_wait_until(
+            lambda: (
+                not self._server.in_flight
+                and boot_clock() - started_at_s >= BALANCER_NOTICE_S
+            ),
+            grace_s,
+        )
+        await self._tasks.async_unload()
+        self._listener.close()
+        await self._callers.shutdown(0.1)
+        await self._coordinator.async_unload()
+        await self._admin.async_stop()
+        await self._client.async_unload()
+        log_event(_LOGGER, "entry stopped", in_flight=self._server.in_flight)
+
+    def reload(self) -> None:
+        """Note that the settings file has changed.
+
+        Addresses and bounds hold for the life of the process.
+        """
+        log_event(_LOGGER, "settings changed; they are used at the next start")
--- /dev/null
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/const.py
@@ -0,0 +1,55 @@
+"""Timeouts and intervals of the relay."""
+
+from typing import Final
+
+# Longest wait for a connection to an upstream, in seconds: many times the
+# round trip between availability zones.
+CONNECT_TIMEOUT_S: Final = 0.3
+# Longest wait for the connection that shows whether an upstream is still up.
+PROBE_TIMEOUT_S: Final = 0.5
+
+# Keep-alive probes on connections to upstreams: a VM without power is noticed
+# after KEEPALIVE_IDLE_S + KEEPALIVE_PROBES * KEEPALIVE_INTERVAL_S seconds.
+KEEPALIVE_IDLE_S: Final = 1
+KEEPALIVE_INTERVAL_S: Final = 1
+KEEPALIVE_PROBES: Final = 2
+# Time that sent bytes may stay unacknowledged, in milliseconds.
+TCP_USER_TIMEOUT_MS: Final = 3_000
+
+# Time that a watch of the store waits for a change, in seconds: the age of
+# what is known grows by this much between two confirmations.
+WATCH_WAIT_S: Final = 1.0
+# Pause after a call to the store has failed, in seconds.
+STORE_RETRY_S: Final = 0.25
+# An outage shorter than this, in seconds, removes no upstream from the list.
+STORE_OUTAGE_S: Final = 1.0
+
+# Life of this entry's record in the store without a renewal, in seconds.
+RECORD_TTL_S: Final = 6.0
+RECORD_RENEWAL_S: Final = 2.0
+# Shortest time between two writes of the record, in seconds.
+RECORD_INTERVAL_S: Final = 0.5
+
+# Time after SIGTERM in which the balancer may still send, in seconds: it asks
+# every second and needs two misses.
+BALANCER_NOTICE_S: Final = 3.0
+# Time kept at the end of the grace time for closing, in seconds.
+STOP_MARGIN_S: Final = 1.0
+
+# Largest request line and largest single header line, in bytes.
+MAX_LINE_BYTES: Final = 16_384
+
+# Requests that a caller may still send on a kept connection are waited for
+# this much longer than the operators' idle timeout, in seconds.
+IDLE_MARGIN_S: Final = 2.0
+
+# Attempts of a request that waits for a cold upstream, seconds apart.
+COLD_RETRY_S: Final = 0.1
+
+# Decimal places of the seconds in Retry-After.
+RETRY_AFTER_DIGITS: Final = 2
+
+# Time that each entry leaves a report to the one before it, in seconds.
+REPORT_STAGGER_S: Final = 0.4
+# Pause between two looks at what has to be written, in seconds.
+PUBLISH_INTERVAL_S: Final = 0.1
--- /dev/null
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/coordinator.py
@@ -0,0 +1,160 @@
+"""Follows the store, and tells it what this entry has seen."""
+
+import asyncio
+import logging
+from collections.abc import Callable
+
+from cardamomnotch_core.relay.changes import Change, EntryRecord
+from cardamomnotch_core.relay.node import RelayNode
+from cardamomnotch_core.relay.rollout import Rollout, RolloutState
+from cardamomnotch_runtime.structured_log import log_event
+
+from .const import (
+    RECORD_INTERVAL_S,
+    RECORD_RENEWAL_S,
+    RECORD_TTL_S,
+    REPORT_STAGGER_S,
+    STORE_OUTAGE_S,
+    STORE_RETRY_S,
+    WATCH_WAIT_S,
+)
+from .exceptions import ConflictError, FeedError, HistoryLostError
+from .interfaces import Feed
+
+_LOGGER = logging.getLogger(__name__)
+
+
+class StoreCoordinator:
+    """One watch on everything, one record, and the reports on roll-outs."""
+
+    def __init__(self, node: RelayNode, feed: Feed, clock: Callable[[], float]) -> None:
+        self._node = node
+        self._feed = feed
+        self._clock = clock
+        self._cursor: int | None = None
+        self._reached_at_s: float | None = None
+        self._available = False
+        self._record: EntryRecord | None = None
+        self._written_at_s = float("-inf")
+        self._states: dict[str, tuple[int, RolloutState]] = {}
+        self._due_at_s: dict[tuple[str, RolloutState], float] = {}
+
+    async def async_follow(self) -> None:
+        """Take over what has changed; called again and again."""
+        asked_at_s = self._clock()
+        try:
+            if self._cursor is None:
+                found, cursor = await self._feed.async_read_all()
+            else:
+                found, cursor = await self._feed.async_watch(self._cursor, WATCH_WAIT_S)
+        except HistoryLostError:
+            log_event(_LOGGER, "store history lost", cursor=self._cursor)
+            self._cursor = None
+            return
+        except FeedError as error:
+            self._note_unavailable(error)
+            await asyncio.sleep(STORE_RETRY_S)
+            return
+        now_s = self._clock()
+        self._note_available(now_s)
+        self._cursor = cursor
+        for change in found:
+            self._apply(change, now_s)
+        self._node.routes.confirm(asked_at_s)
+
+    async def async_publish(self) -> None:
+        """Write this entry's record and due reports; called again and again."""
+        try:
+            await self._async_publish_record()
+            for rollout in self._node.versions.rollouts:
+                await self._async_report(rollout)
+        except ConflictError:
+            return
+        except FeedError as error:
+            log_event(_LOGGER, "record not written", detail=error.detail)
+
+    async def async_unload(self) -> None:
+        """Take this entry's record back."""
+        if self._record is not None:
+            try:
+                await self._feed.async_drop_record(self._record)
+            except FeedError as error:
+                log_event(_LOGGER, "record not dropped", detail=error.detail)
+
+    def _apply(self, change: Change, now_s: float) -> None:
+        before = self._node.routes.version
+        self._node.apply(change, now_s)
+        kind = type(change).__name__
+        if kind == "EntryReported":
+            return
+        if kind == "DocumentWritten":
+            log_event(
+                _LOGGER,
+                "routes read",
+                version=change.document.version,
+                in_force=self._node.routes.version,
+                before=before,
+            )
+            return
+        log_event(_LOGGER, "store change", kind=kind, change=str(change))
+
+    def _note_available(self, now_s: float) -> None:
+        reached_at_s = self._reached_at_s
+        if reached_at_s is not None and now_s - reached_at_s > (
+            WATCH_WAIT_S + STORE_OUTAGE_S
+        ):
+            self._node.fleet.note_store_returned(now_s)
+        self._reached_at_s = now_s
+        if not self._available:
+            self._available = True
+            log_event(_LOGGER, "store is available")
+
+    def _note_unavailable(self, error: FeedError) -> None:
+        if self._available:
+            self._available = False
+            log_event(
+                _LOGGER, "store is unavailable", logging.WARNING, detail=error.detail
+            )
+
+    async def _async_publish_record(self) -> None:
+        now_s = self._clock()
+        record = self._node.record(now_s)
+        age_s = now_s - self._written_at_s
+        wait_s = RECORD_INTERVAL_S if record != self._record else RECORD_RENEWAL_S
+        if age_s < wait_s:
+            return
+        await self._feed.async_write_record(record, RECORD_TTL_S)
+        self._record = record
+        self._written_at_s = now_s
+
+    async def _async_report(self, rollout: Rollout) -> None:
+        now_s = self._clock()
+        state = rollout.next_state(now_s)
+        service = rollout.order.service
+        known = self._states.get(service)
+        if known == (rollout.order_id, state) or rollout.state is state is not (
+            RolloutState.IN_PROGRESS
+        ):
+            return
+        due_at_s = self._due_at_s.setdefault(
+            (f"{service}/{rollout.order_id}", state), now_s + self._stagger_s()
+        )
+        if now_s < due_at_s:
+            return
+        new, old = rollout.pooled()
+        await self._feed.async_report_rollout(rollout, state)
+        self._states[service] = (rollout.order_id, state)
+        log_event(
+            _LOGGER,
+            "roll-out reported",
+            service=service,
+            target=rollout.order.target,
+            state=state.value,
+            new=str(new),
+            old=str(old),
+        )
+
+    def _stagger_s(self) -> float:
+        """Return how long to leave a report to the entries before this one."""
+        entries = self._node.entries
+        return entries.index(self._node.identity.name) * REPORT_STAGGER_S
--- /dev/null
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/diagnostics.py
@@ -0,0 +1,47 @@
+"""The state dump of a relaying entry."""
+
+from typing import Any
+
+from cardamomnotch_core.relay.node import RelayNode
+
+from .server import RelayServer
+
+
+def diagnostics(node: RelayNode, server: RelayServer, now_s: float) -> dict[str, Any]:
+    """Return what the entry knows and does; without keys."""
+    return {
+        "entry": node.identity.name,
+        "zone": node.identity.zone,
+        "incarnation": node.identity.incarnation,
+        "in_flight": server.in_flight,
+        "routes": {
+            "version": node.routes.version,
+            "fresh": node.routes.is_fresh(now_s),
+            "age_s": now_s - node.routes.confirmed_at_s,
+        },
+        "entries": node.entries,
+        "zones_out": sorted(node.fleet.zones_out),
+        "upstreams": [
+            {
+                "id": state.upstream_id,
+                "service": state.upstream.service,
+                "version": state.upstream.version,
+                "zone": state.upstream.zone,
+                "draining": state.upstream.is_draining,
+                "cold": state.is_cold(now_s),
+                "penalized": state.is_penalized(now_s),
+                "in_flight": state.in_flight,
+            }
+            for state in node.fleet
+        ],
+        "rollouts": [
+            {
+                "service": rollout.order.service,
+                "target": rollout.order.target,
+                "state": rollout.state.value,
+                "share": rollout.share(now_s),
+                "bad": rollout.is_bad,
+            }
+            for rollout in node.versions.rollouts
+        ],
+    }
--- /dev/null
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/event_stream.py
@@ -0,0 +1,57 @@
+"""Whole events of a stream, and the last of their ids."""
+
+_SEPARATOR = b"\n\n"
+_ID_FIELD = b"id:"
+
+
+class EventSplitter:
+    """Cuts the bytes of an event stream after whole events.
+
+    ``last_event_id`` is the id of the newest event that was handed out.
+    """
+
+    def __init__(self, last_event_id: str = "") -> None:
+        self._pending = b""
+        self._last_event_id = last_event_id
+        self._events = 0
+
+    @property
+    def last_event_id(self) -> str:
+        """Return the id of the newest whole event."""
+        return self._last_event_id
+
+    @property
+    def events(self) -> int:
+        """Return how many events were handed out."""
+        return self._events
+
+    @property
+    def pending(self) -> bytes:
+        """Return the bytes of an event that is not whole yet."""
+        return self._pending
+
+    def feed(self, data: bytes) -> bytes:
+        """Take bytes, and return those of all events that are now whole."""
+        data = self._pending + data
+        end = data.rfind(_SEPARATOR)
+        if end < 0:
+            self._pending = data
+            return b""
+        end += len(_SEPARATOR)
+        whole, self._pending = data[:end], data[end:]
+        for event in whole.split(_SEPARATOR):
+            if event:
+                self._events += 1
+                self._last_event_id = _event_id(event) or self._last_event_id
+        return whole
+
+    def drop_pending(self) -> None:
+        """Forget an event that was cut off."""
+        self._pending = b""
+
+
+def _event_id(event: bytes) -> str:
+    for line in event.split(b"\n"):
+        if line.startswith(_ID_FIELD):
+            return line[len(_ID_FIELD) :].strip().decode("latin-1")
+    return ""
--- /dev/null
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/metrics.py
@@ -0,0 +1,54 @@
+"""Metrics of a relaying entry."""
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+
+from cardamomnotch_core.relay.node import RelayNode
+from cardamomnotch_protocol.result_codes import ResultCode
+
+_BUCKETS_S = (0.01, 0.03, 0.1, 0.3, 1.0, 3.0, 10.0)
+
+
+class RelayMetrics:
+    """Counts requests, and calls to the store."""
+
+    def __init__(self, node: RelayNode) -> None:
+        self.registry = CollectorRegistry()
+        self._ended = Counter(
+            "cardamomnotch_relay_requests_ended",
+            "Relayed requests that ended, by result.",
+            ["result"],
+            registry=self.registry,
+        )
+        self._seconds = Histogram(
+            "cardamomnotch_relay_request_seconds",
+            "Time from a relayed request's arrival to its end.",
+            buckets=_BUCKETS_S,
+            registry=self.registry,
+        )
+        self._store_calls = Counter(
+            "cardamomnotch_relay_store_calls",
+            "Calls to the store, by kind and outcome.",
+            ["kind", "outcome"],
+            registry=self.registry,
+        )
+        version = Gauge(
+            "cardamomnotch_relay_document_version",
+            "Version of the routes in force.",
+            registry=self.registry,
+        )
+        version.set_function(lambda: node.routes.version)
+        upstreams = Gauge(
+            "cardamomnotch_relay_upstreams",
+            "Upstreams that are listed.",
+            registry=self.registry,
+        )
+        upstreams.set_function(lambda: len(node.fleet))
+
+    def note_request(self, code: ResultCode, seconds: float) -> None:
+        """Count a request that has ended."""
+        self._ended.labels(result=code.name.lower()).inc()
+        self._seconds.observe(seconds)
+
+    def note_store_call(self, kind: str, outcome: str) -> None:
+        """Count a call to the store."""
+        self._store_calls.labels(kind=kind, outcome=outcome).inc()
--- /dev/null
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/server.py
@@ -0,0 +1,169 @@
+"""The HTTP server for callers."""
+
+import logging
+from collections.abc import Callable
+
+from aiohttp import web
+
+from cardamomnotch_core.relay.exceptions import RefusalError
+from cardamomnotch_core.relay.node import RelayNode
+from cardamomnotch_protocol.exceptions import CardamomnotchError
+from cardamomnotch_protocol.result_codes import ResultCode, describe
+from cardamomnotch_runtime.responses import error_body
+from cardamomnotch_runtime.structured_log import log_event
+
+from .const import RETRY_AFTER_DIGITS
+from .exceptions import AnswerBrokenError, UpstreamFailureError
+from .forwarder import Forwarder
+from .interfaces import Wire
+from .metrics import RelayMetrics
+from .models import CallerRequest
+from .upstream_client import UpstreamClient
+
+_LOGGER = logging.getLogger(__name__)
+# On this platform some results have another status: a client error would say
+# that the request can never succeed.
+_STATUSES = {ResultCode.REQUEST_QUARANTINED: 502}
+# When to come back to a process that knows no routes, in seconds.
+_RETRY_NOT_READY_S = 0.5
+
+
+class RelayServer:
+    """Serves callers' requests, one Forwarder each."""
+
+    def __init__(
+        self,
+        *,
+        node: RelayNode,
+        client: UpstreamClient,
+        wire: Wire,
+        clock: Callable[[], float],
+        metrics: RelayMetrics,
+    ) -> None:
+        self._node = node
+        self._client = client
+        self._wire = wire
+        self._clock = clock
+        self._metrics = metrics
+        self._in_flight = 0
+        self._draining = False
+
+    @property
+    def in_flight(self) -> int:
+        """Return how many requests are being served."""
+        return self._in_flight
+
+    def start_draining(self) -> None:
+        """Ask callers to open their next connection elsewhere."""
+        self._draining = True
+
+    async def async_handle(self, http_request: web.BaseRequest) -> web.StreamResponse:
+        """Answer one request."""
+        arrived_at_s = self._clock()
+        self._in_flight += 1
+        forwarder: Forwarder | None = None
+        request: CallerRequest | None = None
+        code: ResultCode | None = ResultCode.CALLER_GONE
+        detail = ""
+        response: web.StreamResponse | None = None
+        try:
+            body = await self._async_read_body(http_request)
+            request = self._wire.decode_request(
+                http_request.method, http_request.raw_path, http_request.headers, body
+            )
+            forwarder = Forwarder(
+                node=self._node,
+                client=self._client,
+                wire=self._wire,
+                clock=self._clock,
+                http_request=http_request,
+                request=request,
+                body=body,
+                arrived_at_s=arrived_at_s,
+            )
+            response = await forwarder.async_serve()
+            code = ResultCode.OK
+        except UpstreamFailureError as error:
+            code, response = error.code, error.answer
+        except AnswerBrokenError as error:
+            code, detail = error.code, error.detail
+            response = self._break_off(http_request, forwarder)
+        except CardamomnotchError as error:
+            code, detail = error.code, error.detail
+            response = self._refusal(error, request)
+        finally:
+            self._in_flight -= 1
+            self._note_end(forwarder, request, code, detail, response, arrived_at_s)
+        if self._draining:
+            response.force_close()
+        return response
+
+    async def _async_read_body(self, http_request: web.BaseRequest) -> bytes:
+        document = self._node.routes.document
+        if document is None:
+            raise RefusalError(
+                ResultCode.NOT_READY, "no routes yet", _RETRY_NOT_READY_S
+            )
+        limit = document.limits.max_body_bytes
+        parts: list[bytes] = []
+        size = 0
+        async for data in http_request.content.iter_any():
+            parts.append(data)
+            size += len(data)
+            if size > limit:
+                raise RefusalError(ResultCode.BODY_TOO_LARGE, "the body is too large")
+        return b"".join(parts)
+
+    def _refusal(
+        self, error: CardamomnotchError, request: CallerRequest | None
+    ) -> web.Response:
+        status = _STATUSES.get(error.code, int(describe(error.code).http_status))
+        response = web.json_response(error_body(error), status=status)
+        if error.retry_after_s is not None:
+            value = f"{error.retry_after_s:.{RETRY_AFTER_DIGITS}f}"
+            response.headers["Retry-After"] = value
+        if request is not None:
+            response.headers.update(self._wire.refusal_headers(request))
+        return response
+
+    def _break_off(
+        self, http_request: web.BaseRequest, forwarder: Forwarder
+    ) -> web.StreamResponse:
+        """Close the connection, so that the answer does not look whole."""
+        if http_request.transport is not None:
+            http_request.transport.close()
+        return forwarder.response
+
+    def _note_end(
+        self,
+        forwarder: Forwarder | None,
+        request: CallerRequest | None,
+        code: ResultCode,
+        detail: str,
+        response: web.StreamResponse | None,
+        arrived_at_s: float,
+    ) -> None:
+        now_s = self._clock()
+        seconds = now_s - arrived_at_s
+        route = forwarder.route if forwarder else None
+        self._metrics.note_request(code, seconds)
+        log_event(
+            _LOGGER,
+            "request ended",
+            request=request.facts.request_id if request else "",
+            code=int(code),
+            result=code.name.lower(),
+            detail=detail,
+            status=response.status if response is not None else 0,
+            route=route.name if route else "",
+            workspace=forwarder.workspace.name
+            if forwarder and forwarder.workspace
+            else "",
+            ms=int(seconds * 1000),
+            document=self._node.routes.version,
+            document_age_ms=int((now_s - self._node.routes.confirmed_at_s) * 1000)
+            if self._node.routes.version
+            else -1,
+            session=request.facts.session if request else "",
+            attempts=[log.as_dict() for log in forwarder.attempts] if forwarder else [],
+        )
--- /dev/null
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/upstream_client.py
@@ -0,0 +1,117 @@
+"""Connections to upstreams: one for each attempt."""
+
+import asyncio
+import functools
+import socket
+from typing import Any
+
+import aiohttp
+from aiohttp.client_proto import ResponseHandler
+from multidict import CIMultiDict
+from yarl import URL
+
+from .const import (
+    CONNECT_TIMEOUT_S,
+    KEEPALIVE_IDLE_S,
+    KEEPALIVE_INTERVAL_S,
+    KEEPALIVE_PROBES,
+    MAX_LINE_BYTES,
+    PROBE_TIMEOUT_S,
+    TCP_USER_TIMEOUT_MS,
+)
+from .exceptions import LostAnswerError, UnreachableError
+
+_DEFAULT_HEADERS = ("Accept", "Accept-Encoding", "Content-Type", "User-Agent")
+
+
+class _StrictResponseHandler(ResponseHandler):
+    """Tells a body that ends with its connection from one that was reset."""
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Fail a body without a length whose connection broke."""
+        payload = self._payload
+        if exc is not None and payload is not None and not payload.is_eof():
+            error = aiohttp.ClientPayloadError(f"connection lost: {exc}")
+            payload.set_exception(error)
+        super().connection_lost(exc)
+
+
+def _create_socket(address: Any) -> socket.socket:
+    family, kind, protocol, _, _ = address
+    created = socket.socket(family, kind, protocol)
+    created.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    for option, value in (
+        (socket.TCP_NODELAY, 1),
+        (socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
+        (socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
+        (socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
+        (socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS),
+    ):
+        created.setsockopt(socket.IPPROTO_TCP, option, value)
+    return created
+
+
+class UpstreamClient:
+    """Sends attempts; no connection is used twice.
+
+    A connection that serves one attempt cannot bring another one's answer,
+    and was not silently dropped while it was idle.
+    """
+
+    def __init__(self) -> None:
+        connector = aiohttp.TCPConnector(
+            limit=0, force_close=True, socket_factory=_create_socket
+        )
+        connector._factory = functools.partial(
+            _StrictResponseHandler, loop=asyncio.get_running_loop()
+        )
+        self._session = aiohttp.ClientSession(
+            connector=connector,
+            skip_auto_headers=_DEFAULT_HEADERS,
+            auto_decompress=False,
+            timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
+            max_line_size=MAX_LINE_BYTES,
+            max_field_size=MAX_LINE_BYTES,
+        )
+
+    async def async_send(
+        self,
+        address: str,
+        method: str,
+        target: str,
+        headers: CIMultiDict[str],
+        body: bytes,
+    ) -> aiohttp.ClientResponse:
+        """Return the answer once its head is there.
+
+        Raises UnreachableError if the request was not sent, LostAnswerError
+        if it may have been.
+        """
+        url = URL(f"http://{address}{target}", encoded=True)
+        try:
+            return await self._session.request(
+                method,
+                url,
+                headers=headers,
+                data=body or None,
+                allow_redirects=False,
+            )
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+            raise UnreachableError(type(error).__name__) from error
+        except (aiohttp.ClientError, OSError, ValueError) as error:
+            raise LostAnswerError(f"{type(error).__name__}: {error}") from error
+
+    async def async_is_up(self, address: str) -> bool:
+        """Return whether the upstream still takes connections."""
+        host, _, port = address.rpartition(":")
+        try:
+            async with asyncio.timeout(PROBE_TIMEOUT_S):
+                _, writer = await asyncio.open_connection(host, int(port))
+        except (OSError, TimeoutError):
+            return False
+        writer.close()
+        return True
+
+    async def async_unload(self) -> None:
+        """Close all connections."""
+        await self._session.close()
--- a/packages/cardamomnotch-runtime/src/cardamomnotch_runtime/process.py
+++ b/packages/cardamomnotch-runtime/src/cardamomnotch_runtime/process.py
@@ -5,6 +5,7 @@
 import logging
 import signal
 import sys
+import time
 import traceback
 from collections.abc import Awaitable, Callable
 
@@ -13,6 +14,7 @@
 
 from .const import EXIT_BAD_SETTINGS
 from .settings import LogSettings, SettingsError
+from .structured_log import LineWriter, StructuredHandler
 
 # The loop's own pool; the product itself uses no threads.
 _POOL_THREADS = 2
@@ -63,11 +65,20 @@
     logging.basicConfig(level=settings.level.upper(), handlers=[handler], force=True)
 
 
-async def _async_wait_for_stop() -> None:
+def configure_structured_logging(settings: LogSettings, process: str) -> None:
+    """Send log lines to standard output as JSON, without blocking."""
+    writer = LineWriter(sys.stdout.fileno(), time.monotonic)
+    handler = StructuredHandler(writer, process)
+    logging.basicConfig(level=settings.level.upper(), handlers=[handler], force=True)
+
+
+async def _async_wait_for_stop(reload: Callable[[], None] | None) -> None:
     loop = asyncio.get_running_loop()
     stop = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
+    if reload is not None:
+        loop.add_signal_handler(signal.SIGHUP, reload)
     await stop.wait()
 
 
@@ -82,6 +93,16 @@
     ``shutdown_timeout_s`` bounds the whole of ``unload``.
     """
     configure_logging(log)
+    run_service(setup, unload, shutdown_timeout_s)
+
+
+def run_service(
+    setup: Callable[[], Awaitable[None]],
+    unload: Callable[[], Awaitable[None]],
+    shutdown_timeout_s: float,
+    reload: Callable[[], None] | None = None,
+) -> None:
+    """Run until SIGTERM or SIGINT; SIGHUP calls ``reload``, if given."""
     service = NodeService(setup=setup, unload=unload)
     with aiomisc.entrypoint(
         service,
@@ -91,7 +112,7 @@
         catch_signals=(),
         shutdown_timeout=shutdown_timeout_s,
     ) as loop:
-        loop.run_until_complete(_async_wait_for_stop())
+        loop.run_until_complete(_async_wait_for_stop(reload))
 
 
 def exit_with_settings_error(error: SettingsError) -> None:
