Write an entry's record only when it may change a decision

Cause: the record's lease lapsed after each 6 s, because it was renewed only when the record had not changed; and each write woke every entry's watch.

--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/changes.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/changes.py
@@ -77,6 +77,22 @@
     # Crashed upstreams by fingerprint of the request.
     crashes: dict[str, int] = attrs.field(factory=dict)
 
+    def is_urgent_after(self, earlier: "EntryRecord") -> bool:
+        """Return whether what is new may change another entry's decision."""
+        return self._signs() != earlier._signs()
+
+    def _signs(self) -> tuple[object, ...]:
+        rollouts = {
+            service: (
+                report.order_id,
+                report.share,
+                report.new.bad,
+                report.share >= 1.0 and report.old.in_flight == 0,
+            )
+            for service, report in self.rollouts.items()
+        }
+        return rollouts, self.crashes
+
 
 @attrs.frozen(kw_only=True)
 class EntryReported:
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/const.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/const.py
@@ -28,7 +28,9 @@
 RECORD_TTL_S: Final = 6.0
 RECORD_RENEWAL_S: Final = 2.0
 # Shortest time between two writes of the record, in seconds.
-RECORD_INTERVAL_S: Final = 0.5
+RECORD_INTERVAL_S: Final = 4.0
+# The same if the record holds news that may change a decision.
+RECORD_URGENT_S: Final = 0.7
 
 # Time after SIGTERM in which the balancer may still send, in seconds: it asks
 # every second and needs two misses.
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/coordinator.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/coordinator.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import math
 from collections.abc import Callable
 
 from cardamomnotch_core.relay.changes import Change, EntryRecord
@@ -13,6 +14,7 @@
     RECORD_INTERVAL_S,
     RECORD_RENEWAL_S,
     RECORD_TTL_S,
+    RECORD_URGENT_S,
     REPORT_STAGGER_S,
     STORE_OUTAGE_S,
     STORE_RETRY_S,
@@ -35,7 +37,8 @@
         self._reached_at_s: float | None = None
         self._available = False
         self._record: EntryRecord | None = None
-        self._written_at_s = float("-inf")
+        self._written_at_s = -math.inf
+        self._kept_at_s = -math.inf
         self._states: dict[str, tuple[int, RolloutState]] = {}
         self._due_at_s: dict[tuple[str, RolloutState], float] = {}
 
@@ -119,13 +122,24 @@
     async def _async_publish_record(self) -> None:
         now_s = self._clock()
         record = self._node.record(now_s)
-        age_s = now_s - self._written_at_s
-        wait_s = RECORD_INTERVAL_S if record != self._record else RECORD_RENEWAL_S
-        if age_s < wait_s:
-            return
-        await self._feed.async_write_record(record, RECORD_TTL_S)
-        self._record = record
-        self._written_at_s = now_s
+        if now_s - self._written_at_s >= self._record_wait_s(record):
+            await self._feed.async_write_record(record, RECORD_TTL_S)
+            self._record = record
+            self._written_at_s = now_s
+        if now_s - self._kept_at_s >= RECORD_RENEWAL_S:
+            if not await self._feed.async_keep_record():
+                self._record = None
+            self._kept_at_s = now_s
+
+    def _record_wait_s(self, record: EntryRecord) -> float:
+        """Return the least time between the last write and one of ``record``.
+
+        Each write wakes every entry, so only what may change a decision is
+        written soon.
+        """
+        if self._record is None or record.is_urgent_after(self._record):
+            return RECORD_URGENT_S
+        return RECORD_INTERVAL_S if record != self._record else math.inf
 
     async def _async_report(self, rollout: Rollout) -> None:
         now_s = self._clock()
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/interfaces.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/interfaces.py
@@ -48,7 +48,10 @@
         """
 
     async def async_write_record(self, record: EntryRecord, ttl_s: float) -> None:
-        """Write this entry's record, or keep it alive if it has not changed."""
+        """Write this entry's record; it lapses after ``ttl_s`` seconds."""
+
+    async def async_keep_record(self) -> bool:
+        """Keep the record alive; return whether it still stands."""
 
     async def async_drop_record(self, record: EntryRecord) -> None:
         """Delete this entry's record."""
