--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/composition.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/composition.py
@@ -16,6 +16,7 @@
 
 from .const import (
     BALANCER_NOTICE_S,
+    FLUSH_S,
     IDLE_MARGIN_S,
     MAX_LINE_BYTES,
     PUBLISH_INTERVAL_S,
@@ -31,6 +32,8 @@
 _LOGGER = logging.getLogger(__name__)
 # Connections that may wait to be accepted.
 _BACKLOG = 512
+# Time that open connections get to close at the end, in seconds.
+_CLOSE_TIMEOUT_S = 0.1
 # Idle timeout until the operators set one, in seconds.
 _DEFAULT_IDLE_S = 15.0
 
@@ -82,6 +85,10 @@
         """Return whether the balancer should send new connections."""
         return not self._draining and self._node.routes.is_fresh(boot_clock())
 
+    @property
+    def _grace_s(self) -> float:
+        return max(0.0, self._settings.limits.grace_s - STOP_MARGIN_S)
+
     async def async_setup(self, feed: Feed) -> None:
         """Start serving."""
         self._client = UpstreamClient()
@@ -130,23 +137,28 @@
         self._draining = True
         self._server.start_draining()
         log_event(_LOGGER, "entry is draining", in_flight=self._server.in_flight)
-        started_at_s = boot_clock()
-        grace_s = max(0.0, self._settings.limits.grace_s - STOP_MARGIN_S)
+        await asyncio.sleep(FLUSH_S)
+        # Idle connections end now, so that callers open their next one at
+        # another entry; busy ones end after their answer.
+        self._close_idle()
+        await asyncio.sleep(max(0.0, min(BALANCER_NOTICE_S, self._grace_s) - FLUSH_S))
+        self._listener.close()
+        self._close_idle()
         await async_wait_until(
-            lambda: (
-                not self._server.in_flight
-                and boot_clock() - started_at_s >= BALANCER_NOTICE_S
-            ),
-            grace_s,
+            lambda: not self._server.in_flight, self._grace_s - BALANCER_NOTICE_S
         )
         await self._tasks.async_unload()
-        self._listener.close()
-        await self._callers.shutdown(0.1)
+        await self._callers.shutdown(_CLOSE_TIMEOUT_S)
         await self._coordinator.async_unload()
         await self._admin.async_stop()
         await self._client.async_unload()
         log_event(_LOGGER, "entry stopped", in_flight=self._server.in_flight)
 
+    def _close_idle(self) -> None:
+        for connection in self._callers.connections:
+            if connection not in self._server.busy_connections:
+                connection.force_close()
+
     def reload(self) -> None:
         """Note that the settings file has changed.
 
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/const.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/const.py
@@ -35,6 +35,8 @@
 # Time after SIGTERM in which the balancer may still send, in seconds: it asks
 # every second and needs two misses.
 BALANCER_NOTICE_S: Final = 3.0
+# Time in which an answer that was just ended leaves the process, in seconds.
+FLUSH_S: Final = 0.05
 # Time kept at the end of the grace time for closing, in seconds.
 STOP_MARGIN_S: Final = 1.0
 
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/server.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/server.py
@@ -1,7 +1,7 @@
 """The HTTP server for callers."""
 
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Set
 
 from aiohttp import web
 
@@ -47,6 +47,12 @@
         self._metrics = metrics
         self._in_flight = 0
         self._draining = False
+        self._busy: set[web.RequestHandler] = set()
+
+    @property
+    def busy_connections(self) -> Set[web.RequestHandler]:
+        """Return the connections with a request that is being served."""
+        return self._busy
 
     @property
     def in_flight(self) -> int:
@@ -61,6 +67,7 @@
         """Answer one request."""
         arrived_at_s = self._clock()
         self._in_flight += 1
+        self._busy.add(http_request.protocol)
         forwarder: Forwarder | None = None
         request: CallerRequest | None = None
         code: ResultCode | None = ResultCode.CALLER_GONE
@@ -93,6 +100,7 @@
             response = self._refusal(error, request)
         finally:
             self._in_flight -= 1
+            self._busy.discard(http_request.protocol)
             self._note_end(forwarder, request, code, detail, response, arrived_at_s)
         if self._draining:
             response.force_close()
