Climb to a larger model only in time, and place by learned first-token times

Change: time to the first token by model, learned as a low quantile; delay of each upstream from finished and overdue waits; a climb only if the larger model's first token is expected within 0.8 of the target latency.

--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/const.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/const.py
@@ -39,7 +39,8 @@
 # Time that such a request stays refused, in seconds.
 QUARANTINE_S: Final = 60.0
 
-# Time that one token of a prompt takes to be read, in milliseconds.
+# Time that one token of a prompt takes to be read, in milliseconds, for a
+# model of which nothing has been seen.
 PREFILL_MS_PER_TOKEN: Final = 0.02
 # Time by which one running request delays another one's first token, in ms.
 RUNNING_REQUEST_MS: Final = 8.0
@@ -47,3 +48,16 @@
 CROSS_ZONE_MS_PER_KB: Final = 5.0
 # Tokens of prompts that an upstream's cache is expected to hold.
 CACHED_PROMPT_TOKENS: Final = 300_000
+
+# Tokens that count as read for every request, for the time that an upstream
+# takes whatever the prompt's length.
+FIRST_TOKEN_BASE_TOKENS: Final = 1_000
+# Quantile of the times to the first token that stands for an idle upstream.
+FIRST_TOKEN_QUANTILE: Final = 0.3
+# Relative step with which a model's speed is learned.
+FIRST_TOKEN_STEP: Final = 0.08
+# Time after which half of a delay that was seen is expected still, in seconds.
+DELAY_HALF_LIFE_S: Final = 1.5
+# Part of the target latency by which a larger model's first token must be
+# expected for a request to go on to it.
+CLIMB_LATENCY_PART: Final = 0.8
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/fleet.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/fleet.py
@@ -5,6 +5,7 @@
 import attrs
 
 from .const import MAX_PENALTY_S, PENALTY_S, RETURN_GRACE_S
+from .first_token import DelayEstimate
 from .models import Upstream
 
 
@@ -17,8 +18,7 @@
     # Set while the upstream is missing from the list after an outage.
     remove_at_s: float | None = None
     in_flight: int = 0
-    # Tokens of prompts that were sent and of which no event has come yet.
-    prefilling_tokens: int = 0
+    delay: DelayEstimate = attrs.field(factory=DelayEstimate)
     penalty_until_s: float = 0.0
     failures: int = 0
 
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/node.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/node.py
@@ -1,5 +1,6 @@
 """All decisions of one relaying entry, wired."""
 
+from collections.abc import Hashable
 from functools import singledispatchmethod
 
 import attrs
@@ -10,6 +11,7 @@
 from . import changes
 from .cascade import Cascade
 from .cold import ColdLimiter
+from .const import CLIMB_LATENCY_PART
 from .exceptions import RefusalError
 from .fleet import Fleet, UpstreamState
 from .limits import RelayLimits
@@ -188,25 +190,58 @@
         assert placement is not None
         return placement
 
+    def may_climb(
+        self,
+        route: Route,
+        service: Service,
+        facts: RequestFacts,
+        model: str,
+        body_bytes: int,
+        elapsed_s: float,
+        now_s: float,
+    ) -> bool:
+        """Return whether an answer of ``model`` would still come in time."""
+        try:
+            placement = self.place(service, facts, model, body_bytes, now_s)
+        except RefusalError:
+            return False
+        expected_s = elapsed_s + placement.expected_ms / 1000
+        return expected_s <= route.target_latency_s * CLIMB_LATENCY_PART
+
     def note_sent(
-        self, state: UpstreamState, facts: RequestFacts, model: str, now_s: float
+        self,
+        placement: Placement,
+        facts: RequestFacts,
+        model: str,
+        key: Hashable,
+        now_s: float,
     ) -> None:
-        """Count an attempt that is about to be sent."""
+        """Count an attempt that is about to be sent; ``key`` identifies it."""
+        state = placement.state
         state.in_flight += 1
-        state.prefilling_tokens += facts.prompt_tokens
+        state.delay.start(key, placement.reading_ms, now_s)
         self._cold.note_sent(state.upstream_id, now_s)
         self._placer.note_sent(state, facts, model)
         rollout = self.versions.get(state.upstream.service)
         if rollout is not None:
             rollout.side(state.upstream.version).in_flight += 1
 
-    def note_first_byte(self, state: UpstreamState, facts: RequestFacts) -> None:
-        """Note that the upstream has read the attempt's prompt."""
-        state.prefilling_tokens -= facts.prompt_tokens
+    def note_first_byte(
+        self,
+        placement: Placement,
+        model: str,
+        key: Hashable,
+        seen_s: float,
+        now_s: float,
+    ) -> None:
+        """Note that the attempt's answer has begun after ``seen_s`` seconds."""
+        placement.state.delay.finish(key, now_s, answered=True)
+        self._placer.first_tokens.note(model, placement.unread_tokens, seen_s * 1000)
 
-    def note_ended(self, state: UpstreamState) -> None:
+    def note_ended(self, state: UpstreamState, key: Hashable, now_s: float) -> None:
         """Note that an attempt is over, however it ended."""
         state.in_flight -= 1
+        state.delay.finish(key, now_s, answered=False)
         rollout = self.versions.get(state.upstream.service)
         if rollout is not None:
             side = rollout.side(state.upstream.version)
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/placing.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/placing.py
@@ -9,9 +9,9 @@
 from .const import (
     CACHED_PROMPT_TOKENS,
     CROSS_ZONE_MS_PER_KB,
-    PREFILL_MS_PER_TOKEN,
     RUNNING_REQUEST_MS,
 )
+from .first_token import FirstTokenModel
 from .fleet import UpstreamState
 from .models import RequestFacts
 
@@ -61,10 +61,19 @@
     """A chosen upstream, with what decided, for the log."""
 
     state: UpstreamState
-    cost_ms: float
+    # Expected time to the first token without other work on the upstream.
+    reading_ms: float
+    # Expected wait for other work, own and others'.
+    waiting_ms: float
     cached_tokens: int
+    unread_tokens: int
     candidates: int
 
+    @property
+    def expected_ms(self) -> float:
+        """Return the expected time to the first token."""
+        return self.reading_ms + self.waiting_ms
+
 
 class Placer:
     """Places requests by expected time to the first token.
@@ -75,6 +84,7 @@
 
     def __init__(self, zone: str) -> None:
         self._zone = zone
+        self.first_tokens = FirstTokenModel()
         self._memories: dict[str, PromptMemory] = {}
 
     def choose(
@@ -91,21 +101,16 @@
         if not usable:
             return None
         home = max(usable, key=lambda state: _affinity(facts, model, state))
-        best: tuple[float, int, UpstreamState] | None = None
-        for state in usable:
-            cached = self._memory(state).cached_tokens(model, facts)
-            if state is home:
-                cached = max(cached, facts.prompt_tokens - _own_tokens(facts))
-            cost_ms = self._cost_ms(state, facts, cached, body_bytes)
-            key = (cost_ms, -_affinity(facts, model, state))
-            if best is None or key < best[0]:
-                best = (key, cached, state)
-        key, cached, state = best
-        return Placement(
-            state=state,
-            cost_ms=key[0],
-            cached_tokens=cached,
-            candidates=len(candidates),
+        placements = (
+            self._placement(state, facts, model, len(candidates), state is home, now_s)
+            for state in usable
+        )
+        return min(
+            placements,
+            key=lambda placement: (
+                placement.expected_ms + self._transfer_ms(placement.state, body_bytes),
+                -_affinity(facts, model, placement.state),
+            ),
         )
 
     def note_sent(self, state: UpstreamState, facts: RequestFacts, model: str) -> None:
@@ -120,16 +125,34 @@
     def _memory(self, state: UpstreamState) -> PromptMemory:
         return self._memories.setdefault(state.upstream_id, PromptMemory())
 
-    def _cost_ms(
-        self, state: UpstreamState, facts: RequestFacts, cached: int, body_bytes: int
-    ) -> float:
+    def _placement(
+        self,
+        state: UpstreamState,
+        facts: RequestFacts,
+        model: str,
+        candidates: int,
+        is_home: bool,
+        now_s: float,
+    ) -> Placement:
+        cached = self._memory(state).cached_tokens(model, facts)
+        if is_home:
+            # Other entries send the same beginnings to the same upstream.
+            cached = max(cached, facts.prompt_tokens - _own_tokens(facts))
         unread = max(0, facts.prompt_tokens - cached)
-        waiting = state.prefilling_tokens
-        cost_ms = (unread + waiting) * PREFILL_MS_PER_TOKEN
-        cost_ms += state.in_flight * RUNNING_REQUEST_MS
-        if state.upstream.zone != self._zone:
-            cost_ms += body_bytes / 1000 * CROSS_ZONE_MS_PER_KB
-        return cost_ms
+        waiting_ms = state.delay.delay_ms(now_s) + state.delay.backlog_ms(now_s)
+        return Placement(
+            state=state,
+            reading_ms=self.first_tokens.expected_ms(model, unread),
+            waiting_ms=waiting_ms + state.in_flight * RUNNING_REQUEST_MS,
+            cached_tokens=cached,
+            unread_tokens=unread,
+            candidates=candidates,
+        )
+
+    def _transfer_ms(self, state: UpstreamState, body_bytes: int) -> float:
+        if state.upstream.zone == self._zone:
+            return 0.0
+        return body_bytes / 1000 * CROSS_ZONE_MS_PER_KB
 
 
 def _own_tokens(facts: RequestFacts) -> int:
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/attempts.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/attempts.py
@@ -52,7 +52,6 @@
         self._response: ClientResponse | None = None
         self._head: AnswerHead | None = None
         self._sent_at_s = 0.0
-        self._reading_prompt = False
         self._closed = False
         self._first_byte_s: float | None = None
         upstream = self._state.upstream
@@ -61,7 +60,7 @@
             version=upstream.version,
             model=model,
             started_ms=0,
-            cost_ms=int(placement.cost_ms),
+            expected_ms=int(placement.expected_ms),
             cached_tokens=placement.cached_tokens,
         )
 
@@ -96,8 +95,9 @@
         """
         self._facts = request.facts
         self._sent_at_s = self._clock()
-        self._reading_prompt = True
-        self._node.note_sent(self._state, request.facts, self._model, self._sent_at_s)
+        self._node.note_sent(
+            self._placement, request.facts, self._model, self, self._sent_at_s
+        )
         headers = self._wire.encode_attempt(request, terms)
         try:
             response = await self._client.async_send(
@@ -142,9 +142,7 @@
         self._closed = True
         self.log.outcome = outcome.value
         if self._facts is not None:
-            if self._reading_prompt:
-                self._node.note_first_byte(self._state, self._facts)
-            self._node.note_ended(self._state)
+            self._node.note_ended(self._state, self, self._clock())
         if self._response is not None:
             self._response.close()
         if outcome not in _NEUTRAL:
@@ -157,14 +155,17 @@
         if reason:
             self.close(AttemptOutcome.LOST)
             raise LostAnswerError(reason)
-        if head.status < _FIRST_FAILURE_STATUS:
-            self._state.note_success()
+        if head.status >= _FIRST_FAILURE_STATUS:
+            return
+        self._state.note_success()
+        assert self._first_byte_s is not None
+        self._node.note_first_byte(
+            self._placement, self._model, self, self._first_byte_s, self._clock()
+        )
 
     def _note_first_byte(self) -> None:
-        assert self._facts is not None
-        self._reading_prompt = False
-        self._node.note_first_byte(self._state, self._facts)
-        self._first_byte_s = self._clock() - self._sent_at_s
+        now_s = self._clock()
+        self._first_byte_s = now_s - self._sent_at_s
         self.log.first_byte_ms = int(self._first_byte_s * 1000)
 
     def _note_evidence(self, outcome: AttemptOutcome) -> None:
@@ -173,7 +174,7 @@
             return
         ratio = None
         if self._first_byte_s is not None:
-            expected_ms = self._placement.cost_ms + _EXPECTED_FLOOR_MS
+            expected_ms = self._placement.expected_ms + _EXPECTED_FLOOR_MS
             ratio = self._first_byte_s * 1000 / expected_ms
         rollout.note_answer(self._state.upstream.version, outcome in _BAD, ratio)
 
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/forwarder.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/forwarder.py
@@ -258,6 +258,18 @@
         )
         if larger is None:
             return False
+        now_s = self._clock()
+        in_time = self._node.may_climb(
+            self._route,
+            self._service,
+            self._request.facts,
+            larger,
+            len(self._body),
+            now_s - self._arrived_at_s,
+            now_s,
+        )
+        if not in_time:
+            return False
         self._model = larger
         self._tried.clear()
         return True
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/models.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/models.py
@@ -84,7 +84,7 @@
     version: str
     model: str
     started_ms: int
-    cost_ms: int
+    expected_ms: int
     cached_tokens: int
     outcome: str = ""
     status: int = 0
