Drop what a full listing no longer holds, and watch often enough for short ages

Found by tests over sockets: after lost history an upstream that had left stayed listed, and with a short revocation bound the entry's knowledge was never fresh for long, since a watch waited a second.

--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/fleet.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/fleet.py
@@ -60,6 +60,11 @@
         """Return the availability zones that get no new work."""
         return frozenset(self._zones_out)
 
+    @property
+    def upstream_ids(self) -> frozenset[str]:
+        """Return the ids of all upstreams that are known."""
+        return frozenset(self._states)
+
     def __iter__(self) -> Iterator[UpstreamState]:
         return iter(self._states.values())
 
@@ -100,12 +105,6 @@
             return
         del self._states[upstream_id]
 
-    def keep_only(self, upstream_ids: set[str], now_s: float) -> None:
-        """Drop every upstream that a full list does not name."""
-        for upstream_id in tuple(self._states):
-            if upstream_id not in upstream_ids:
-                self.remove(upstream_id, now_s)
-
     def set_zone_out(self, zone: str, out: bool) -> None:
         """Take an availability zone out of service, or back."""
         (self._zones_out.add if out else self._zones_out.discard)(zone)
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/node.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/node.py
@@ -1,6 +1,6 @@
 """All decisions of one relaying entry, wired."""
 
-from collections.abc import Hashable
+from collections.abc import Hashable, Iterable
 from functools import singledispatchmethod
 
 import attrs
@@ -126,6 +126,30 @@
         self.versions.forget_entry(change.entry)
         self.crashes.forget_entry(change.entry)
 
+    def apply_listing(self, listing: Iterable[changes.Change], now_s: float) -> None:
+        """Take over all that the store holds, and drop what it does not."""
+        upstreams, zones, services = set(), set(), set()
+        entries = {self._identity.name}
+        for change in listing:
+            self.apply(change, now_s)
+            match change:
+                case changes.UpstreamListed():
+                    upstreams.add(change.upstream.upstream_id)
+                case changes.ZoneTakenOut():
+                    zones.add(change.zone)
+                case changes.RolloutOrdered():
+                    services.add(change.order.service)
+                case changes.EntryReported():
+                    entries.add(change.record.entry)
+        for missing in self.fleet.upstream_ids - upstreams:
+            self.apply(changes.UpstreamUnlisted(upstream_id=missing), now_s)
+        for missing in self.fleet.zones_out - zones:
+            self.apply(changes.ZoneTakenBack(zone=missing), now_s)
+        for missing in self.versions.services - services:
+            self.apply(changes.RolloutWithdrawn(service=missing), now_s)
+        for missing in self._entries - entries:
+            self.apply(changes.EntryGone(entry=missing), now_s)
+
     def record(self, now_s: float) -> changes.EntryRecord:
         """Return what the other entries should know of this one."""
         rollouts = {
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/versions.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/versions.py
@@ -27,6 +27,11 @@
         """Return the roll-outs, finished ones included."""
         return tuple(self._rollouts.values())
 
+    @property
+    def services(self) -> frozenset[str]:
+        """Return the services that have a roll-out."""
+        return frozenset(self._rollouts)
+
     def get(self, service: str) -> Rollout | None:
         """Return the service's newest roll-out."""
         return self._rollouts.get(service)
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/const.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/const.py
@@ -19,6 +19,8 @@
 # Time that a watch of the store waits for a change, in seconds: the age of
 # what is known grows by this much between two confirmations.
 WATCH_WAIT_S: Final = 1.0
+# Watches that follow each other within the greatest age of what is known.
+WATCHES_IN_MAX_AGE: Final = 3
 # Pause after a call to the store has failed, in seconds.
 STORE_RETRY_S: Final = 0.25
 # An outage shorter than this, in seconds, removes no upstream from the list.
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/coordinator.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/coordinator.py
@@ -5,7 +5,12 @@
 import math
 from collections.abc import Callable
 
-from cardamomnotch_core.relay.changes import Change, EntryRecord
+from cardamomnotch_core.relay.changes import (
+    Change,
+    DocumentWritten,
+    EntryRecord,
+    EntryReported,
+)
 from cardamomnotch_core.relay.node import RelayNode
 from cardamomnotch_core.relay.rollout import Rollout, RolloutState
 from cardamomnotch_runtime.structured_log import log_event
@@ -19,6 +24,7 @@
     STORE_OUTAGE_S,
     STORE_RETRY_S,
     WATCH_WAIT_S,
+    WATCHES_IN_MAX_AGE,
 )
 from .exceptions import ConflictError, FeedError, HistoryLostError
 from .interfaces import Feed
@@ -45,11 +51,14 @@
     async def async_follow(self) -> None:
         """Take over what has changed; called again and again."""
         asked_at_s = self._clock()
+        whole = self._cursor is None
         try:
-            if self._cursor is None:
+            if whole:
                 found, cursor = await self._feed.async_read_all()
             else:
-                found, cursor = await self._feed.async_watch(self._cursor, WATCH_WAIT_S)
+                found, cursor = await self._feed.async_watch(
+                    self._cursor, self._watch_wait_s
+                )
         except HistoryLostError:
             log_event(_LOGGER, "store history lost", cursor=self._cursor)
             self._cursor = None
@@ -61,9 +70,23 @@
         now_s = self._clock()
         self._note_available(now_s)
         self._cursor = cursor
-        for change in found:
-            self._apply(change, now_s)
+        before = self._node.routes.version
+        if whole:
+            self._node.apply_listing(found, now_s)
+        else:
+            for change in found:
+                self._node.apply(change, now_s)
         self._node.routes.confirm(asked_at_s)
+        self._log_changes(found, before)
+
+    @property
+    def _watch_wait_s(self) -> float:
+        """Return how long to wait for a change.
+
+        Knowledge ages while a watch waits, so several fit its greatest age.
+        """
+        max_age_s = self._node.limits.knowledge_max_age_s
+        return min(WATCH_WAIT_S, max_age_s / WATCHES_IN_MAX_AGE)
 
     async def async_publish(self) -> None:
         """Write this entry's record and due reports; called again and again."""
@@ -84,22 +107,22 @@
             except FeedError as error:
                 log_event(_LOGGER, "record not dropped", detail=error.detail)
 
-    def _apply(self, change: Change, now_s: float) -> None:
-        before = self._node.routes.version
-        self._node.apply(change, now_s)
-        kind = type(change).__name__
-        if kind == "EntryReported":
-            return
-        if kind == "DocumentWritten":
-            log_event(
-                _LOGGER,
-                "routes read",
-                version=change.document.version,
-                in_force=self._node.routes.version,
-                before=before,
-            )
-            return
-        log_event(_LOGGER, "store change", kind=kind, change=str(change))
+    def _log_changes(self, found: list[Change], before: int) -> None:
+        for change in found:
+            match change:
+                case EntryReported():
+                    continue
+                case DocumentWritten():
+                    log_event(
+                        _LOGGER,
+                        "routes read",
+                        version=change.document.version,
+                        in_force=self._node.routes.version,
+                        before=before,
+                    )
+                case _:
+                    kind = type(change).__name__
+                    log_event(_LOGGER, "store change", kind=kind, change=str(change))
 
     def _note_available(self, now_s: float) -> None:
         reached_at_s = self._reached_at_s
--- /dev/null
+++ b/tests/adapter/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the adapter to the users' platform."""
--- /dev/null
+++ b/tests/entry/relay/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the relay over sockets."""
--- /dev/null
+++ b/tests/entry/relay/test_answers.py
@@ -0,0 +1,197 @@
+"""What callers get for what upstreams do."""
+
+import pytest
+
+from tests.fixtures.relay_system import API_KEY, WORKSPACE
+from tests.stand_ins.platform_upstream import (
+    Reset,
+    Send,
+    head,
+    plain,
+    refusal,
+    stream,
+)
+
+
+def crossed(request):
+    """Answer another request."""
+    return plain(b"other", X_Attempt_Id="request-other")(request)
+
+
+def unsigned(request):
+    """Answer without a signature."""
+    return plain(b"unsigned", X_Engine_Signature="")(request)
+
+
+def encoded(request):
+    """Answer with an encoded body."""
+    return plain(b"zipped", Content_Encoding="gzip")(request)
+
+
+def short(request):
+    """Promise more bytes than come."""
+    return [Send(head(request, Content_Length="100") + b"short")]
+
+
+def unframed(request):
+    """Send a body that ends with its connection."""
+    return [Send(head(request) + b"whole")]
+
+
+def unframed_reset(request):
+    """Reset a connection whose body has no length."""
+    return [Send(head(request) + b"who"), Reset()]
+
+
+def lost(request):
+    """Close the connection without a word."""
+    return []
+
+
+def reset(request):
+    """Reset the connection without a word."""
+    return [Reset()]
+
+
+def not_http(request):
+    """Send bytes that are no answer."""
+    return [Send(b"\x00\x01\x02 what is this\r\n\r\n")]
+
+
+def extra(request):
+    """Send a second answer behind the first."""
+    first = plain(b"whole")(request)
+    return [*first, *plain(b"second")(request)]
+
+
+FAULTS = [crossed, unsigned, encoded, short, unframed_reset, lost, reset, not_http]
+
+
+@pytest.mark.parametrize("fault", FAULTS, ids=lambda fault: fault.__name__)
+async def test_idempotent_request_goes_to_another_upstream(relay, fault):
+    """A spoiled answer is never passed on; another upstream is asked."""
+    bad = await relay.async_add("up-bad", fault, service="bookings")
+    good = await relay.async_add("up-good", plain(b"good"), service="bookings")
+    answers = [await relay.async_call("/read/x", method="GET") for _ in range(6)]
+    assert [answer.status for answer in answers] == [200] * 6
+    assert {answer.body for answer in answers} == {b"good"}
+    assert bad.seen
+    assert good.seen
+
+
+@pytest.mark.parametrize("fault", FAULTS, ids=lambda fault: fault.__name__)
+async def test_non_idempotent_request_runs_once(relay, fault):
+    """After a send that may have run the caller hears no promise."""
+    upstreams = [
+        await relay.async_add(f"up-{number}", fault, service="bookings")
+        for number in range(2)
+    ]
+    answer = await relay.async_call("/book/x")
+    assert answer.status == 502
+    assert "Retry-After" not in answer.headers
+    assert sum(len(upstream.seen) for upstream in upstreams) == 1
+
+
+@pytest.mark.parametrize("path", ["/book/x", "/read/x"])
+async def test_refused_request_goes_on(relay, path):
+    """An upstream that says "not run" leaves any request free to go on."""
+    full = await relay.async_add("up-full", refusal(), service="bookings")
+    good = await relay.async_add("up-good", plain(b"good"), service="bookings")
+    answers = [await relay.async_call(path) for _ in range(6)]
+    assert {answer.body for answer in answers} == {b"good"}
+    assert len(good.seen) == 6
+    assert full.seen
+
+
+async def test_refused_everywhere(relay):
+    """A request that ran nowhere is refused with when to come back."""
+    for number in range(2):
+        await relay.async_add(f"up-{number}", refusal(), service="bookings")
+    answer = await relay.async_call("/book/x")
+    assert answer.status == 503
+    assert 0 < float(answer.headers["Retry-After"]) < 2
+
+
+async def test_own_failure_of_an_upstream_passes_unchanged(relay):
+    """A signed failure keeps its status, signature and body."""
+    await relay.async_add("up", plain(b"why", 500), service="bookings")
+    answer = await relay.async_call("/book/x")
+    assert (answer.status, answer.body) == (500, b"why")
+    assert answer.headers["X-Engine-Signature"] == "3e1b.07"
+
+
+@pytest.mark.parametrize("behavior", [unframed, extra], ids=["unframed", "extra"])
+async def test_whole_answer_counts_whatever_follows(relay, behavior):
+    """A whole body is passed on; bytes behind it belong to nobody."""
+    await relay.async_add("up", behavior, service="bookings")
+    answers = [await relay.async_call("/book/x") for _ in range(3)]
+    assert [answer.body for answer in answers] == [b"whole"] * 3
+
+
+async def test_unreachable_upstream_costs_no_run(relay):
+    """A refused connection is no run; the next upstream gets the request."""
+    gone = await relay.async_add("up-gone", service="bookings")
+    gone.stop()
+    await relay.async_add("up-good", plain(b"good"), service="bookings")
+    answers = [await relay.async_call("/book/x") for _ in range(4)]
+    assert {answer.body for answer in answers} == {b"good"}
+
+
+async def test_reused_address_runs_nothing(relay):
+    """An upstream that is another one by now answers 421; the next is asked."""
+    other = await relay.async_add("up-old", service="bookings")
+    other.upstream_id = "up-new"
+    await relay.async_add("up-good", plain(b"good"), service="bookings")
+    answers = [await relay.async_call("/book/x") for _ in range(4)]
+    assert {answer.body for answer in answers} == {b"good"}
+
+
+async def test_request_passes_unchanged(relay):
+    """Method, target and body pass; names of the system's own are set anew."""
+    upstream = await relay.async_add("up", service="bookings")
+    await relay.async_call(
+        "/book/a%2Fb?q=%20x",
+        body=b"\x00\xffbytes",
+        X_Tenant="firm-other",
+        X_Request_Priority="0",
+        X_Pin_Ms="1000",
+        Kv_From="10.0.0.1:80/x",
+        X_Custom="kept",
+    )
+    (seen,) = upstream.seen
+    assert seen.method == "POST"
+    assert seen.target == "/book/a%2Fb?q=%20x"
+    assert seen.body == b"\x00\xffbytes"
+    assert seen.headers["x-tenant"] == WORKSPACE
+    assert seen.headers["x-custom"] == "kept"
+    assert seen.headers["x-attempt-id"] == "request-1"
+    assert seen.headers["x-expect-instance"] == "up"
+    assert 0 < int(seen.headers["x-deadline-ms"]) <= 4000
+    assert not {"authorization", "x-pin-ms", "kv-from"} & set(seen.headers)
+    assert API_KEY not in str(seen)
+
+
+async def test_stream_passes_whole(relay):
+    """Events pass as they were sent."""
+    await relay.async_add("up", stream(1, 3))
+    answer = await relay.async_call("/answer/x")
+    assert answer.body.count(b"data: piece") == 3
+    assert not answer.broken
+
+
+async def test_quarantine_after_crashes(relay):
+    """A request that crashes upstreams is not run by a third one."""
+    upstreams = []
+
+    def crash(request):
+        for upstream in upstreams:
+            if upstream.seen:
+                upstream.stop()
+        return [Reset()]
+
+    for number in range(4):
+        upstreams.append(await relay.async_add(f"up-{number}", crash))
+    first = await relay.async_call("/draft/x", X_Model="small")
+    again = await relay.async_call("/draft/x", X_Model="small")
+    assert first.status == again.status == 502
+    assert sum(len(upstream.seen) for upstream in upstreams) == 2
--- /dev/null
+++ b/tests/entry/relay/test_knowledge.py
@@ -0,0 +1,143 @@
+"""What the entry does with what the store says, or no longer says."""
+
+import pytest
+
+from cardamomnotch_core.relay.limits import RelayLimits
+
+from tests.fixtures.relay_system import RelaySystem, document, route
+from tests.stand_ins.platform_upstream import plain
+
+
+@pytest.fixture
+async def hasty():
+    """Return an entry whose knowledge of keys ages within half a second."""
+    system = RelaySystem(RelayLimits(revocation_s=2.0, grace_s=1.0))
+    await system.async_start()
+    await system.async_add("up", service="bookings")
+    yield system
+    await system.async_stop()
+
+
+@pytest.mark.parametrize(
+    ("path", "key", "status"),
+    [
+        ("/read/x", "key-one", 200),
+        ("/read/x", "key-other", 401),
+        ("/read/x", None, 401),
+        ("/open/x", None, 200),
+        ("/none/x", "key-one", 404),
+        ("/read", "key-one", 404),
+    ],
+)
+async def test_routes_and_keys(relay, path, key, status):
+    """Routes go by prefix, and need a key unless they are public."""
+    upstream = await relay.async_add("up", service="bookings")
+    answer = await relay.async_call(path, method="GET", key=key)
+    assert answer.status == status
+    assert len(upstream.seen) == (status == 200)
+
+
+@pytest.mark.parametrize("fault", ["silent", "busy", "limited", "reset"])
+@pytest.mark.parametrize("path", ["/read/x", "/none/x"])
+async def test_cut_off_entry_refuses_with_when_to_come_back(hasty, fault, path):
+    """Old knowledge runs nothing, and calls nothing unknown."""
+    assert (await hasty.async_call("/read/x")).status == 200
+    hasty.store.faults.active[fault] = True
+    await hasty.async_until(lambda: not hasty.entry.is_ready)
+    answer = await hasty.async_call(path)
+    assert answer.status == 503
+    assert "Retry-After" in answer.headers
+    del hasty.store.faults.active[fault]
+    await hasty.async_until(lambda: hasty.entry.is_ready)
+    assert (await hasty.async_call("/read/x")).status == 200
+
+
+async def test_public_route_needs_no_fresh_knowledge(hasty):
+    """Where no key is asked for, none can have been taken away."""
+    hasty.store.faults.active["busy"] = True
+    await hasty.async_until(lambda: not hasty.entry.is_ready)
+    assert (await hasty.async_call("/open/x")).status == 200
+
+
+async def test_key_that_is_taken_away(relay):
+    """A request with the old key runs nowhere."""
+    upstream = await relay.async_add("up", service="bookings")
+    tenants = [{"name": "firm-one", "api_keys": ["key-two"]}]
+    relay.store.put("op/config", document(2, tenants=tenants))
+    await relay.async_until(lambda: relay.entry.node.routes.version == 2)
+    assert (await relay.async_call("/read/x")).status == 401
+    assert (await relay.async_call("/read/x", key="key-two")).status == 200
+    assert len(upstream.seen) == 1
+
+
+async def test_older_version_changes_nothing(relay):
+    """A version that is not newer is not put in force."""
+    relay.store.put("op/config", document(7, routes=[route("new", "idempotent")]))
+    relay.store.put("op/config", document(3))
+    relay.store.put("op/evacuate/zone-z", {})
+    await relay.async_until(lambda: "zone-z" in relay.entry.node.fleet.zones_out)
+    assert relay.entry.node.routes.version == 7
+
+
+async def test_dropped_history_is_read_again(relay):
+    """Changes whose events are gone are found all the same."""
+    await relay.async_add("up", service="bookings")
+    await relay.async_add("up-gone", service="bookings")
+    relay.store.drop_history()
+    relay.store.put("op/config", document(2))
+    relay.store.delete("servers/up-gone")
+    relay.store.drop_history()
+    await relay.async_until(lambda: relay.entry.node.routes.version == 2)
+    await relay.async_until(lambda: relay.entry.node.fleet.get("up-gone") is None)
+    assert relay.entry.node.fleet.get("up") is not None
+
+
+async def test_leaving_upstream_gets_nothing_new(relay):
+    """A draining upstream is passed over as soon as the store says so."""
+    leaving = await relay.async_add("up-leaving", service="bookings")
+    await relay.async_add("up-good", plain(b"good"), service="bookings")
+    relay.register(leaving, service="bookings", state="draining")
+    await relay.async_until(
+        lambda: relay.entry.node.fleet.get("up-leaving").upstream.is_draining
+    )
+    answers = [await relay.async_call("/read/x") for _ in range(4)]
+    assert {answer.body for answer in answers} == {b"good"}
+
+
+async def test_zone_out_and_back(relay):
+    """An availability zone that is taken out gets nothing until it is back."""
+    upstream = await relay.async_add("up", service="bookings")
+    fleet = relay.entry.node.fleet
+    relay.store.put("op/evacuate/zone-a", {})
+    await relay.async_until(lambda: fleet.zones_out)
+    assert (await relay.async_call("/read/x")).status == 503
+    relay.store.delete("op/evacuate/zone-a")
+    await relay.async_until(lambda: not fleet.zones_out)
+    assert (await relay.async_call("/read/x")).status == 200
+    assert len(upstream.seen) == 1
+
+
+async def test_no_routes_yet():
+    """An entry that knows nothing refuses, and promises to have run nothing."""
+    system = RelaySystem(RelayLimits(grace_s=1.0))
+    await system.async_start()
+    system.entry.node.routes.__init__(3.0)
+    answer = await system.async_call("/read/x")
+    assert (answer.status, "Retry-After" in answer.headers) == (503, True)
+    await system.async_stop()
+
+
+async def test_record_is_written_again_after_its_lease_has_lapsed(relay):
+    """An entry that others have lost makes itself known again."""
+    await relay.async_until(lambda: relay.store.value("entries/entry-a-1"))
+    for lease in tuple(relay.store._leases):
+        relay.store.end_lease(lease)
+    assert relay.store.value("entries/entry-a-1") is None
+    await relay.async_until(lambda: relay.store.value("entries/entry-a-1"))
+
+
+async def test_stopped_entry_takes_its_record_back(relay):
+    """The others learn at once that an entry has stopped."""
+    await relay.async_until(lambda: relay.store.value("entries/entry-a-1"))
+    await relay.async_stop_entry()
+    assert relay.store.value("entries/entry-a-1") is None
--- /dev/null
+++ b/tests/entry/relay/test_streams.py
@@ -0,0 +1,114 @@
+"""Streams: resumed where the route allows, never joined otherwise."""
+
+import asyncio
+
+import pytest
+
+from tests.stand_ins.platform_upstream import (
+    LAST_CHUNK,
+    Hold,
+    Reset,
+    Send,
+    Wait,
+    chunk,
+    event,
+    stream,
+)
+
+HALF_AN_EVENT = Send(chunk(event(3)[:9]))
+BREAKS = {
+    "reset": (Reset(),),
+    "closed": (),
+    "reset within an event": (HALF_AN_EVENT, Wait(0.05), Reset()),
+}
+
+
+def whole(first: int, last: int) -> bytes:
+    """Return the bytes of the events from ``first`` to ``last``."""
+    return b"".join(event(number) for number in range(first, last + 1))
+
+
+def resumed(request):
+    """Go on after the event that the request names."""
+    start = int(request.headers.get("last-event-id") or 0) + 1
+    return stream(start, 5)(request)
+
+
+@pytest.mark.parametrize("then", BREAKS.values(), ids=BREAKS)
+async def test_resumable_stream_goes_on_elsewhere(relay, then):
+    """The caller gets each event once, from two upstreams."""
+    cut = await relay.async_add("up-cut", stream(1, 2, then=then))
+    other = await relay.async_add("up-good", resumed)
+    cut_first = [await relay.async_call("/draft/x") for _ in range(4)]
+    assert all(answer.body == whole(1, 5) for answer in cut_first)
+    assert not any(answer.broken for answer in cut_first)
+    assert cut.seen
+    last_event_ids = {seen.headers.get("last-event-id") for seen in other.seen}
+    assert "2" in last_event_ids
+
+
+@pytest.mark.parametrize("then", BREAKS.values(), ids=BREAKS)
+async def test_other_stream_ends_broken(relay, then):
+    """A stream that may not be resumed does not look whole."""
+    upstream = await relay.async_add("up-cut", stream(1, 2, then=then))
+    answer = await relay.async_call("/answer/x")
+    assert answer.broken
+    assert answer.body == whole(1, 2)
+    assert len(upstream.seen) == 1
+
+
+async def test_route_timeout_breaks_a_stream_off(relay):
+    """What lasts longer than the route allows is ended."""
+    hold = Hold()
+    await relay.async_add("up", stream(1, 2, then=(hold,)))
+    answer = await relay.async_call("/answer/x", X_Deadline_Ms="300")
+    assert answer.broken
+    async with asyncio.timeout(5):
+        await hold.left.wait()
+
+
+async def test_caller_who_leaves_ends_the_work(relay):
+    """The upstream's connection is closed once the caller's is."""
+    hold = Hold()
+    upstream = await relay.async_add("up", stream(1, 2, then=(hold,)))
+    call = asyncio.create_task(relay.async_call("/answer/x"))
+    await relay.async_until(lambda: upstream.seen)
+    call.cancel()
+    async with asyncio.timeout(5):
+        await hold.left.wait()
+
+
+async def test_low_confidence_goes_on_to_the_largest_model(relay):
+    """An unsure answer is dropped before the caller has any of it."""
+    models = []
+
+    def unsure(request):
+        model = request.headers["x-model"]
+        models.append(model)
+        confidence = "10" if model == "small" else "90"
+        return stream(1, 2, X_Confidence=confidence)(request)
+
+    await relay.async_add("up", unsure)
+    answer = await relay.async_call("/draft/x", X_Model="*", X_Token_Counts="100,10")
+    assert models == ["small", "large"]
+    assert answer.body == whole(1, 2)
+    assert answer.headers["X-Confidence"] == "90"
+
+
+@pytest.mark.parametrize(
+    ("model", "confidence", "expected"),
+    [("*", "90", ["small"]), ("middle", "1", ["middle"])],
+    ids=["sure", "named by the caller"],
+)
+async def test_one_model_is_enough(relay, model, confidence, expected):
+    """A sure answer, or a model that the caller named, stays."""
+    upstream = await relay.async_add("up", stream(1, 2, X_Confidence=confidence))
+    await relay.async_call("/draft/x", X_Model=model)
+    assert [seen.headers["x-model"] for seen in upstream.seen] == expected
+
+
+async def test_late_chunk_end_is_whole(relay):
+    """A pause before the end does not spoil a stream."""
+    await relay.async_add("up", stream(1, 2, then=(Wait(0.1), Send(LAST_CHUNK))))
+    answer = await relay.async_call("/answer/x")
+    assert (answer.broken, answer.body) == (False, whole(1, 2))
