Test the relay's decisions, the adapter and the log writer; observe before completing

Found by the tests: a version that turned bad after the move to full share was completed within a second, so a roll-out now completes only after a tenth of its time under the whole load; a full log pipe dropped the first line after it was emptied. Both failed first.

--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/rollout.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/rollout.py
@@ -10,6 +10,9 @@
 
 # Parts of the roll-out's time at which the share grows, with the share.
 _STAGES = ((0.75, 1.0), (0.55, 0.3), (0.0, ROLLOUT_FIRST_SHARE))
+# Part of the roll-out's time before which it is not completed, so that the new
+# version is seen under the whole load for a while.
+_COMPLETE_FROM = 0.85
 # Part of the roll-out's time before whose end it is reported as completed,
 # whether or not the old version is idle.
 _REPORT_BY = 0.94
@@ -136,7 +139,7 @@
             return self.state
         if self.judge():
             return RolloutState.REVERTED
-        if self.share(now_s) < 1.0:
+        if self._passed(now_s) < _COMPLETE_FROM:
             return RolloutState.IN_PROGRESS
         if self._passed(now_s) >= _REPORT_BY:
             return RolloutState.COMPLETED
--- a/packages/cardamomnotch-runtime/src/cardamomnotch_runtime/structured_log.py
+++ b/packages/cardamomnotch-runtime/src/cardamomnotch_runtime/structured_log.py
@@ -55,10 +55,10 @@
         if second != self._second:
             self._second = second
             self._lines = 0
+        self._flush()
         too_many = self._lines >= self._max_lines_per_s
         if too_many or len(self._pending) > MAX_PENDING_BYTES:
             self._dropped += 1
-            self._flush()
             return
         self._lines += 1
         if self._dropped:
--- /dev/null
+++ b/tests/adapter/test_names.py
@@ -0,0 +1,23 @@
+"""The platform's names stay in the adapter."""
+
+import re
+from pathlib import Path
+
+_ROOT = Path(__file__).parents[2]
+_NAMES = re.compile(
+    r"kv-(key|range|watch|txn|lease|keep)|servers/|op/(config|rollout|evacuate)"
+    r"|X-Attempt-Id|X-Engine-|X-Not-Executed|X-Expect-|X-Deadline-Ms|X-Tenant"
+    r"|X-Prefix-Hash|X-Token-Counts|X-Confidence|X-Model\b|route_kind|cold_left_ms"
+    r"|CARDAMOMNOTCH_BOOT|api_keys|\btenants?\b|\bnode_name\b"
+)
+
+
+def test_no_name_of_the_platform_outside_the_adapter():
+    """Only the adapter spells what the platform spells."""
+    found = [
+        f"{path.relative_to(_ROOT)}:{number}: {line.strip()}"
+        for path in sorted((_ROOT / "packages").rglob("*.py"))
+        for number, line in enumerate(path.read_text("utf-8").splitlines(), 1)
+        if _NAMES.search(line)
+    ]
+    assert found == []
--- /dev/null
+++ b/tests/core/relay/test_node.py
@@ -0,0 +1,143 @@
+"""Decisions of a whole entry, without a network."""
+
+import pytest
+
+from cardamomnotch_core.relay import changes
+from cardamomnotch_core.relay.exceptions import RefusalError
+from cardamomnotch_core.relay.limits import RelayLimits
+from cardamomnotch_core.relay.models import RolloutOrder, Share
+from cardamomnotch_core.relay.node import RelayIdentity, RelayNode
+from cardamomnotch_protocol.result_codes import ResultCode
+
+
+@pytest.fixture
+def node(make_document):
+    """Return an entry with routes, confirmed at second 0."""
+    identity = RelayIdentity(name="entry-a", zone="zone-a", incarnation="1")
+    found = RelayNode(identity, RelayLimits())
+    found.apply(changes.DocumentWritten(document=make_document()), 0.0)
+    found.routes.confirm(0.0)
+    return found
+
+
+@pytest.fixture
+def service(node):
+    """Return the service of the routes."""
+    return node.routes.document.services["drafts"]
+
+
+def list_upstream(node, upstream, now_s=0.0):
+    """Have ``node`` learn of an upstream."""
+    node.apply(changes.UpstreamListed(upstream=upstream), now_s)
+
+
+def test_no_upstream_is_refused_with_a_time(node, service, make_facts):
+    """Without any upstream a request is refused, and told when to come back."""
+    with pytest.raises(RefusalError) as error:
+        node.place(service, make_facts(), "", 0, 0.0)
+    assert error.value.code is ResultCode.NO_UPSTREAM
+    assert error.value.retry_after_s
+
+
+def test_cold_upstream_bears_a_share(node, service, make_upstream, make_facts):
+    """A cold upstream gets its small rate, and is full beyond it."""
+    list_upstream(node, make_upstream(cold_left_s=3.0))
+    for name in ("entry-b", "entry-c", "entry-d", "entry-e"):
+        record = changes.EntryRecord(entry=name, incarnation="1")
+        node.apply(changes.EntryReported(record=record), 0.0)
+    sent = 0
+    with pytest.raises(RefusalError) as error:
+        for _ in range(100):
+            placement = node.place(service, make_facts(), "", 0, 1.0)
+            node.note_sent(placement, make_facts(), "", sent, 1.0)
+            sent += 1
+    assert error.value.code is ResultCode.UPSTREAM_FULL
+    assert 1 <= sent * 5 <= 7.3 * 1.5 + 5
+    assert node.place(service, make_facts(), "", 0, 2.1)
+    assert node.place(service, make_facts(), "", 0, 3.1)
+
+
+def test_tried_upstreams_come_last(node, service, make_upstream, make_facts):
+    """A further attempt goes to another upstream while there is one."""
+    for number in range(3):
+        list_upstream(node, make_upstream(f"up-{number}"))
+    tried = frozenset({"up-0", "up-2"})
+    placement = node.place(service, make_facts(), "", 0, 0.0, tried=tried)
+    assert placement.state.upstream_id == "up-1"
+
+
+def test_full_listing_drops_what_it_does_not_hold(node, make_upstream, make_document):
+    """After lost history, what is not listed any more is forgotten."""
+    list_upstream(node, make_upstream("up-old"))
+    node.apply(changes.ZoneTakenOut(zone="zone-b"), 0.0)
+    record = changes.EntryRecord(entry="entry-old", incarnation="1")
+    node.apply(changes.EntryReported(record=record), 0.0)
+    listing = [
+        changes.DocumentWritten(document=make_document(2)),
+        changes.UpstreamListed(upstream=make_upstream("up-new")),
+    ]
+    node.apply_listing(listing, 1.0)
+    assert node.fleet.upstream_ids == {"up-new"}
+    assert not node.fleet.zones_out
+    assert node.entries == ("entry-a",)
+    assert node.routes.version == 2
+
+
+def test_crashes_of_all_entries_count(node, make_route, make_facts):
+    """A request that crashed an upstream at each of two entries runs no more."""
+    node.crashes.note_crash("print", 0.0)
+    assert node.admit(make_route(), make_facts(), 1.0)
+    record = changes.EntryRecord(entry="entry-b", incarnation="1", crashes={"print": 1})
+    node.apply(changes.EntryReported(record=record), 1.0)
+    with pytest.raises(RefusalError) as error:
+        node.admit(make_route(), make_facts(), 1.0)
+    assert error.value.code is ResultCode.REQUEST_QUARANTINED
+    assert node.admit(make_route(), make_facts(fingerprint="other"), 1.0)
+
+
+def test_route_shares(node, make_route, make_facts):
+    """A split route sends each service its share, the same at every entry."""
+    route = make_route(
+        shares=(
+            Share(service="drafts", weight=75),
+            Share(service="others", weight=25),
+        )
+    )
+    names = [
+        node.admit(route, make_facts(f"request-{n}"), 0.0).name for n in range(400)
+    ]
+    assert 240 < names.count("drafts") < 360
+    sessions = {
+        node.admit(route, make_facts(f"request-{n}", session="one"), 0.0).name
+        for n in range(20)
+    }
+    assert len(sessions) == 1
+
+
+@pytest.mark.parametrize(
+    ("elapsed_s", "expected"), [(0.1, True), (1.59, False)], ids=["early", "late"]
+)
+def test_climb_only_in_time(
+    node, service, make_route, make_upstream, make_facts, elapsed_s, expected
+):
+    """A larger model is asked only if its first token would come in time."""
+    list_upstream(node, make_upstream())
+    climbs = node.may_climb(
+        make_route(), service, make_facts(), "large", 0, elapsed_s, 0.0
+    )
+    assert climbs is expected
+
+
+def test_record_is_urgent_only_for_decisions(node):
+    """Good answers alone do not wake the other entries."""
+    order = changes.RolloutOrdered(
+        order=RolloutOrder(service="drafts", target="v2", duration_s=20.0),
+        order_id=5,
+    )
+    node.apply(order, 0.0)
+    before = node.record(1.0)
+    rollout = node.versions.get("drafts")
+    rollout.note_answer("v2", False, 0.1)
+    assert not node.record(1.0).is_urgent_after(before)
+    rollout.note_answer("v2", True, 0.1)
+    assert node.record(1.0).is_urgent_after(before)
--- /dev/null
+++ b/tests/core/relay/test_placing.py
@@ -0,0 +1,134 @@
+"""Placing by expected time to the first token."""
+
+import pytest
+
+from cardamomnotch_core.relay.first_token import DelayEstimate, FirstTokenModel
+from cardamomnotch_core.relay.fleet import Fleet
+from cardamomnotch_core.relay.models import PromptPart
+from cardamomnotch_core.relay.placing import Placer, PromptMemory
+
+
+@pytest.fixture
+def states(make_upstream):
+    """Return the states of six upstreams in two availability zones."""
+    fleet = Fleet()
+    for number in range(6):
+        zone = "zone-a" if number % 2 else "zone-b"
+        fleet.put(make_upstream(f"up-{number}", zone=zone), 0.0)
+    return list(fleet)
+
+
+@pytest.fixture
+def draft(make_facts):
+    """Return a request whose prompt begins with a shared part."""
+
+    def make(shared, own="own"):
+        return make_facts(
+            prompt=(
+                PromptPart(part_id=shared, tokens=10_000),
+                PromptPart(part_id=own, tokens=1_000),
+            ),
+            prompt_tokens=11_000,
+        )
+
+    return make
+
+
+def test_same_beginning_goes_to_the_same_upstream(states, draft):
+    """Two entries that know nothing of each other choose the same upstream."""
+    chosen = {
+        Placer(zone).choose(states, draft("a", own), "m", 0, 0.0).state.upstream_id
+        for zone in ("zone-a", "zone-b")
+        for own in ("x", "y", "z")
+    }
+    assert len(chosen) == 1
+
+
+def test_beginnings_spread(states, draft):
+    """Many beginnings use every upstream."""
+    placer = Placer("zone-a")
+    chosen = {
+        placer.choose(states, draft(f"part-{n}"), "m", 0, 0.0).state.upstream_id
+        for n in range(60)
+    }
+    assert len(chosen) == 6
+
+
+def test_busy_upstream_is_left(states, draft):
+    """A delay longer than the reading of the prompt moves a request."""
+    placer = Placer("zone-a")
+    first = placer.choose(states, draft("a"), "m", 0, 0.0)
+    first.state.delay.start("key", 0.0, 0.0)
+    second = placer.choose(states, draft("a"), "m", 0, 1.0)
+    assert second.state is not first.state
+
+
+def test_remembered_beginning_attracts(states, draft):
+    """An upstream that has read a beginning is as good as its home."""
+    placer = Placer("zone-a")
+    home = placer.choose(states, draft("a"), "m", 0, 0.0).state
+    other = next(state for state in states if state is not home)
+    placer.note_sent(other, draft("a"), "m")
+    placement = placer.choose([other], draft("a", "new"), "m", 0, 0.0)
+    assert placement.cached_tokens == 10_000
+    assert placer.choose([other], draft("a"), "n", 0, 0.0).cached_tokens in (0, 10_000)
+
+
+def test_penalized_upstream_comes_last(states, draft):
+    """An upstream that failed gets work only if no other is there."""
+    placer = Placer("zone-a")
+    home = placer.choose(states, draft("a"), "m", 0, 0.0).state
+    home.note_failure(0.0)
+    assert placer.choose(states, draft("a"), "m", 0, 0.5).state is not home
+    assert placer.choose([home], draft("a"), "m", 0, 0.5).state is home
+
+
+def test_large_body_stays_in_its_zone(states, draft):
+    """Bytes between availability zones count against an upstream."""
+    placer = Placer("zone-a")
+    chosen = {
+        placer.choose(
+            states, draft(f"part-{n}"), "m", 1_000_000, 0.0
+        ).state.upstream.zone
+        for n in range(20)
+    }
+    assert chosen == {"zone-a"}
+
+
+def test_memory_is_bounded(draft):
+    """The least recently used beginnings are forgotten first."""
+    memory = PromptMemory(max_tokens=25_000)
+    for name in ("a", "b", "a", "c"):
+        memory.note_read("m", draft(name))
+    assert memory.cached_tokens("m", draft("c", "new")) == 10_000
+    assert memory.cached_tokens("m", draft("b", "new")) == 0
+
+
+def test_speed_is_learned_by_model():
+    """A slow model's first token is expected later than a fast one's."""
+    model = FirstTokenModel()
+    for tokens in range(1_000, 20_000, 500):
+        model.note("fast", tokens, 0.006 * (tokens + 1_000))
+        model.note("slow", tokens, 0.06 * (tokens + 1_000))
+    assert model.expected_ms("fast", 9_000) == pytest.approx(60, rel=0.3)
+    assert model.expected_ms("slow", 9_000) == pytest.approx(600, rel=0.3)
+
+
+def test_delay_grows_while_a_wait_is_overdue_and_fades():
+    """A silent upstream looks worse each moment; a past delay is forgotten."""
+    delay = DelayEstimate()
+    delay.start("key", 100.0, 0.0)
+    assert delay.delay_ms(0.05) == 0.0
+    assert delay.delay_ms(1.1) == pytest.approx(1_000)
+    delay.finish("key", 1.1, answered=False)
+    assert delay.delay_ms(1.1) == pytest.approx(1_000)
+    assert delay.delay_ms(1.1 + 1.5) == pytest.approx(500)
+    assert delay.delay_ms(30.0) < 1.0
+
+
+def test_backlog_is_the_rest_of_the_expected_waits():
+    """Requests that are being read delay the next one."""
+    delay = DelayEstimate()
+    delay.start("one", 400.0, 0.0)
+    delay.start("two", 200.0, 0.0)
+    assert delay.backlog_ms(0.1) == pytest.approx(400)
--- /dev/null
+++ b/tests/core/relay/test_routes.py
@@ -0,0 +1,90 @@
+"""Routes and keys: newest version only, and only while it is confirmed."""
+
+import pytest
+
+from cardamomnotch_core.relay.exceptions import RefusalError
+from cardamomnotch_core.relay.routes import RouteTable
+from cardamomnotch_protocol.result_codes import ResultCode
+
+MAX_AGE_S = 3.5
+
+
+@pytest.fixture
+def table(make_document, make_route):
+    """Return a table with two nested routes, confirmed at second 100."""
+    found = RouteTable(MAX_AGE_S)
+    routes = [
+        make_route("outer", path_prefix="/a/"),
+        make_route("inner", path_prefix="/a/b/"),
+        make_route("open", path_prefix="/open/", is_public=True),
+    ]
+    found.apply(make_document(routes=routes))
+    found.confirm(100.0)
+    return found
+
+
+@pytest.mark.parametrize(
+    ("host", "path", "name"),
+    [
+        ("calls.example", "/a/x", "outer"),
+        ("calls.example", "/a/b/x", "inner"),
+        ("CALLS.example:8080", "/a/bx", "outer"),
+    ],
+)
+def test_longest_prefix_of_the_host(table, host, path, name):
+    """The longest prefix that begins the path decides."""
+    assert table.find(host, path, 100.0).name == name
+
+
+@pytest.mark.parametrize(
+    ("host", "path"),
+    [("other.example", "/a/x"), ("calls.example", "/a"), ("calls.example", "/")],
+)
+def test_unknown_route(table, host, path):
+    """What no prefix begins is unknown while the version is confirmed."""
+    with pytest.raises(RefusalError) as error:
+        table.find(host, path, 103.5)
+    assert error.value.code is ResultCode.UNKNOWN_ROUTE
+
+
+@pytest.mark.parametrize("key", ["key-one", "key-other", None])
+def test_old_knowledge_decides_no_key(table, key):
+    """Past its greatest age, what is known neither admits nor rejects a key."""
+    route = table.find("calls.example", "/a/x", 103.6)
+    with pytest.raises(RefusalError) as error:
+        table.authorize(route, key, 103.6)
+    assert error.value.code is ResultCode.NOT_READY
+    assert error.value.retry_after_s
+
+
+def test_public_route_needs_no_key(table):
+    """A public route admits a caller without a key."""
+    route = table.find("calls.example", "/open/x", 100.0)
+    assert table.authorize(route, None, 200.0) is None
+
+
+@pytest.mark.parametrize(
+    ("key", "code"),
+    [("key-other", ResultCode.UNKNOWN_KEY), (None, ResultCode.MISSING_KEY)],
+)
+def test_wrong_key(table, key, code):
+    """A wrong key is told from a missing one."""
+    route = table.find("calls.example", "/a/x", 100.0)
+    with pytest.raises(RefusalError) as error:
+        table.authorize(route, key, 100.0)
+    assert error.value.code is code
+
+
+def test_versions_only_go_forward(table, make_document):
+    """An older or equal version changes nothing."""
+    assert table.apply(make_document(5, keys=("key-five",)))
+    assert not table.apply(make_document(4))
+    assert not table.apply(make_document(5))
+    assert table.version == 5
+
+
+def test_confirmation_counts_from_the_question(table):
+    """A late answer to an old question does not make knowledge younger."""
+    table.confirm(99.0)
+    assert table.confirmed_at_s == 100.0
+    assert not table.is_fresh(103.6)
