Let entries tell each other what they send to upstreams

Change: datagrams of starts, first tokens and ends; each upstream's queue is estimated from the waits of all entries, its cache from all prompts sent.

--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/changes.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/changes.py
@@ -73,6 +73,8 @@
     entry: str
     # Distinguishes two starts of one entry.
     incarnation: str
+    # Where the other entries reach it, "ip:port"; empty if they cannot.
+    address: str = ""
     rollouts: dict[str, RolloutReport] = attrs.field(factory=dict)
     # Crashed upstreams by fingerprint of the request.
     crashes: dict[str, int] = attrs.field(factory=dict)
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/const.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/const.py
@@ -56,8 +56,18 @@
 FIRST_TOKEN_QUANTILE: Final = 0.3
 # Relative step with which a model's speed is learned.
 FIRST_TOKEN_STEP: Final = 0.08
-# Time after which half of a delay that was seen is expected still, in seconds.
-DELAY_HALF_LIFE_S: Final = 1.5
+# Step with which an upstream's slowdown follows the answers, and its bounds.
+SLOWDOWN_STEP: Final = 0.3
+MAX_SLOWDOWN: Final = 8.0
+# Time after which half of a slowdown is expected still, in seconds.
+SLOWDOWN_HALF_LIFE_S: Final = 2.0
+# Added to both times when they are compared, in milliseconds.
+SLOWDOWN_FLOOR_MS: Final = 50.0
+# A first token that is waited for longer than this is not told of any more.
+MAX_WAIT_S: Final = 15.0
 # Part of the target latency by which a larger model's first token must be
 # expected for a request to go on to it.
 CLIMB_LATENCY_PART: Final = 0.8
+# A request of another entry of which no end was heard counts this long, in
+# seconds.
+MAX_RUN_S: Final = 20.0
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/first_token.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/first_token.py
@@ -1,15 +1,19 @@
 """Expected time to an answer's first token, learned from what is seen."""
 
-from collections.abc import Hashable
+from collections.abc import Callable, Hashable
 
 import attrs
 
 from .const import (
-    DELAY_HALF_LIFE_S,
     FIRST_TOKEN_BASE_TOKENS,
     FIRST_TOKEN_QUANTILE,
     FIRST_TOKEN_STEP,
+    MAX_SLOWDOWN,
+    MAX_WAIT_S,
     PREFILL_MS_PER_TOKEN,
+    SLOWDOWN_FLOOR_MS,
+    SLOWDOWN_HALF_LIFE_S,
+    SLOWDOWN_STEP,
 )
 
 # Samples of a model after which its speed is learned in small steps only.
@@ -52,47 +56,79 @@
 
 
 @attrs.define
-class DelayEstimate:
-    """How much longer than expected one upstream takes now, in milliseconds.
+class _Wait:
+    reading_ms: float
+    started_at_s: float
+    # When the first token was expected at the start.
+    expected_ms: float
 
-    Follows the delays of finished waits, which fade, and of those under way.
+
+@attrs.define
+class QueueEstimate:
+    """How long an upstream's next request waits before its prompt is read.
+
+    Prompts are taken to be read one after the other. The waits are those of
+    this entry and of the others that tell theirs.
     """
 
-    _delay_ms: float = 0.0
+    _waits: dict[Hashable, _Wait] = attrs.field(factory=dict)
+    # When the upstream began to read the oldest prompt.
+    _reading_since_s: float = 0.0
+    # How many times as long as expected the first tokens lately took.
+    _slowdown: float = 1.0
     _noted_at_s: float = 0.0
-    # Time by which each first token that is waited for is expected.
-    _due_at_s: dict[Hashable, float] = attrs.field(factory=dict)
 
-    def start(self, key: Hashable, expected_ms: float, now_s: float) -> None:
+    def start(
+        self, key: Hashable, reading_ms: float, now_s: float, parallel: int = 1
+    ) -> None:
         """Note that a first token is waited for."""
-        self._due_at_s[key] = now_s + expected_ms / 1000
+        expected_ms = self.waiting_ms(now_s, parallel) + reading_ms
+        if not self._waits:
+            self._reading_since_s = now_s
+        self._waits[key] = _Wait(reading_ms, now_s, expected_ms)
 
     def finish(self, key: Hashable, now_s: float, *, answered: bool) -> None:
-        """Note that the wait is over; ``answered`` if the token came."""
-        due_at_s = self._due_at_s.pop(key, None)
-        if due_at_s is None:
+        """Note that a wait is over; ``answered`` if the first token came."""
+        wait = self._waits.pop(key, None)
+        if wait is None:
             return
-        late_ms = max(0.0, (now_s - due_at_s) * 1000)
-        faded_ms = self._faded_ms(now_s)
-        if answered:
-            self._delay_ms = (faded_ms + late_ms) / 2
-        else:
-            self._delay_ms = max(faded_ms, late_ms)
+        self._reading_since_s = now_s
+        if not answered:
+            return
+        seen_ms = (now_s - wait.started_at_s) * 1000
+        ratio = (seen_ms + SLOWDOWN_FLOOR_MS) / (wait.expected_ms + SLOWDOWN_FLOOR_MS)
+        slowdown = self._faded_slowdown(now_s)
+        slowdown += SLOWDOWN_STEP * (ratio - slowdown)
+        self._slowdown = min(MAX_SLOWDOWN, max(1.0, slowdown))
         self._noted_at_s = now_s
 
-    def delay_ms(self, now_s: float) -> float:
-        """Return the delay that a request must expect now."""
-        overdue_ms = 0.0
-        if self._due_at_s:
-            overdue_ms = (now_s - min(self._due_at_s.values())) * 1000
-        return max(self._faded_ms(now_s), overdue_ms)
-
-    def backlog_ms(self, now_s: float) -> float:
-        """Return the expected rest of the waits under way."""
-        return sum(
-            max(0.0, due_at_s - now_s) * 1000 for due_at_s in self._due_at_s.values()
-        )
-
-    def _faded_ms(self, now_s: float) -> float:
-        halvings = (now_s - self._noted_at_s) / DELAY_HALF_LIFE_S
-        return self._delay_ms * 0.5 ** max(0.0, halvings)
+    def drop(self, is_dropped: Callable[[Hashable], bool]) -> None:
+        """Forget the waits whose key is dropped."""
+        for key in tuple(self._waits):
+            if is_dropped(key):
+                del self._waits[key]
+
+    def waiting_ms(self, now_s: float, parallel: int = 1) -> float:
+        """Return the wait of a request that is sent now.
+
+        ``parallel`` is how many requests the upstream works on at once.
+        """
+        if not self._waits:
+            return 0.0
+        self._expire(now_s)
+        total_ms = sum(wait.reading_ms for wait in self._waits.values())
+        oldest_ms = next(iter(self._waits.values())).reading_ms if self._waits else 0.0
+        passed_ms = (now_s - self._reading_since_s) * 1000
+        rest_ms = total_ms - min(passed_ms, oldest_ms)
+        overdue_ms = max(0.0, passed_ms - oldest_ms)
+        if len(self._waits) <= parallel - 1:
+            rest_ms = 0.0
+        return rest_ms * self._faded_slowdown(now_s) / parallel + overdue_ms
+
+    def _expire(self, now_s: float) -> None:
+        oldest_s = now_s - MAX_WAIT_S
+        self.drop(lambda key: self._waits[key].started_at_s < oldest_s)
+
+    def _faded_slowdown(self, now_s: float) -> float:
+        halvings = (now_s - self._noted_at_s) / SLOWDOWN_HALF_LIFE_S
+        return 1.0 + (self._slowdown - 1.0) * 0.5 ** max(0.0, halvings)
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/fleet.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/fleet.py
@@ -4,8 +4,8 @@
 
 import attrs
 
-from .const import MAX_PENALTY_S, PENALTY_S, RETURN_GRACE_S
-from .first_token import DelayEstimate
+from .const import MAX_PENALTY_S, MAX_RUN_S, PENALTY_S, RETURN_GRACE_S
+from .first_token import QueueEstimate
 from .models import Upstream
 
 
@@ -18,7 +18,9 @@
     # Set while the upstream is missing from the list after an outage.
     remove_at_s: float | None = None
     in_flight: int = 0
-    delay: DelayEstimate = attrs.field(factory=DelayEstimate)
+    # When the other entries' requests under way were sent, by their keys.
+    others_in_flight: dict[tuple[str, int], float] = attrs.field(factory=dict)
+    queue: QueueEstimate = attrs.field(factory=QueueEstimate)
     penalty_until_s: float = 0.0
     failures: int = 0
 
@@ -27,6 +29,21 @@
         """Return the upstream's id."""
         return self.upstream.upstream_id
 
+    def running(self, now_s: float) -> int:
+        """Return how many requests of all entries are under way."""
+        oldest_s = now_s - MAX_RUN_S
+        for key, sent_at_s in tuple(self.others_in_flight.items()):
+            if sent_at_s < oldest_s:
+                del self.others_in_flight[key]
+        return self.in_flight + len(self.others_in_flight)
+
+    def forget_entry(self, entry: str) -> None:
+        """Drop the requests of an entry that has left."""
+        self.queue.drop(lambda key: isinstance(key, tuple) and key[0] == entry)
+        for key in tuple(self.others_in_flight):
+            if key[0] == entry:
+                del self.others_in_flight[key]
+
     def is_cold(self, now_s: float) -> bool:
         """Return whether the upstream bears only a small rate."""
         return now_s < self.cold_until_s
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/node.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/node.py
@@ -16,7 +16,8 @@
 from .fleet import Fleet, UpstreamState
 from .limits import RelayLimits
 from .models import RequestFacts, Route, Service
-from .placing import Placement, Placer
+from .notices import LoadKind, LoadNotice
+from .placing import Placement, Placer, parallel_reads
 from .quarantine import CrashBook
 from .retries import RetryBudget
 from .routes import RouteTable
@@ -34,6 +35,8 @@
     name: str
     zone: str
     incarnation: str
+    # Where the other entries reach it, "ip:port"; empty if they cannot.
+    address: str = ""
 
 
 class RelayNode:
@@ -53,6 +56,8 @@
         )
         self._placer = Placer(identity.zone)
         self._entries: set[str] = {identity.name}
+        self._addresses: dict[str, str] = {}
+        self._notices: list[LoadNotice] = []
 
     @property
     def identity(self) -> RelayIdentity:
@@ -64,6 +69,11 @@
         """Return the names of the live entries, this one included."""
         return tuple(sorted(self._entries))
 
+    @property
+    def peer_addresses(self) -> tuple[str, ...]:
+        """Return where the other live entries are reached, "ip:port"."""
+        return tuple(self._addresses.values())
+
     @singledispatchmethod
     def apply(self, change: object, now_s: float) -> None:
         """Take over a change from the store."""
@@ -112,6 +122,8 @@
         if record.entry == self._identity.name:
             return
         self._entries.add(record.entry)
+        if record.address:
+            self._addresses[record.entry] = record.address
         self._retries.set_entries(len(self._entries))
         for service, report in record.rollouts.items():
             self.versions.set_report(record.entry, service, report)
@@ -122,8 +134,11 @@
         if change.entry == self._identity.name:
             return
         self._entries.discard(change.entry)
+        self._addresses.pop(change.entry, None)
         self._retries.set_entries(len(self._entries))
         self.versions.forget_entry(change.entry)
+        for state in self.fleet:
+            state.forget_entry(change.entry)
         self.crashes.forget_entry(change.entry)
 
     def apply_listing(self, listing: Iterable[changes.Change], now_s: float) -> None:
@@ -159,6 +174,7 @@
         return changes.EntryRecord(
             entry=self._identity.name,
             incarnation=self._identity.incarnation,
+            address=self._identity.address,
             rollouts=rollouts,
             crashes=self.crashes.own_counts,
         )
@@ -243,12 +259,23 @@
         """Count an attempt that is about to be sent; ``key`` identifies it."""
         state = placement.state
         state.in_flight += 1
-        state.delay.start(key, placement.reading_ms, now_s)
+        parallel = parallel_reads(state, facts)
+        state.queue.start(key, placement.reading_ms, now_s, parallel)
         self._cold.note_sent(state.upstream_id, now_s)
-        self._placer.note_sent(state, facts, model)
+        self._placer.note_sent(state, facts.prompt, model)
         rollout = self.versions.get(state.upstream.service)
         if rollout is not None:
             rollout.side(state.upstream.version).in_flight += 1
+        self._tell(
+            LoadNotice(
+                kind=LoadKind.STARTED,
+                upstream_id=state.upstream_id,
+                attempt=hash(key),
+                reading_ms=int(placement.reading_ms),
+                model=model,
+                prompt=facts.prompt[:-1],
+            )
+        )
 
     def note_first_byte(
         self,
@@ -259,17 +286,58 @@
         now_s: float,
     ) -> None:
         """Note that the attempt's answer has begun after ``seen_s`` seconds."""
-        placement.state.delay.finish(key, now_s, answered=True)
+        state = placement.state
+        state.queue.finish(key, now_s, answered=True)
         self._placer.first_tokens.note(model, placement.unread_tokens, seen_s * 1000)
+        self._tell(
+            LoadNotice(
+                kind=LoadKind.ANSWERED,
+                upstream_id=state.upstream_id,
+                attempt=hash(key),
+            )
+        )
 
     def note_ended(self, state: UpstreamState, key: Hashable, now_s: float) -> None:
         """Note that an attempt is over, however it ended."""
         state.in_flight -= 1
-        state.delay.finish(key, now_s, answered=False)
+        state.queue.finish(key, now_s, answered=False)
         rollout = self.versions.get(state.upstream.service)
         if rollout is not None:
             side = rollout.side(state.upstream.version)
             side.in_flight = max(0, side.in_flight - 1)
+        self._tell(
+            LoadNotice(
+                kind=LoadKind.ENDED, upstream_id=state.upstream_id, attempt=hash(key)
+            )
+        )
+
+    def take_notices(self) -> list[LoadNotice]:
+        """Return what the other entries should be told of, once."""
+        notices, self._notices = self._notices, []
+        return notices
+
+    def apply_notices(
+        self, entry: str, notices: Iterable[LoadNotice], now_s: float
+    ) -> None:
+        """Take over what another entry has sent to upstreams."""
+        for notice in notices:
+            state = self.fleet.get(notice.upstream_id)
+            if state is None:
+                continue
+            key = (entry, notice.attempt)
+            if notice.kind is LoadKind.STARTED:
+                state.queue.start(key, notice.reading_ms, now_s)
+                state.others_in_flight[key] = now_s
+                self._placer.note_sent(state, notice.prompt, notice.model)
+            elif notice.kind is LoadKind.ANSWERED:
+                state.queue.finish(key, now_s, answered=True)
+            else:
+                state.queue.finish(key, now_s, answered=False)
+                state.others_in_flight.pop(key, None)
+
+    def _tell(self, notice: LoadNotice) -> None:
+        if len(self._entries) > 1:
+            self._notices.append(notice)
 
     def _bears_one_more(
         self, state: UpstreamState, service: Service, now_s: float
--- /dev/null
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/notices.py
@@ -0,0 +1,30 @@
+"""What entries tell each other of their requests at upstreams."""
+
+from enum import StrEnum
+
+import attrs
+
+from .models import PromptPart
+
+
+class LoadKind(StrEnum):
+    """What has happened to an attempt."""
+
+    STARTED = "s"
+    ANSWERED = "a"
+    ENDED = "e"
+
+
+@attrs.frozen(kw_only=True)
+class LoadNotice:
+    """One event of one attempt; losing a notice does no lasting harm."""
+
+    kind: LoadKind
+    upstream_id: str
+    # Identifies the attempt within its entry.
+    attempt: int
+    # Expected time to read the prompt; only of a start, as are the next two.
+    reading_ms: int = 0
+    model: str = ""
+    # The parts of the prompt that other requests may share.
+    prompt: tuple[PromptPart, ...] = ()
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/placing.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/placing.py
@@ -13,7 +13,7 @@
 )
 from .first_token import FirstTokenModel
 from .fleet import UpstreamState
-from .models import RequestFacts
+from .models import PromptPart, RequestFacts
 
 
 class PromptMemory:
@@ -31,15 +31,15 @@
     def cached_tokens(self, model: str, facts: RequestFacts) -> int:
         """Return how many tokens of the prompt need not be read again."""
         total = 0
-        for key, tokens in _beginnings(facts):
+        for key, tokens in _beginnings(facts.prompt):
             if (model, key) not in self._parts:
                 break
             total += tokens
         return total
 
-    def note_read(self, model: str, facts: RequestFacts) -> None:
+    def note_read(self, model: str, prompt: Sequence[PromptPart]) -> None:
         """Note that the upstream reads the prompt."""
-        for key, tokens in _beginnings(facts):
+        for key, tokens in _beginnings(prompt):
             if (model, key) not in self._parts:
                 self._tokens += tokens
             self._parts[(model, key)] = tokens
@@ -49,9 +49,14 @@
             self._tokens -= tokens
 
 
-def _beginnings(facts: RequestFacts) -> Iterable[tuple[str, int]]:
+def parallel_reads(state: UpstreamState, facts: RequestFacts) -> int:
+    """Return how many requests the upstream begins at once."""
+    return 1 if facts.prompt_tokens else max(1, state.upstream.slots)
+
+
+def _beginnings(prompt: Sequence[PromptPart]) -> Iterable[tuple[str, int]]:
     key = ""
-    for part in facts.prompt:
+    for part in prompt:
         key = f"{key},{part.part_id}"
         yield key, part.tokens
 
@@ -113,10 +118,12 @@
             ),
         )
 
-    def note_sent(self, state: UpstreamState, facts: RequestFacts, model: str) -> None:
+    def note_sent(
+        self, state: UpstreamState, prompt: Sequence[PromptPart], model: str
+    ) -> None:
         """Remember that ``state`` reads the prompt now."""
-        if facts.prompt:
-            self._memory(state).note_read(model, facts)
+        if prompt:
+            self._memory(state).note_read(model, prompt)
 
     def forget(self, upstream_id: str) -> None:
         """Drop what is remembered of an upstream that has left."""
@@ -139,11 +146,11 @@
             # Other entries send the same beginnings to the same upstream.
             cached = max(cached, facts.prompt_tokens - _own_tokens(facts))
         unread = max(0, facts.prompt_tokens - cached)
-        waiting_ms = state.delay.delay_ms(now_s) + state.delay.backlog_ms(now_s)
+        waiting_ms = state.queue.waiting_ms(now_s, parallel_reads(state, facts))
         return Placement(
             state=state,
             reading_ms=self.first_tokens.expected_ms(model, unread),
-            waiting_ms=waiting_ms + state.in_flight * RUNNING_REQUEST_MS,
+            waiting_ms=waiting_ms + state.running(now_s) * RUNNING_REQUEST_MS,
             cached_tokens=cached,
             unread_tokens=unread,
             candidates=candidates,
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/composition.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/composition.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import socket
 import time
 
 import attrs
@@ -26,6 +27,7 @@
 from .diagnostics import diagnostics
 from .interfaces import Feed, Wire
 from .metrics import RelayMetrics
+from .peers import PeerExchange
 from .server import RelayServer
 from .upstream_client import UpstreamClient
 
@@ -51,6 +53,8 @@
     zone: str
     # Address for callers, "ip:port".
     caller_address: str
+    # Address for datagrams of the other entries, "ip:port".
+    peer_address: str
     # Address for the balancer's and operators' questions, "ip:port".
     admin_address: str
     limits: RelayLimits
@@ -64,12 +68,16 @@
         self._wire = wire
         self._caller_socket = bind(settings.caller_address, "caller_address")
         self._admin_socket = bind(settings.admin_address, "admin_address")
+        self._peer_socket = bind(
+            settings.peer_address, "peer_address", socket.SOCK_DGRAM
+        )
         self._tasks = TaskGroup()
         self._node = RelayNode(
             RelayIdentity(
                 name=settings.name,
                 zone=settings.zone,
                 incarnation=f"{time.time_ns():x}",
+                address=settings.peer_address,
             ),
             settings.limits,
         )
@@ -100,6 +108,8 @@
             clock=boot_clock,
             metrics=metrics,
         )
+        self._peers = PeerExchange(self._node, boot_clock, self._peer_socket)
+        await self._peers.async_setup()
         self._coordinator = StoreCoordinator(self._node, feed, boot_clock)
         self._admin = HttpServer(
             create_admin_app(
@@ -124,6 +134,7 @@
         )
         self._tasks.repeat(lambda: 0.0, self._coordinator.async_follow)
         self._tasks.repeat(lambda: PUBLISH_INTERVAL_S, self._coordinator.async_publish)
+        self._tasks.repeat(lambda: 0.0, self._peers.async_send)
         log_event(
             _LOGGER,
             "entry started",
@@ -150,6 +161,7 @@
         await self._tasks.async_unload()
         await self._callers.shutdown(_CLOSE_TIMEOUT_S)
         await self._coordinator.async_unload()
+        await self._peers.async_unload()
         await self._admin.async_stop()
         await self._client.async_unload()
         log_event(_LOGGER, "entry stopped", in_flight=self._server.in_flight)
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/const.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/const.py
@@ -59,3 +59,8 @@
 REPORT_STAGGER_S: Final = 0.4
 # Pause between two looks at what has to be written, in seconds.
 PUBLISH_INTERVAL_S: Final = 0.1
+
+# Time in which notices of load are gathered into one datagram, in seconds.
+NOTICE_DELAY_S: Final = 0.01
+# Notices in one datagram, which has to fit a packet.
+MAX_NOTICES: Final = 8
--- /dev/null
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/peers.py
@@ -0,0 +1,122 @@
+"""Notices of load between entries, as datagrams of JSON."""
+
+import asyncio
+import logging
+import socket
+from collections.abc import Callable
+from typing import Any
+
+import orjson
+
+from cardamomnotch_core.relay.models import PromptPart
+from cardamomnotch_core.relay.node import RelayNode
+from cardamomnotch_core.relay.notices import LoadKind, LoadNotice
+from cardamomnotch_runtime.settings import host_and_port
+from cardamomnotch_runtime.structured_log import log_event
+
+from .const import MAX_NOTICES, NOTICE_DELAY_S
+
+_LOGGER = logging.getLogger(__name__)
+
+
+def encode_notices(entry: str, notices: list[LoadNotice]) -> bytes:
+    """Return the datagram for ``notices`` of ``entry``."""
+    rows = [
+        [
+            notice.kind.value,
+            notice.upstream_id,
+            notice.attempt,
+            notice.reading_ms,
+            notice.model,
+            [[part.part_id, part.tokens] for part in notice.prompt],
+        ]
+        if notice.kind is LoadKind.STARTED
+        else [notice.kind.value, notice.upstream_id, notice.attempt]
+        for notice in notices
+    ]
+    return orjson.dumps([entry, rows])
+
+
+def decode_notices(data: bytes) -> tuple[str, list[LoadNotice]]:
+    """Return sender and notices; raises ValueError or TypeError."""
+    entry, rows = orjson.loads(data)
+    if not isinstance(entry, str):
+        raise TypeError("the entry's name is not text")
+    return entry, [_decode_row(*row) for row in rows]
+
+
+def _decode_row(
+    kind: str,
+    upstream_id: str,
+    attempt: int,
+    reading_ms: int = 0,
+    model: str = "",
+    prompt: Any = (),
+) -> LoadNotice:
+    return LoadNotice(
+        kind=LoadKind(kind),
+        upstream_id=upstream_id,
+        attempt=attempt,
+        reading_ms=reading_ms,
+        model=model,
+        prompt=tuple(
+            PromptPart(part_id=part_id, tokens=tokens) for part_id, tokens in prompt
+        ),
+    )
+
+
+class PeerExchange(asyncio.DatagramProtocol):
+    """Tells the other entries what this one sends, and hears of theirs."""
+
+    def __init__(
+        self, node: RelayNode, clock: Callable[[], float], bound: socket.socket
+    ) -> None:
+        self._node = node
+        self._clock = clock
+        self._bound = bound
+        self._transport: asyncio.DatagramTransport | None = None
+        self._unreadable = 0
+
+    @property
+    def unreadable(self) -> int:
+        """Return how many datagrams could not be read."""
+        return self._unreadable
+
+    async def async_setup(self) -> None:
+        """Start to listen."""
+        loop = asyncio.get_running_loop()
+        self._transport, _ = await loop.create_datagram_endpoint(
+            lambda: self, sock=self._bound
+        )
+
+    async def async_unload(self) -> None:
+        """Stop listening."""
+        if self._transport is not None:
+            self._transport.close()
+
+    async def async_send(self) -> None:
+        """Send what has happened since the last time; called again and again."""
+        await asyncio.sleep(NOTICE_DELAY_S)
+        notices = self._node.take_notices()
+        if not notices or self._transport is None:
+            return
+        for start in range(0, len(notices), MAX_NOTICES):
+            part = notices[start : start + MAX_NOTICES]
+            data = encode_notices(self._node.identity.name, part)
+            for address in self._node.peer_addresses:
+                self._transport.sendto(data, host_and_port(address))
+
+    def datagram_received(self, data: bytes, addr: Any) -> None:
+        """Take over another entry's notices."""
+        try:
+            entry, notices = decode_notices(data)
+        except (ValueError, TypeError) as error:
+            self._unreadable += 1
+            if self._unreadable == 1:
+                log_event(_LOGGER, "notice is unreadable", error=str(error))
+            return
+        self._node.apply_notices(entry, notices, self._clock())
+
+    def error_received(self, exc: Exception) -> None:
+        """Note that a peer did not take a datagram; the store says who lives."""
+        log_event(_LOGGER, "notice not sent", logging.DEBUG, error=str(exc))
--- a/packages/cardamomnotch-runtime/src/cardamomnotch_runtime/server.py
+++ b/packages/cardamomnotch-runtime/src/cardamomnotch_runtime/server.py
@@ -11,14 +11,16 @@
 SHUTDOWN_TIMEOUT_S = 5.0
 
 
-def bind(address: str, key: str) -> socket.socket:
+def bind(
+    address: str, key: str, kind: socket.SocketKind = socket.SOCK_STREAM
+) -> socket.socket:
     """Return a socket bound to "ip:port".
 
     Raises SettingsError that names the settings' ``key``.
     """
     host, port = host_and_port(address)
     family = socket.AF_INET6 if ":" in host else socket.AF_INET
-    bound = socket.socket(family, socket.SOCK_STREAM)
+    bound = socket.socket(family, kind)
     bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     try:
         bound.bind((host, port))
--- a/tests/adapter/test_settings.py
+++ b/tests/adapter/test_settings.py
@@ -9,6 +9,8 @@
 node_name = "edge-a-1"
 zone = "zone-a"
 new_field = 7
+ip = "10.1.0.40"
+internal_ports = [7340, 7355]
 [listen]
 front = "10.1.0.40:8227"
 readiness = "10.1.0.40:8220"
@@ -30,6 +32,7 @@
     relay = settings.relay
     assert (relay.name, relay.zone) == ("edge-a-1", "zone-a")
     assert relay.caller_address == "10.1.0.40:8227"
+    assert relay.peer_address == "10.1.0.40:7340"
     assert relay.limits.revocation_s == 5.0
     assert relay.limits.retry_slack == 58.0
     assert settings.store_address == "10.200.1.7:8223"
