Expect the first token by a constant and a time for each unread token

Cause: of 22 late streams most were expected at 0.2 to 0.5 s and came after 2: the time to the first token was taken as proportional to tokens + 1,000, and the home upstream of a prompt was taken to have read it already.

--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/const.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/const.py
@@ -49,9 +49,16 @@
 # Tokens of prompts that an upstream's cache is expected to hold.
 CACHED_PROMPT_TOKENS: Final = 300_000
 
-# Tokens that count as read for every request, for the time that an upstream
-# takes whatever the prompt's length.
-FIRST_TOKEN_BASE_TOKENS: Final = 1_000
+# Time to the first token of a prompt that need not be read, in milliseconds,
+# until it has been learned.
+FIRST_TOKEN_BASE_MS: Final = 60.0
+# Prompts with more tokens to be read tell a model's speed, others the rest.
+FIRST_TOKEN_MIN_TOKENS: Final = 700
+# Samples whose mean is taken before a quantile is followed.
+FIRST_TOKEN_FAST_SAMPLES: Final = 4
+# Largest wait of a request that still counts as having found its upstream
+# idle, in milliseconds.
+IDLE_WAIT_MS: Final = 20.0
 # Quantile of the times to the first token that stands for an idle upstream.
 FIRST_TOKEN_QUANTILE: Final = 0.3
 # Relative step with which a model's speed is learned.
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/first_token.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/first_token.py
@@ -5,7 +5,9 @@
 import attrs
 
 from .const import (
-    FIRST_TOKEN_BASE_TOKENS,
+    FIRST_TOKEN_BASE_MS,
+    FIRST_TOKEN_FAST_SAMPLES,
+    FIRST_TOKEN_MIN_TOKENS,
     FIRST_TOKEN_QUANTILE,
     FIRST_TOKEN_STEP,
     MAX_SLOWDOWN,
@@ -16,43 +18,57 @@
     SLOWDOWN_STEP,
 )
 
-# Samples of a model after which its speed is learned in small steps only.
-_FAST_SAMPLES = 12
-_FAST_STEP = 0.4
-
 
 @attrs.define
-class _Speed:
-    ms_per_token: float = PREFILL_MS_PER_TOKEN
+class _Quantile:
+    """Follows a quantile by relative steps, after a mean of the first samples."""
+
+    value: float
     samples: int = 0
 
+    def note(self, sample: float) -> None:
+        """Move towards the quantile."""
+        self.samples += 1
+        if self.samples <= FIRST_TOKEN_FAST_SAMPLES:
+            self.value += (sample - self.value) / self.samples
+            return
+        step = FIRST_TOKEN_STEP
+        if sample > self.value:
+            self.value *= 1 + step * FIRST_TOKEN_QUANTILE
+        else:
+            self.value *= 1 - step * (1 - FIRST_TOKEN_QUANTILE)
+
 
 class FirstTokenModel:
-    """Time that an unloaded upstream takes to read a prompt, by model.
+    """Time that an idle upstream takes to the first token, by model.
 
-    The time grows with the tokens that have to be read. A low quantile of the
-    times seen stands for an upstream without other work.
+    A constant for all models, and a time for each token that has to be read.
+    Both follow a low quantile of what is seen, so that work which nobody
+    tells of counts little.
     """
 
     def __init__(self) -> None:
-        self._speeds: dict[str, _Speed] = {}
+        self._base = _Quantile(FIRST_TOKEN_BASE_MS)
+        self._rates: dict[str, _Quantile] = {}
 
     def expected_ms(self, model: str, unread_tokens: int) -> float:
         """Return the time for ``unread_tokens`` without other work."""
-        speed = self._speeds.get(model)
-        rate = speed.ms_per_token if speed else PREFILL_MS_PER_TOKEN
-        return rate * (unread_tokens + FIRST_TOKEN_BASE_TOKENS)
+        return self._base.value + self._rate(model) * unread_tokens
 
     def note(self, model: str, unread_tokens: int, seen_ms: float) -> None:
-        """Learn from a first token that came after ``seen_ms``."""
-        speed = self._speeds.setdefault(model, _Speed())
-        speed.samples += 1
-        step = _FAST_STEP if speed.samples < _FAST_SAMPLES else FIRST_TOKEN_STEP
-        rate = seen_ms / (unread_tokens + FIRST_TOKEN_BASE_TOKENS)
-        if rate > speed.ms_per_token:
-            speed.ms_per_token *= 1 + step * FIRST_TOKEN_QUANTILE
-        else:
-            speed.ms_per_token *= 1 - step * (1 - FIRST_TOKEN_QUANTILE)
+        """Learn from a first token that came after ``seen_ms``.
+
+        Only of requests that found their upstream idle.
+        """
+        if unread_tokens < FIRST_TOKEN_MIN_TOKENS:
+            self._base.note(max(1.0, seen_ms - self._rate(model) * unread_tokens))
+            return
+        rate = self._rates.setdefault(model, _Quantile(PREFILL_MS_PER_TOKEN))
+        rate.note(max(0.0, seen_ms - self._base.value) / unread_tokens)
+
+    def _rate(self, model: str) -> float:
+        rate = self._rates.get(model)
+        return rate.value if rate else PREFILL_MS_PER_TOKEN
 
 
 @attrs.define
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/node.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/node.py
@@ -11,7 +11,7 @@
 from . import changes
 from .cascade import Cascade
 from .cold import ColdLimiter
-from .const import CLIMB_LATENCY_PART
+from .const import CLIMB_LATENCY_PART, IDLE_WAIT_MS
 from .exceptions import RefusalError
 from .fleet import Fleet, UpstreamState
 from .limits import RelayLimits
@@ -288,7 +288,10 @@
         """Note that the attempt's answer has begun after ``seen_s`` seconds."""
         state = placement.state
         state.queue.finish(key, now_s, answered=True)
-        self._placer.first_tokens.note(model, placement.unread_tokens, seen_s * 1000)
+        if placement.waiting_ms <= IDLE_WAIT_MS:
+            self._placer.first_tokens.note(
+                model, placement.unread_tokens, seen_s * 1000
+            )
         self._tell(
             LoadNotice(
                 kind=LoadKind.ANSWERED,
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/placing.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/placing.py
@@ -105,9 +105,8 @@
         usable = usable or list(candidates)
         if not usable:
             return None
-        home = max(usable, key=lambda state: _affinity(facts, model, state))
         placements = (
-            self._placement(state, facts, model, len(candidates), state is home, now_s)
+            self._placement(state, facts, model, len(candidates), now_s)
             for state in usable
         )
         return min(
@@ -138,13 +137,9 @@
         facts: RequestFacts,
         model: str,
         candidates: int,
-        is_home: bool,
         now_s: float,
     ) -> Placement:
         cached = self._memory(state).cached_tokens(model, facts)
-        if is_home:
-            # Other entries send the same beginnings to the same upstream.
-            cached = max(cached, facts.prompt_tokens - _own_tokens(facts))
         unread = max(0, facts.prompt_tokens - cached)
         waiting_ms = state.queue.waiting_ms(now_s, parallel_reads(state, facts))
         return Placement(
@@ -162,9 +157,5 @@
         return body_bytes / 1000 * CROSS_ZONE_MS_PER_KB
 
 
-def _own_tokens(facts: RequestFacts) -> int:
-    return facts.prompt[-1].tokens if facts.prompt else facts.prompt_tokens
-
-
 def _affinity(facts: RequestFacts, model: str, state: UpstreamState) -> int:
     return rank(f"{model}\x00{facts.prefix_key}", state.upstream_id)
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/attempts.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/attempts.py
@@ -62,6 +62,8 @@
             started_ms=0,
             expected_ms=int(placement.expected_ms),
             cached_tokens=placement.cached_tokens,
+            unread_tokens=placement.unread_tokens,
+            waiting_ms=int(placement.waiting_ms),
         )
 
     @property
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/models.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/models.py
@@ -86,6 +86,8 @@
     started_ms: int
     expected_ms: int
     cached_tokens: int
+    unread_tokens: int
+    waiting_ms: int
     outcome: str = ""
     status: int = 0
     first_byte_ms: int = -1
--- a/tests/core/relay/test_placing.py
+++ b/tests/core/relay/test_placing.py
@@ -64,14 +64,15 @@
 
 
 def test_remembered_beginning_attracts(states, draft):
-    """An upstream that has read a beginning is as good as its home."""
+    """An upstream that has read a beginning goes before the others."""
     placer = Placer("zone-a")
     home = placer.choose(states, draft("a"), "m", 0, 0.0).state
     other = next(state for state in states if state is not home)
     placer.note_sent(other, draft("a").prompt, "m")
-    placement = placer.choose([other], draft("a", "new"), "m", 0, 0.0)
+    placement = placer.choose(states, draft("a", "new"), "m", 0, 0.0)
+    assert placement.state is other
     assert placement.cached_tokens == 10_000
-    assert placer.choose([other], draft("a"), "n", 0, 0.0).cached_tokens in (0, 10_000)
+    assert placer.choose(states, draft("a"), "n", 0, 0.0).cached_tokens == 0
 
 
 def test_penalized_upstream_comes_last(states, draft):
@@ -107,11 +108,12 @@
 def test_speed_is_learned_by_model():
     """A slow model's first token is expected later than a fast one's."""
     model = FirstTokenModel()
-    for tokens in range(1_000, 20_000, 500):
-        model.note("fast", tokens, 0.006 * (tokens + 1_000))
-        model.note("slow", tokens, 0.06 * (tokens + 1_000))
-    assert model.expected_ms("fast", 9_000) == pytest.approx(60, rel=0.3)
-    assert model.expected_ms("slow", 9_000) == pytest.approx(600, rel=0.3)
+    for tokens in range(100, 20_000, 150):
+        model.note("fast", tokens, 57 + 0.0095 * tokens)
+        model.note("slow", tokens, 57 + 0.07 * tokens)
+    assert model.expected_ms("fast", 9_000) == pytest.approx(142, rel=0.2)
+    assert model.expected_ms("slow", 9_000) == pytest.approx(687, rel=0.2)
+    assert model.expected_ms("slow", 0) == pytest.approx(57, rel=0.2)
 
 
 def test_queue_grows_while_a_first_token_is_overdue():
