--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/first_token.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/first_token.py
@@ -129,14 +129,15 @@
 
         ``parallel`` is how many requests the upstream works on at once.
         """
+        self._expire(now_s)
         if not self._waits:
             return 0.0
-        self._expire(now_s)
         total_ms = sum(wait.reading_ms for wait in self._waits.values())
-        oldest_ms = next(iter(self._waits.values())).reading_ms if self._waits else 0.0
-        passed_ms = (now_s - self._reading_since_s) * 1000
-        rest_ms = total_ms - min(passed_ms, oldest_ms)
-        overdue_ms = max(0.0, passed_ms - oldest_ms)
+        oldest = next(iter(self._waits.values()))
+        reading_since_s = max(self._reading_since_s, oldest.started_at_s)
+        passed_ms = (now_s - reading_since_s) * 1000
+        rest_ms = total_ms - min(passed_ms, oldest.reading_ms)
+        overdue_ms = max(0.0, passed_ms - oldest.reading_ms)
         if len(self._waits) <= parallel - 1:
             rest_ms = 0.0
         return rest_ms * self._faded_slowdown(now_s) / parallel + overdue_ms
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/cli/__init__.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/cli/__init__.py
@@ -4,6 +4,7 @@
 
 from .bills import bills, outcome
 from .config import config
+from .explain import explain
 from .inspection import state, status
 from .marks import version, vm, zone
 from .serve import serve
@@ -15,5 +16,16 @@
     """Route requests to allowed models and versions."""
 
 
-for _command in (bills, config, outcome, serve, state, status, version, vm, zone):
+for _command in (
+    bills,
+    config,
+    explain,
+    outcome,
+    serve,
+    state,
+    status,
+    version,
+    vm,
+    zone,
+):
     main.add_command(_command)
--- /dev/null
+++ b/tests/entry/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the command line."""
