--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/const.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/const.py
@@ -45,7 +45,7 @@
 # Time by which one running request delays another one's first token, in ms.
 RUNNING_REQUEST_MS: Final = 8.0
 # What a kilobyte sent to another availability zone counts as, in ms.
-CROSS_ZONE_MS_PER_KB: Final = 5.0
+CROSS_ZONE_MS_PER_KB: Final = 2.5
 # Tokens of prompts that an upstream's cache is expected to hold.
 CACHED_PROMPT_TOKENS: Final = 300_000
 
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/const.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/const.py
@@ -64,3 +64,6 @@
 NOTICE_DELAY_S: Final = 0.01
 # Notices in one datagram, which has to fit a packet.
 MAX_NOTICES: Final = 8
+
+# The least urgent rank that upstreams know.
+MAX_PRIORITY: Final = 9
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/forwarder.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/forwarder.py
@@ -11,7 +11,7 @@
 from cardamomnotch_protocol.result_codes import ResultCode
 
 from .attempts import Attempt
-from .const import COLD_RETRY_S
+from .const import COLD_RETRY_S, MAX_PRIORITY
 from .event_stream import EventSplitter
 from .exceptions import (
     AnswerBrokenError,
@@ -281,8 +281,17 @@
             remaining_s=max(0.001, self._deadline_s - self._clock()),
             model=attempt.model,
             last_event_id=last_event_id,
+            priority=self._priority(),
         )
 
+    def _priority(self) -> int:
+        """Return the rank of the request, 0 for the most urgent."""
+        workspace = self._workspace
+        rank = self._route.priority
+        if workspace is not None and workspace.priority is not None:
+            rank = workspace.priority
+        return min(rank, MAX_PRIORITY)
+
     def _may_send(self) -> bool:
         return self._sent < self._route.max_attempts
 
--- a/tests/entry/relay/test_answers.py
+++ b/tests/entry/relay/test_answers.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from tests.fixtures.relay_system import API_KEY, WORKSPACE
+from tests.fixtures.relay_system import API_KEY, WORKSPACE, document
 from tests.stand_ins.platform_upstream import (
     Reset,
     Send,
@@ -195,3 +195,22 @@
     again = await relay.async_call("/draft/x", X_Model="small")
     assert first.status == again.status == 502
     assert sum(len(upstream.seen) for upstream in upstreams) == 2
+
+
+@pytest.mark.parametrize(
+    ("tenants", "expected"),
+    [
+        ([{"name": "firm-one", "api_keys": ["key-one"], "priority": 0}], "0"),
+        ([{"name": "firm-one", "api_keys": ["key-one"]}], "1"),
+        ([{"name": "firm-one", "api_keys": ["key-one"], "priority": 12}], "9"),
+    ],
+    ids=["the workspace's", "the route's", "beyond the scale"],
+)
+async def test_rank_is_passed_to_the_upstream(relay, tenants, expected):
+    """A workspace's rank goes before its route's."""
+    upstream = await relay.async_add("up", service="bookings")
+    relay.store.put("op/config", document(2, tenants=tenants))
+    await relay.async_until(lambda: relay.entry.node.routes.version == 2)
+    await relay.async_call("/read/x", X_Request_Priority="5")
+    (seen,) = upstream.seen
+    assert seen.headers["x-request-priority"] == expected
