Pause after refused writes to the store, log a full listing as one line

A full listing took a line for each upstream. After: a try each 0.7 s, one line when writing fails and one when it works again; one line with counts for a listing.

--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/const.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/const.py
@@ -19,10 +19,15 @@
 # Time that a watch of the store waits for a change, in seconds: the age of
 # what is known grows by this much between two confirmations.
 WATCH_WAIT_S: Final = 1.0
+# Pause after a watch that brought changes, in seconds, so that changes which
+# follow each other closely are read by one call.
+WATCH_PAUSE_S: Final = 0.2
 # Watches that follow each other within the greatest age of what is known.
 WATCHES_IN_MAX_AGE: Final = 3
 # Pause after a call to the store has failed, in seconds.
 STORE_RETRY_S: Final = 0.25
+# Pause after a write to the store has failed, in seconds.
+PUBLISH_RETRY_S: Final = 0.7
 # An outage shorter than this, in seconds, removes no upstream from the list.
 STORE_OUTAGE_S: Final = 1.0
 
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/coordinator.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/coordinator.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 import math
+from collections import Counter
 from collections.abc import Callable
 
 from cardamomnotch_core.relay.changes import (
@@ -16,6 +17,7 @@
 from cardamomnotch_runtime.structured_log import log_event
 
 from .const import (
+    PUBLISH_RETRY_S,
     RECORD_INTERVAL_S,
     RECORD_RENEWAL_S,
     RECORD_TTL_S,
@@ -23,6 +25,7 @@
     REPORT_STAGGER_S,
     STORE_OUTAGE_S,
     STORE_RETRY_S,
+    WATCH_PAUSE_S,
     WATCH_WAIT_S,
     WATCHES_IN_MAX_AGE,
 )
@@ -45,6 +48,8 @@
         self._record: EntryRecord | None = None
         self._written_at_s = -math.inf
         self._kept_at_s = -math.inf
+        self._publish_after_s = -math.inf
+        self._unwritten = False
         self._states: dict[str, tuple[int, RolloutState]] = {}
         self._due_at_s: dict[tuple[str, RolloutState], float] = {}
 
@@ -77,7 +82,11 @@
             for change in found:
                 self._node.apply(change, now_s)
         self._node.routes.confirm(asked_at_s)
-        self._log_changes(found, before)
+        if whole:
+            self._log_listing(found, cursor)
+        self._log_changes([] if whole else found, before)
+        if found:
+            await asyncio.sleep(WATCH_PAUSE_S)
 
     @property
     def _watch_wait_s(self) -> float:
@@ -89,7 +98,13 @@
         return min(WATCH_WAIT_S, max_age_s / WATCHES_IN_MAX_AGE)
 
     async def async_publish(self) -> None:
-        """Write this entry's record and due reports; called again and again."""
+        """Write this entry's record and due reports; called again and again.
+
+        After a failure it pauses, since refused calls count as well.
+        """
+        now_s = self._clock()
+        if now_s < self._publish_after_s:
+            return
         try:
             await self._async_publish_record()
             for rollout in self._node.versions.rollouts:
@@ -97,7 +112,12 @@
         except ConflictError:
             return
         except FeedError as error:
-            log_event(_LOGGER, "record not written", detail=error.detail)
+            self._publish_after_s = self._clock() + PUBLISH_RETRY_S
+            self._note_unwritten(error)
+            return
+        if self._unwritten:
+            self._unwritten = False
+            log_event(_LOGGER, "record is written again")
 
     async def async_unload(self) -> None:
         """Take this entry's record back."""
@@ -107,6 +127,16 @@
             except FeedError as error:
                 log_event(_LOGGER, "record not dropped", detail=error.detail)
 
+    def _log_listing(self, found: list[Change], cursor: int) -> None:
+        kinds = Counter(type(change).__name__ for change in found)
+        log_event(
+            _LOGGER,
+            "store read",
+            cursor=cursor,
+            version=self._node.routes.version,
+            found=dict(kinds),
+        )
+
     def _log_changes(self, found: list[Change], before: int) -> None:
         for change in found:
             match change:
@@ -142,6 +172,13 @@
                 _LOGGER, "store is unavailable", logging.WARNING, detail=error.detail
             )
 
+    def _note_unwritten(self, error: FeedError) -> None:
+        if not self._unwritten:
+            self._unwritten = True
+            log_event(
+                _LOGGER, "record is not written", logging.WARNING, detail=error.detail
+            )
+
     async def _async_publish_record(self) -> None:
         now_s = self._clock()
         record = self._node.record(now_s)
