--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/attempts.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/attempts.py
@@ -152,6 +152,8 @@
 
     def _check(self, head: AnswerHead, request: CallerRequest) -> None:
         if head.not_run:
+            # It is full, or another upstream has its address by now.
+            self._state.note_failure(self._clock())
             return
         reason = _reason_for_distrust(head, request)
         if reason:
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/const.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/const.py
@@ -72,3 +72,5 @@
 
 # The least urgent rank that upstreams know.
 MAX_PRIORITY: Final = 9
+# Upstreams that may refuse one request before it is refused for good.
+MAX_REFUSED: Final = 3
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/forwarder.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/forwarder.py
@@ -11,7 +11,7 @@
 from cardamomnotch_protocol.result_codes import ResultCode
 
 from .attempts import Attempt
-from .const import COLD_RETRY_S, MAX_PRIORITY
+from .const import COLD_RETRY_S, MAX_PRIORITY, MAX_REFUSED
 from .event_stream import EventSplitter
 from .exceptions import (
     AnswerBrokenError,
@@ -57,7 +57,9 @@
         self._workspace: Workspace | None = None
         self._deadline_s = arrived_at_s
         self._model = ""
+        # Attempts that reached an upstream, and those that may have run.
         self._sent = 0
+        self._runs = 0
         self._unreachable = 0
         self._may_have_run = False
         self._tried: set[str] = set()
@@ -153,11 +155,13 @@
                 continue
             except LostAnswerError as error:
                 self._sent += 1
+                self._runs += 1
                 await self._async_note_lost(attempt, error)
                 continue
             self._sent += 1
             self._tried.add(attempt.upstream_id)
             if not head.not_run:
+                self._runs += 1
                 return attempt
             attempt.close(AttemptOutcome.NOT_RUN)
 
@@ -251,7 +255,9 @@
 
     def _climb(self, head: AnswerHead) -> bool:
         """Take a larger model for the next attempt; return whether."""
-        if not self._model or self._sent >= self._route.max_attempts:
+        left = self._route.max_attempts - self._runs
+        # The last attempt is kept for a failure once there has been one.
+        if not self._model or left < (2 if self._may_have_run else 1):
             return False
         larger = self._node.cascade.next_model(
             self._route, self._model, head.confidence
@@ -271,7 +277,7 @@
         if not in_time:
             return False
         self._model = larger
-        self._tried.clear()
+        self._tried -= {self._attempt.upstream_id}
         return True
 
     def _terms(self, attempt: Attempt, last_event_id: str) -> AttemptTerms:
@@ -293,7 +299,8 @@
         return min(rank, MAX_PRIORITY)
 
     def _may_send(self) -> bool:
-        return self._sent < self._route.max_attempts
+        refused = self._sent - self._runs
+        return self._runs < self._route.max_attempts and refused <= MAX_REFUSED
 
     def _can_wait(self) -> bool:
         waited_s = self._clock() - self._arrived_at_s
--- a/tests/entry/relay/test_answers.py
+++ b/tests/entry/relay/test_answers.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from tests.fixtures.relay_system import API_KEY, WORKSPACE, document
+from tests.fixtures.relay_system import API_KEY, WORKSPACE, document, route
 from tests.stand_ins.platform_upstream import (
     Reset,
     Send,
@@ -12,6 +12,8 @@
     stream,
 )
 
+ONE_ATTEMPT = route("book", "non_idempotent", service="bookings", attempts=1)
+
 
 def crossed(request):
     """Answer another request."""
@@ -146,6 +148,21 @@
     assert {answer.body for answer in answers} == {b"good"}
 
 
+async def test_gone_upstream_is_not_asked_again_at_once(relay):
+    """An address that is another upstream's by now is left alone for a while."""
+    relay.store.put("op/config", document(2, routes=[ONE_ATTEMPT]))
+    await relay.async_until(lambda: relay.entry.node.routes.version == 2)
+    for number in range(2):
+        other = await relay.async_add(f"up-{number}", service="bookings")
+        other.upstream_id = "up-new"
+    good = await relay.async_add("up-good", plain(b"good"), service="bookings")
+    answers = [await relay.async_call("/book/x") for _ in range(5)]
+    assert {answer.body for answer in answers} == {b"good"}
+    assert len(good.seen) == 5
+    gone = [relay.upstreams[f"up-{number}"] for number in range(2)]
+    assert all(len(upstream.seen) <= 1 for upstream in gone)
+
+
 async def test_request_passes_unchanged(relay):
     """Method, target and body pass; names of the system's own are set anew."""
     upstream = await relay.async_add("up", service="bookings")
--- a/tests/entry/relay/test_streams.py
+++ b/tests/entry/relay/test_streams.py
@@ -95,6 +95,23 @@
     assert answer.headers["X-Confidence"] == "90"
 
 
+async def test_last_attempt_is_kept_after_a_failure(relay):
+    """An unsure answer is better than a second lost one."""
+    answers = {
+        "lost": lambda request: [Reset()],
+        "unsure": stream(1, 2, X_Confidence="10"),
+    }
+    order = ["lost", "unsure", "lost"]
+
+    def behave(request):
+        return answers[order.pop(0) if order else "lost"](request)
+
+    await relay.async_add("up-1", behave)
+    await relay.async_add("up-2", behave)
+    answer = await relay.async_call("/draft/x", X_Model="*", X_Token_Counts="100,10")
+    assert (answer.status, answer.body) == (200, whole(1, 2))
+
+
 @pytest.mark.parametrize(
     ("model", "confidence", "expected"),
     [("*", "90", ["small"]), ("middle", "1", ["middle"])],
