Move callers away from an entry that is cut off from the store

Change: the entry is not ready at 0.6 of the greatest age of what it knows, while it still serves; a refusal for old knowledge closes the connection and says to come back at once, unless the other entries are heard to serve nothing; idle connections are closed once the balancer sends elsewhere.

--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/const.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/const.py
@@ -78,3 +78,12 @@
 # A request of another entry of which no end was heard counts this long, in
 # seconds.
 MAX_RUN_S: Final = 20.0
+
+# Part of the greatest age of what is known after which an entry is not ready.
+RECENT_PART: Final = 0.6
+# When to come back to an entry that is cut off from the store, in seconds: at
+# once if other entries serve, later if they do not either.
+RETRY_ELSEWHERE_S: Final = 0.05
+RETRY_OUTAGE_S: Final = 1.0
+# Time in which another entry was heard or has begun a request, in seconds.
+OTHERS_RECENT_S: Final = 1.0
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/node.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/node.py
@@ -11,7 +11,13 @@
 from . import changes
 from .cascade import Cascade
 from .cold import ColdLimiter
-from .const import CLIMB_LATENCY_PART, IDLE_WAIT_MS
+from .const import (
+    CLIMB_LATENCY_PART,
+    IDLE_WAIT_MS,
+    OTHERS_RECENT_S,
+    RETRY_ELSEWHERE_S,
+    RETRY_OUTAGE_S,
+)
 from .exceptions import RefusalError
 from .fleet import Fleet, UpstreamState
 from .limits import RelayLimits
@@ -58,6 +64,9 @@
         self._entries: set[str] = {identity.name}
         self._addresses: dict[str, str] = {}
         self._notices: list[LoadNotice] = []
+        # When another entry was heard, and when one began a request.
+        self._heard_at_s = float("-inf")
+        self._others_served_at_s = float("-inf")
 
     @property
     def identity(self) -> RelayIdentity:
@@ -323,7 +332,10 @@
         self, entry: str, notices: Iterable[LoadNotice], now_s: float
     ) -> None:
         """Take over what another entry has sent to upstreams."""
+        self._heard_at_s = now_s
         for notice in notices:
+            if notice.kind is LoadKind.STARTED:
+                self._others_served_at_s = now_s
             state = self.fleet.get(notice.upstream_id)
             if state is None:
                 continue
@@ -338,6 +350,16 @@
                 state.queue.finish(key, now_s, answered=False)
                 state.others_in_flight.pop(key, None)
 
+    def stale_retry_s(self, now_s: float) -> float:
+        """Return when a caller should come back while the store is away.
+
+        Another entry serves at once, unless all are cut off: then they are
+        still heard, but begin nothing.
+        """
+        heard = now_s - self._heard_at_s <= OTHERS_RECENT_S
+        served = now_s - self._others_served_at_s <= OTHERS_RECENT_S
+        return RETRY_OUTAGE_S if heard and not served else RETRY_ELSEWHERE_S
+
     def _tell(self, notice: LoadNotice) -> None:
         if len(self._entries) > 1:
             self._notices.append(notice)
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/routes.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/routes.py
@@ -2,6 +2,7 @@
 
 from cardamomnotch_protocol.result_codes import ResultCode
 
+from .const import RECENT_PART
 from .exceptions import RefusalError
 from .models import Route, RouteDocument, Workspace
 
@@ -61,6 +62,15 @@
             and now_s - self._confirmed_at_s <= self._max_age_s
         )
 
+    def is_recent(self, now_s: float) -> bool:
+        """Return whether the last confirmation came as it should.
+
+        False some time before what is known may no longer be used, so that
+        callers can be sent elsewhere meanwhile.
+        """
+        age_s = now_s - self._confirmed_at_s
+        return self._document is not None and age_s <= self._max_age_s * RECENT_PART
+
     def find(self, host: str, path: str, now_s: float) -> Route:
         """Return the route of a request.
 
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/composition.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/composition.py
@@ -21,6 +21,7 @@
     IDLE_MARGIN_S,
     MAX_LINE_BYTES,
     PUBLISH_INTERVAL_S,
+    READY_CHECK_S,
     STOP_MARGIN_S,
 )
 from .coordinator import StoreCoordinator
@@ -82,6 +83,7 @@
             settings.limits,
         )
         self._draining = False
+        self._unready_since_s: float | None = None
 
     @property
     def node(self) -> RelayNode:
@@ -91,7 +93,7 @@
     @property
     def is_ready(self) -> bool:
         """Return whether the balancer should send new connections."""
-        return not self._draining and self._node.routes.is_fresh(boot_clock())
+        return not self._draining and self._node.routes.is_recent(boot_clock())
 
     @property
     def _grace_s(self) -> float:
@@ -135,6 +137,7 @@
         self._tasks.repeat(lambda: 0.0, self._coordinator.async_follow)
         self._tasks.repeat(lambda: PUBLISH_INTERVAL_S, self._coordinator.async_publish)
         self._tasks.repeat(lambda: 0.0, self._peers.async_send)
+        self._tasks.repeat(lambda: READY_CHECK_S, self._async_check_ready)
         log_event(
             _LOGGER,
             "entry started",
@@ -166,6 +169,17 @@
         await self._client.async_unload()
         log_event(_LOGGER, "entry stopped", in_flight=self._server.in_flight)
 
+    async def _async_check_ready(self) -> None:
+        """Move kept connections elsewhere once the balancer has left out this VM."""
+        now_s = boot_clock()
+        if self.is_ready or not self._node.routes.version:
+            self._unready_since_s = None
+            return
+        if self._unready_since_s is None:
+            self._unready_since_s = now_s
+        elif now_s - self._unready_since_s >= BALANCER_NOTICE_S:
+            self._close_idle()
+
     def _close_idle(self) -> None:
         for connection in self._callers.connections:
             if connection not in self._server.busy_connections:
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/const.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/const.py
@@ -44,6 +44,8 @@
 BALANCER_NOTICE_S: Final = 3.0
 # Time in which an answer that was just ended leaves the process, in seconds.
 FLUSH_S: Final = 0.05
+# Pause between two looks at whether this entry is ready, in seconds.
+READY_CHECK_S: Final = 0.5
 # Time kept at the end of the grace time for closing, in seconds.
 STOP_MARGIN_S: Final = 1.0
 
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/forwarder.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/forwarder.py
@@ -91,8 +91,13 @@
         """
         node, request = self._node, self._request
         now_s = self._clock()
-        self._route = route = node.routes.find(request.host, request.path, now_s)
-        self._workspace = node.routes.authorize(route, request.api_key, now_s)
+        try:
+            self._route = route = node.routes.find(request.host, request.path, now_s)
+            self._workspace = node.routes.authorize(route, request.api_key, now_s)
+        except RefusalError as refusal:
+            if refusal.code is ResultCode.NOT_READY:
+                refusal.retry_after_s = node.stale_retry_s(now_s)
+            raise
         self._service = node.admit(route, request.facts, now_s)
         waits_s = route.timeout_s
         if request.deadline_s is not None:
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/server.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/server.py
@@ -102,7 +102,8 @@
             self._in_flight -= 1
             self._busy.discard(http_request.protocol)
             self._note_end(forwarder, request, code, detail, response, arrived_at_s)
-        if self._draining:
+        if self._draining or code is ResultCode.NOT_READY:
+            # The caller's next connection may reach an entry that can serve.
             response.force_close()
         return response
 
--- a/tests/core/relay/test_notices.py
+++ b/tests/core/relay/test_notices.py
@@ -130,3 +130,17 @@
     placement = place(node, long_request, 0.0)
     node.note_sent(placement, long_request, "m", "key", 0.0)
     assert node.take_notices() == []
+
+
+def test_cut_off_entry_sends_callers_to_others_that_serve(nodes, long_request):
+    """Callers go elsewhere at once, unless nobody is seen to serve."""
+    first, second = nodes
+    assert second.stale_retry_s(0.0) < 0.1
+    placement = place(first, long_request, 0.0)
+    first.note_sent(placement, long_request, "m", "key", 0.0)
+    exchange(first, second, 0.0)
+    assert second.stale_retry_s(0.9) < 0.1
+    first.note_ended(placement.state, "key", 1.5)
+    exchange(first, second, 1.5)
+    assert second.stale_retry_s(2.0) >= 1.0
+    assert second.stale_retry_s(9.0) < 0.1
--- a/tests/entry/relay/test_knowledge.py
+++ b/tests/entry/relay/test_knowledge.py
@@ -1,8 +1,12 @@
 """What the entry does with what the store says, or no longer says."""
 
+import asyncio
+
 import pytest
 
 from cardamomnotch_core.relay.limits import RelayLimits
+from cardamomnotch_entry.relay import composition
+from cardamomnotch_entry.relay.composition import boot_clock
 
 from tests.fixtures.relay_system import RelaySystem, document, route
 from tests.stand_ins.platform_upstream import plain
@@ -10,14 +14,42 @@
 
 @pytest.fixture
 async def hasty():
-    """Return an entry whose knowledge of keys ages within half a second."""
-    system = RelaySystem(RelayLimits(revocation_s=2.0, grace_s=1.0))
+    """Return an entry whose knowledge of keys ages within 1.5 seconds."""
+    system = RelaySystem(RelayLimits(revocation_s=3.0, grace_s=1.0))
     await system.async_start()
     await system.async_add("up", service="bookings")
     yield system
     await system.async_stop()
 
 
+def is_fresh(system):
+    """Return whether the entry may still use what it knows."""
+    return system.entry.node.routes.is_fresh(boot_clock())
+
+
+async def test_entry_is_not_ready_before_it_refuses(hasty):
+    """The balancer hears of an outage while callers are still served."""
+    hasty.store.faults.active["busy"] = True
+    await hasty.async_until(lambda: not hasty.entry.is_ready)
+    assert is_fresh(hasty)
+    assert (await hasty.async_call("/read/x")).status == 200
+
+
+async def test_kept_connections_move_when_the_entry_stays_unready(hasty, monkeypatch):
+    """A kept connection ends once the balancer sends elsewhere."""
+    monkeypatch.setattr(composition, "BALANCER_NOTICE_S", 0.3)
+    host, _, port = hasty.callers_address.rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    writer.write(
+        b"GET /open/x HTTP/1.1\r\nHost: calls.example\r\nX-Attempt-Id: one\r\n\r\n"
+    )
+    await reader.readuntil(b"whole")
+    hasty.store.faults.active["busy"] = True
+    async with asyncio.timeout(10):
+        assert await reader.read() == b""
+    writer.close()
+
+
 @pytest.mark.parametrize(
     ("path", "key", "status"),
     [
@@ -43,10 +75,12 @@
     """Old knowledge runs nothing, and calls nothing unknown."""
     assert (await hasty.async_call("/read/x")).status == 200
     hasty.store.faults.active[fault] = True
-    await hasty.async_until(lambda: not hasty.entry.is_ready)
+    await hasty.async_until(lambda: not is_fresh(hasty))
+    assert not hasty.entry.is_ready
     answer = await hasty.async_call(path)
     assert answer.status == 503
-    assert "Retry-After" in answer.headers
+    assert float(answer.headers["Retry-After"]) == 0.05
+    assert answer.headers["Connection"] == "close"
     del hasty.store.faults.active[fault]
     await hasty.async_until(lambda: hasty.entry.is_ready)
     assert (await hasty.async_call("/read/x")).status == 200
@@ -55,7 +89,7 @@
 async def test_public_route_needs_no_fresh_knowledge(hasty):
     """Where no key is asked for, none can have been taken away."""
     hasty.store.faults.active["busy"] = True
-    await hasty.async_until(lambda: not hasty.entry.is_ready)
+    await hasty.async_until(lambda: not is_fresh(hasty))
     assert (await hasty.async_call("/open/x")).status == 200
 
 
