--- a/tests/entry/relay/conftest.py
+++ b/tests/entry/relay/conftest.py
@@ -8,8 +8,8 @@
 
 from tests.fixtures.relay_system import RelaySystem
 
-# Short times to stop, and a retry budget that a test does not use up.
-LIMITS = RelayLimits(grace_s=1.3, retry_slack=1_000.0)
+# A short time to stop, and a retry budget that a test does not use up.
+LIMITS = RelayLimits(grace_s=1.05, retry_slack=1_000.0)
 
 
 @pytest.fixture
--- a/tests/entry/relay/test_drain.py
+++ b/tests/entry/relay/test_drain.py
@@ -5,9 +5,21 @@
 import aiohttp
 import pytest
 
+from cardamomnotch_core.relay.limits import RelayLimits
+
+from tests.fixtures.relay_system import RelaySystem
 from tests.stand_ins.platform_upstream import Send, Wait, plain, stream
 
 
+@pytest.fixture
+async def relay():
+    """Return a relaying entry that takes a moment to stop."""
+    system = RelaySystem(RelayLimits(grace_s=1.4))
+    await system.async_start()
+    yield system
+    await system.async_stop()
+
+
 async def test_idle_connection_is_closed_at_once(relay):
     """A kept connection ends at SIGTERM, so that no request is sent on it."""
     await relay.async_add("up", service="bookings")
