--- /dev/null
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/load.py
@@ -0,0 +1,148 @@
+"""What is under way at upstreams, told to and by the other entries."""
+
+from collections.abc import Hashable, Iterable, Set
+
+from .cold import ColdLimiter
+from .const import (
+    IDLE_WAIT_MS,
+    OTHERS_RECENT_S,
+    RETRY_ELSEWHERE_S,
+    RETRY_OUTAGE_S,
+)
+from .fleet import Fleet, UpstreamState
+from .models import RequestFacts
+from .notices import LoadKind, LoadNotice
+from .placing import Placement, Placer, parallel_reads
+from .versions import VersionBook
+
+
+class LoadBook:
+    """Counts attempts where they matter: queue, cold rate, cache, roll-out.
+
+    ``entries`` are the names of the live entries, this one included.
+    """
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        placer: Placer,
+        cold: ColdLimiter,
+        versions: VersionBook,
+        entries: Set[str],
+    ) -> None:
+        self._fleet = fleet
+        self._placer = placer
+        self._cold = cold
+        self._versions = versions
+        self._entries = entries
+        self._notices: list[LoadNotice] = []
+        # When another entry was heard, and when one began a request.
+        self._heard_at_s = float("-inf")
+        self._others_served_at_s = float("-inf")
+
+    def note_sent(
+        self,
+        placement: Placement,
+        facts: RequestFacts,
+        model: str,
+        key: Hashable,
+        now_s: float,
+    ) -> None:
+        """Count an attempt that is about to be sent; ``key`` identifies it."""
+        state = placement.state
+        state.in_flight += 1
+        parallel = parallel_reads(state, facts)
+        state.queue.start(key, placement.reading_ms, now_s, parallel)
+        self._cold.note_sent(state.upstream_id, now_s)
+        self._placer.note_sent(state, facts.prompt, model)
+        rollout = self._versions.get(state.upstream.service)
+        if rollout is not None:
+            rollout.side(state.upstream.version).in_flight += 1
+        self._tell(
+            LoadNotice(
+                kind=LoadKind.STARTED,
+                upstream_id=state.upstream_id,
+                attempt=hash(key),
+                reading_ms=int(placement.reading_ms),
+                model=model,
+                prompt=facts.prompt[:-1],
+            )
+        )
+
+    def note_first_byte(
+        self,
+        placement: Placement,
+        model: str,
+        key: Hashable,
+        seen_s: float,
+        now_s: float,
+    ) -> None:
+        """Note that the attempt's answer has begun after ``seen_s`` seconds."""
+        state = placement.state
+        state.queue.finish(key, now_s, answered=True)
+        if placement.waiting_ms <= IDLE_WAIT_MS:
+            self._placer.first_tokens.note(
+                model, placement.unread_tokens, seen_s * 1000
+            )
+        self._tell(
+            LoadNotice(
+                kind=LoadKind.ANSWERED,
+                upstream_id=state.upstream_id,
+                attempt=hash(key),
+            )
+        )
+
+    def note_ended(self, state: UpstreamState, key: Hashable, now_s: float) -> None:
+        """Note that an attempt is over, however it ended."""
+        state.in_flight -= 1
+        state.queue.finish(key, now_s, answered=False)
+        rollout = self._versions.get(state.upstream.service)
+        if rollout is not None:
+            side = rollout.side(state.upstream.version)
+            side.in_flight = max(0, side.in_flight - 1)
+        self._tell(
+            LoadNotice(
+                kind=LoadKind.ENDED, upstream_id=state.upstream_id, attempt=hash(key)
+            )
+        )
+
+    def take_notices(self) -> list[LoadNotice]:
+        """Return what the other entries should be told of, once."""
+        notices, self._notices = self._notices, []
+        return notices
+
+    def apply_notices(
+        self, entry: str, notices: Iterable[LoadNotice], now_s: float
+    ) -> None:
+        """Take over what another entry has sent to upstreams."""
+        self._heard_at_s = now_s
+        for notice in notices:
+            if notice.kind is LoadKind.STARTED:
+                self._others_served_at_s = now_s
+            state = self._fleet.get(notice.upstream_id)
+            if state is None:
+                continue
+            key = (entry, notice.attempt)
+            if notice.kind is LoadKind.STARTED:
+                state.queue.start(key, notice.reading_ms, now_s)
+                state.others_in_flight[key] = now_s
+                self._placer.note_sent(state, notice.prompt, notice.model)
+            elif notice.kind is LoadKind.ANSWERED:
+                state.queue.finish(key, now_s, answered=True)
+            else:
+                state.queue.finish(key, now_s, answered=False)
+                state.others_in_flight.pop(key, None)
+
+    def stale_retry_s(self, now_s: float) -> float:
+        """Return when a caller should come back while the store is away.
+
+        Another entry serves at once, unless all are cut off: then they are
+        still heard, but begin nothing.
+        """
+        heard = now_s - self._heard_at_s <= OTHERS_RECENT_S
+        served = now_s - self._others_served_at_s <= OTHERS_RECENT_S
+        return RETRY_OUTAGE_S if heard and not served else RETRY_ELSEWHERE_S
+
+    def _tell(self, notice: LoadNotice) -> None:
+        if len(self._entries) > 1:
+            self._notices.append(notice)
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/node.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/node.py
@@ -1,6 +1,6 @@
 """All decisions of one relaying entry, wired."""
 
-from collections.abc import Hashable, Iterable
+from collections.abc import Iterable
 from functools import singledispatchmethod
 
 import attrs
@@ -11,19 +11,13 @@
 from . import changes
 from .cascade import Cascade
 from .cold import ColdLimiter
-from .const import (
-    CLIMB_LATENCY_PART,
-    IDLE_WAIT_MS,
-    OTHERS_RECENT_S,
-    RETRY_ELSEWHERE_S,
-    RETRY_OUTAGE_S,
-)
+from .const import CLIMB_LATENCY_PART
 from .exceptions import RefusalError
 from .fleet import Fleet, UpstreamState
 from .limits import RelayLimits
+from .load import LoadBook
 from .models import RequestFacts, Route, Service
-from .notices import LoadKind, LoadNotice
-from .placing import Placement, Placer, parallel_reads
+from .placing import Placement, Placer
 from .quarantine import CrashBook
 from .retries import RetryBudget
 from .routes import RouteTable
@@ -63,10 +57,9 @@
         self._placer = Placer(identity.zone)
         self._entries: set[str] = {identity.name}
         self._addresses: dict[str, str] = {}
-        self._notices: list[LoadNotice] = []
-        # When another entry was heard, and when one began a request.
-        self._heard_at_s = float("-inf")
-        self._others_served_at_s = float("-inf")
+        self.load = LoadBook(
+            self.fleet, self._placer, self._cold, self.versions, self._entries
+        )
 
     @property
     def identity(self) -> RelayIdentity:
@@ -257,113 +250,6 @@
         expected_s = elapsed_s + placement.expected_ms / 1000
         return expected_s <= route.target_latency_s * CLIMB_LATENCY_PART
 
-    def note_sent(
-        self,
-        placement: Placement,
-        facts: RequestFacts,
-        model: str,
-        key: Hashable,
-        now_s: float,
-    ) -> None:
-        """Count an attempt that is about to be sent; ``key`` identifies it."""
-        state = placement.state
-        state.in_flight += 1
-        parallel = parallel_reads(state, facts)
-        state.queue.start(key, placement.reading_ms, now_s, parallel)
-        self._cold.note_sent(state.upstream_id, now_s)
-        self._placer.note_sent(state, facts.prompt, model)
-        rollout = self.versions.get(state.upstream.service)
-        if rollout is not None:
-            rollout.side(state.upstream.version).in_flight += 1
-        self._tell(
-            LoadNotice(
-                kind=LoadKind.STARTED,
-                upstream_id=state.upstream_id,
-                attempt=hash(key),
-                reading_ms=int(placement.reading_ms),
-                model=model,
-                prompt=facts.prompt[:-1],
-            )
-        )
-
-    def note_first_byte(
-        self,
-        placement: Placement,
-        model: str,
-        key: Hashable,
-        seen_s: float,
-        now_s: float,
-    ) -> None:
-        """Note that the attempt's answer has begun after ``seen_s`` seconds."""
-        state = placement.state
-        state.queue.finish(key, now_s, answered=True)
-        if placement.waiting_ms <= IDLE_WAIT_MS:
-            self._placer.first_tokens.note(
-                model, placement.unread_tokens, seen_s * 1000
-            )
-        self._tell(
-            LoadNotice(
-                kind=LoadKind.ANSWERED,
-                upstream_id=state.upstream_id,
-                attempt=hash(key),
-            )
-        )
-
-    def note_ended(self, state: UpstreamState, key: Hashable, now_s: float) -> None:
-        """Note that an attempt is over, however it ended."""
-        state.in_flight -= 1
-        state.queue.finish(key, now_s, answered=False)
-        rollout = self.versions.get(state.upstream.service)
-        if rollout is not None:
-            side = rollout.side(state.upstream.version)
-            side.in_flight = max(0, side.in_flight - 1)
-        self._tell(
-            LoadNotice(
-                kind=LoadKind.ENDED, upstream_id=state.upstream_id, attempt=hash(key)
-            )
-        )
-
-    def take_notices(self) -> list[LoadNotice]:
-        """Return what the other entries should be told of, once."""
-        notices, self._notices = self._notices, []
-        return notices
-
-    def apply_notices(
-        self, entry: str, notices: Iterable[LoadNotice], now_s: float
-    ) -> None:
-        """Take over what another entry has sent to upstreams."""
-        self._heard_at_s = now_s
-        for notice in notices:
-            if notice.kind is LoadKind.STARTED:
-                self._others_served_at_s = now_s
-            state = self.fleet.get(notice.upstream_id)
-            if state is None:
-                continue
-            key = (entry, notice.attempt)
-            if notice.kind is LoadKind.STARTED:
-                state.queue.start(key, notice.reading_ms, now_s)
-                state.others_in_flight[key] = now_s
-                self._placer.note_sent(state, notice.prompt, notice.model)
-            elif notice.kind is LoadKind.ANSWERED:
-                state.queue.finish(key, now_s, answered=True)
-            else:
-                state.queue.finish(key, now_s, answered=False)
-                state.others_in_flight.pop(key, None)
-
-    def stale_retry_s(self, now_s: float) -> float:
-        """Return when a caller should come back while the store is away.
-
-        Another entry serves at once, unless all are cut off: then they are
-        still heard, but begin nothing.
-        """
-        heard = now_s - self._heard_at_s <= OTHERS_RECENT_S
-        served = now_s - self._others_served_at_s <= OTHERS_RECENT_S
-        return RETRY_OUTAGE_S if heard and not served else RETRY_ELSEWHERE_S
-
-    def _tell(self, notice: LoadNotice) -> None:
-        if len(self._entries) > 1:
-            self._notices.append(notice)
-
     def _bears_one_more(
         self, state: UpstreamState, service: Service, now_s: float
     ) -> bool:
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/attempts.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/attempts.py
@@ -97,7 +97,7 @@
         """
         self._facts = request.facts
         self._sent_at_s = self._clock()
-        self._node.note_sent(
+        self._node.load.note_sent(
             self._placement, request.facts, self._model, self, self._sent_at_s
         )
         headers = self._wire.encode_attempt(request, terms)
@@ -144,7 +144,7 @@
         self._closed = True
         self.log.outcome = outcome.value
         if self._facts is not None:
-            self._node.note_ended(self._state, self, self._clock())
+            self._node.load.note_ended(self._state, self, self._clock())
         if self._response is not None:
             self._response.close()
         if outcome not in _NEUTRAL:
@@ -163,7 +163,7 @@
             return
         self._state.note_success()
         assert self._first_byte_s is not None
-        self._node.note_first_byte(
+        self._node.load.note_first_byte(
             self._placement, self._model, self, self._first_byte_s, self._clock()
         )
 
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/peers.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/peers.py
@@ -97,7 +97,7 @@
     async def async_send(self) -> None:
         """Send what has happened since the last time; called again and again."""
         await asyncio.sleep(NOTICE_DELAY_S)
-        notices = self._node.take_notices()
+        notices = self._node.load.take_notices()
         if not notices or self._transport is None:
             return
         for start in range(0, len(notices), MAX_NOTICES):
@@ -115,7 +115,7 @@
             if self._unreadable == 1:
                 log_event(_LOGGER, "notice is unreadable", error=str(error))
             return
-        self._node.apply_notices(entry, notices, self._clock())
+        self._node.load.apply_notices(entry, notices, self._clock())
 
     def error_received(self, exc: Exception) -> None:
         """Note that a peer did not take a datagram; the store says who lives."""
--- a/tests/core/relay/test_node.py
+++ b/tests/core/relay/test_node.py
@@ -49,7 +49,7 @@
     with pytest.raises(RefusalError) as error:
         for _ in range(100):
             placement = node.place(service, make_facts(), "", 0, 1.0)
-            node.note_sent(placement, make_facts(), "", sent, 1.0)
+            node.load.note_sent(placement, make_facts(), "", sent, 1.0)
             sent += 1
     assert error.value.code is ResultCode.UPSTREAM_FULL
     assert 1 <= sent * 5 <= 7.3 * 1.5 + 5
--- a/tests/core/relay/test_notices.py
+++ b/tests/core/relay/test_notices.py
@@ -48,7 +48,7 @@
 
 def exchange(sender, receiver, now_s):
     """Deliver what ``sender`` has to tell."""
-    receiver.apply_notices(sender.identity.name, sender.take_notices(), now_s)
+    receiver.load.apply_notices(sender.identity.name, sender.load.take_notices(), now_s)
 
 
 def test_others_avoid_a_busy_upstream(nodes, long_request, make_facts):
@@ -60,7 +60,7 @@
     if first_placement.state.upstream_id != placement.state.upstream_id:
         first.fleet.get(first_placement.state.upstream_id).note_failure(0.0)
         first_placement = place(first, long_request, 0.0)
-    first.note_sent(first_placement, long_request, "m", "key", 0.0)
+    first.load.note_sent(first_placement, long_request, "m", "key", 0.0)
     assert place(second, facts, 0.01).state is placement.state
     exchange(first, second, 0.01)
     moved = place(second, facts, 0.02)
@@ -71,15 +71,15 @@
     """The wait is over for all entries once the first token has come."""
     first, second = nodes
     placement = place(first, long_request, 0.0)
-    first.note_sent(placement, long_request, "m", "key", 0.0)
+    first.load.note_sent(placement, long_request, "m", "key", 0.0)
     exchange(first, second, 0.0)
     state = second.fleet.get(placement.state.upstream_id)
     assert state.queue.waiting_ms(0.1) > 100
-    first.note_first_byte(placement, "m", "key", 0.3, 0.3)
+    first.load.note_first_byte(placement, "m", "key", 0.3, 0.3)
     exchange(first, second, 0.3)
     assert state.queue.waiting_ms(0.3) == 0.0
     assert state.running(0.3) == 1
-    first.note_ended(placement.state, "key", 1.0)
+    first.load.note_ended(placement.state, "key", 1.0)
     exchange(first, second, 1.0)
     assert state.running(1.0) == 0
 
@@ -88,8 +88,8 @@
     """What one entry has had read need not be read again for the other."""
     first, second = nodes
     placement = place(first, long_request, 0.0)
-    first.note_sent(placement, long_request, "m", "key", 0.0)
-    first.note_first_byte(placement, "m", "key", 0.3, 0.3)
+    first.load.note_sent(placement, long_request, "m", "key", 0.0)
+    first.load.note_first_byte(placement, "m", "key", 0.3, 0.3)
     exchange(first, second, 0.3)
     found = place(second, long_request, 5.0)
     assert found.state.upstream_id == placement.state.upstream_id
@@ -100,12 +100,12 @@
     """A start without an end is forgotten, also when its entry leaves."""
     first, second = nodes
     placement = place(first, long_request, 0.0)
-    first.note_sent(placement, long_request, "m", "key", 0.0)
+    first.load.note_sent(placement, long_request, "m", "key", 0.0)
     exchange(first, second, 0.0)
     state = second.fleet.get(placement.state.upstream_id)
     assert state.queue.waiting_ms(15.1) == 0.0
     assert state.running(20.1) == 0
-    first.note_sent(placement, long_request, "m", "other", 30.0)
+    first.load.note_sent(placement, long_request, "m", "other", 30.0)
     exchange(first, second, 30.0)
     second.apply(changes.EntryGone(entry="entry-a"), 30.1)
     assert state.queue.waiting_ms(30.1) == 0.0
@@ -116,7 +116,7 @@
     """An upstream that one entry knows earlier than another does no harm."""
     first, second = nodes
     placement = place(first, long_request, 0.0)
-    first.note_sent(placement, long_request, "m", "key", 0.0)
+    first.load.note_sent(placement, long_request, "m", "key", 0.0)
     second.fleet.remove(placement.state.upstream_id, 0.0)
     exchange(first, second, 0.0)
 
@@ -128,19 +128,19 @@
     node.apply(changes.DocumentWritten(document=make_document()), 0.0)
     node.apply(changes.UpstreamListed(upstream=make_upstream()), 0.0)
     placement = place(node, long_request, 0.0)
-    node.note_sent(placement, long_request, "m", "key", 0.0)
-    assert node.take_notices() == []
+    node.load.note_sent(placement, long_request, "m", "key", 0.0)
+    assert node.load.take_notices() == []
 
 
 def test_cut_off_entry_sends_callers_to_others_that_serve(nodes, long_request):
     """Callers go elsewhere at once, unless nobody is seen to serve."""
     first, second = nodes
-    assert second.stale_retry_s(0.0) < 0.1
+    assert second.load.stale_retry_s(0.0) < 0.1
     placement = place(first, long_request, 0.0)
-    first.note_sent(placement, long_request, "m", "key", 0.0)
+    first.load.note_sent(placement, long_request, "m", "key", 0.0)
     exchange(first, second, 0.0)
-    assert second.stale_retry_s(0.9) < 0.1
-    first.note_ended(placement.state, "key", 1.5)
+    assert second.load.stale_retry_s(0.9) < 0.1
+    first.load.note_ended(placement.state, "key", 1.5)
     exchange(first, second, 1.5)
-    assert second.stale_retry_s(2.0) >= 1.0
-    assert second.stale_retry_s(9.0) < 0.1
+    assert second.load.stale_retry_s(2.0) >= 1.0
+    assert second.load.stale_retry_s(9.0) < 0.1
--- a/tests/entry/relay/test_peers.py
+++ b/tests/entry/relay/test_peers.py
@@ -85,7 +85,7 @@
         node.apply(changes.EntryReported(record=other.record(0.0)), 0.0)
     await first.async_setup()
     await second.async_setup()
-    first_node._tell(NOTICES[0])
+    first_node.load._tell(NOTICES[0])
     await first.async_send()
     state = second_node.fleet.get("up-1")
     assert await async_wait_until(lambda: state.running(0.0) == 1, 5.0)
