Compare a shortlist of many upstreams, and expire waits in order

Change: beyond 24 upstreams those that have read the prompt's beginning, eight that follow from the beginning and eight from the request are compared.

--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/const.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/const.py
@@ -87,3 +87,10 @@
 RETRY_OUTAGE_S: Final = 1.0
 # Time in which another entry was heard or has begun a request, in seconds.
 OTHERS_RECENT_S: Final = 1.0
+
+# Upstreams that are compared for one request where there are more.
+MAX_CONSIDERED: Final = 24
+# Upstreams that are remembered to have read one beginning of a prompt, and
+# beginnings that are remembered.
+MAX_HOLDERS: Final = 8
+MAX_BEGINNINGS: Final = 20_000
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/first_token.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/first_token.py
@@ -143,8 +143,12 @@
         return rest_ms * self._faded_slowdown(now_s) / parallel + overdue_ms
 
     def _expire(self, now_s: float) -> None:
-        oldest_s = now_s - MAX_WAIT_S
-        self.drop(lambda key: self._waits[key].started_at_s < oldest_s)
+        # Waits stand in the order of their starts.
+        while self._waits:
+            key, oldest = next(iter(self._waits.items()))
+            if oldest.started_at_s >= now_s - MAX_WAIT_S:
+                return
+            del self._waits[key]
 
     def _faded_slowdown(self, now_s: float) -> float:
         halvings = (now_s - self._noted_at_s) / SLOWDOWN_HALF_LIFE_S
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/fleet.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/fleet.py
@@ -32,9 +32,12 @@
     def running(self, now_s: float) -> int:
         """Return how many requests of all entries are under way."""
         oldest_s = now_s - MAX_RUN_S
-        for key, sent_at_s in tuple(self.others_in_flight.items()):
-            if sent_at_s < oldest_s:
-                del self.others_in_flight[key]
+        while self.others_in_flight:
+            # They stand in the order of their sending.
+            key, sent_at_s = next(iter(self.others_in_flight.items()))
+            if sent_at_s >= oldest_s:
+                break
+            del self.others_in_flight[key]
         return self.in_flight + len(self.others_in_flight)
 
     def forget_entry(self, entry: str) -> None:
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/node.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/node.py
@@ -218,9 +218,14 @@
             raise RefusalError(
                 ResultCode.NO_UPSTREAM, "no upstream is known", _RETRY_NO_UPSTREAM_S
             )
-        open_now = [
-            state for state in allowed if self._bears_one_more(state, service, now_s)
-        ]
+        open_now = allowed
+        if service.cold_rate:
+            open_now = [
+                state
+                for state in allowed
+                if not state.is_cold(now_s)
+                or self._bears_one_more(state, service, now_s)
+            ]
         if not open_now:
             raise RefusalError(
                 ResultCode.UPSTREAM_FULL, "the upstreams are cold", _RETRY_COLD_S
@@ -253,8 +258,6 @@
     def _bears_one_more(
         self, state: UpstreamState, service: Service, now_s: float
     ) -> bool:
-        if not service.cold_rate or not state.is_cold(now_s):
-            return True
         return self._cold.allows(
             state.upstream_id,
             service.cold_rate,
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/placing.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/placing.py
@@ -1,6 +1,6 @@
 """Choice of the upstream that answers a request first and cheapest."""
 
-from collections import OrderedDict
+from collections import OrderedDict, deque
 from collections.abc import Iterable, Sequence
 
 import attrs
@@ -9,6 +9,9 @@
 from .const import (
     CACHED_PROMPT_TOKENS,
     CROSS_ZONE_MS_PER_KB,
+    MAX_BEGINNINGS,
+    MAX_CONSIDERED,
+    MAX_HOLDERS,
     RUNNING_REQUEST_MS,
 )
 from .first_token import FirstTokenModel
@@ -91,6 +94,8 @@
         self._zone = zone
         self.first_tokens = FirstTokenModel()
         self._memories: dict[str, PromptMemory] = {}
+        # The upstreams that have read a beginning, by model and beginning.
+        self._holders: OrderedDict[tuple[str, str], deque[str]] = OrderedDict()
 
     def choose(
         self,
@@ -101,7 +106,8 @@
         now_s: float,
     ) -> Placement | None:
         """Return the best of ``candidates``; None if there are none."""
-        usable = [state for state in candidates if not state.is_penalized(now_s)]
+        considered = self._shortlist(candidates, facts, model)
+        usable = [state for state in considered if not state.is_penalized(now_s)]
         usable = usable or list(candidates)
         if not usable:
             return None
@@ -121,13 +127,44 @@
         self, state: UpstreamState, prompt: Sequence[PromptPart], model: str
     ) -> None:
         """Remember that ``state`` reads the prompt now."""
-        if prompt:
-            self._memory(state).note_read(model, prompt)
+        if not prompt:
+            return
+        self._memory(state).note_read(model, prompt)
+        for key, _ in _beginnings(prompt):
+            holders = self._holders.setdefault((model, key), deque(maxlen=MAX_HOLDERS))
+            if state.upstream_id not in holders:
+                holders.append(state.upstream_id)
+            self._holders.move_to_end((model, key))
+        while len(self._holders) > MAX_BEGINNINGS:
+            self._holders.popitem(last=False)
 
     def forget(self, upstream_id: str) -> None:
         """Drop what is remembered of an upstream that has left."""
         self._memories.pop(upstream_id, None)
 
+    def _shortlist(
+        self, candidates: Sequence[UpstreamState], facts: RequestFacts, model: str
+    ) -> Sequence[UpstreamState]:
+        """Return all of few candidates, or a fixed number of many.
+
+        These are the ones that have read the prompt's beginning, some that
+        follow from it, and some that follow from the request.
+        """
+        if len(candidates) <= MAX_CONSIDERED:
+            return candidates
+        by_id = {state.upstream_id: state for state in candidates}
+        found: dict[str, UpstreamState] = {}
+        for key, _ in reversed(list(_beginnings(facts.prompt))):
+            for upstream_id in self._holders.get((model, key), ()):
+                if upstream_id in by_id:
+                    found[upstream_id] = by_id[upstream_id]
+        for seed in (f"{model}\x00{facts.prefix_key}", facts.request_id):
+            for number in range(MAX_CONSIDERED // 3):
+                position = rank(seed, str(number)) % len(candidates)
+                state = candidates[position]
+                found[state.upstream_id] = state
+        return list(found.values())
+
     def _memory(self, state: UpstreamState) -> PromptMemory:
         return self._memories.setdefault(state.upstream_id, PromptMemory())
 
--- a/script/benchmarks/decision_time.py
+++ b/script/benchmarks/decision_time.py
@@ -71,13 +71,15 @@
     }
     table = UpstreamTable()
     table.take_vm_list(
-        Vm(
-            vm_id=vm_id,
-            address="10.0.0.1:1",
-            zone=_ZONES[index % len(_ZONES)],
-            role="upstream",
+        tuple(
+            Vm(
+                vm_id=vm_id,
+                address="10.0.0.1:1",
+                zone=_ZONES[index % len(_ZONES)],
+                role="upstream",
+            )
+            for index, vm_id in enumerate(names)
         )
-        for index, vm_id in enumerate(names)
     )
     source = random.Random(1)
     for vm_id, name in names.items():
--- a/tests/core/relay/test_placing.py
+++ b/tests/core/relay/test_placing.py
@@ -1,5 +1,6 @@
 """Placing by expected time to the first token."""
 
+import attrs
 import pytest
 
 from cardamomnotch_core.relay.first_token import FirstTokenModel, QueueEstimate
@@ -156,3 +157,27 @@
     for number in range(3):
         queue.start(number, 40.0, 0.0, 6)
     assert queue.waiting_ms(0.0, 6) == 0.0
+
+
+def test_many_upstreams_are_not_all_compared(make_upstream, draft):
+    """Among many, holders of a beginning are found, and load still moves away."""
+    fleet = Fleet()
+    for number in range(300):
+        fleet.put(make_upstream(f"up-{number}"), 0.0)
+    many = list(fleet)
+    placer = Placer("zone-a")
+    first = placer.choose(many, draft("a", "x"), "m", 0, 0.0)
+    placer.note_sent(first.state, draft("a", "x").prompt, "m")
+    second = placer.choose(many, draft("a", "y"), "m", 0, 0.0)
+    assert second.state is first.state
+    assert second.unread_tokens == 1_000
+    first.state.queue.start("key", 5_000.0, 0.0)
+    assert placer.choose(many, draft("a", "z"), "m", 0, 0.0).state is not first.state
+    requests = [
+        attrs.evolve(draft(f"part-{n}"), request_id=f"request-{n}") for n in range(200)
+    ]
+    chosen = {
+        placer.choose(many, request, "m", 0, 0.0).state.upstream_id
+        for request in requests
+    }
+    assert len(chosen) > 100
