--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/coordinator.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/coordinator.py
@@ -92,8 +92,12 @@
     def _watch_wait_s(self) -> float:
         """Return how long to wait for a change.
 
-        Knowledge ages while a watch waits, so several fit its greatest age.
+        Knowledge ages while a watch waits, so several fit its greatest age. A
+        store that was away is asked for an answer at once: a silent call then
+        ends soon, and its return is noticed soon.
         """
+        if not self._available:
+            return 0.0
         max_age_s = self._node.limits.knowledge_max_age_s
         return min(WATCH_WAIT_S, max_age_s / WATCHES_IN_MAX_AGE)
 
--- a/tests/entry/relay/test_coordinator.py
+++ b/tests/entry/relay/test_coordinator.py
@@ -7,6 +7,7 @@
 from cardamomnotch_core.relay.models import RolloutOrder
 from cardamomnotch_core.relay.node import RelayIdentity, RelayNode
 from cardamomnotch_core.relay.rollout import RolloutState
+from cardamomnotch_entry.relay import coordinator as module
 from cardamomnotch_entry.relay.coordinator import StoreCoordinator
 from cardamomnotch_entry.relay.exceptions import ConflictError, FeedError
 
@@ -20,12 +21,23 @@
         self.failure: Exception | None = None
         self.calls: list[str] = []
         self.reports: list[RolloutState] = []
+        self.waits_s: list[float] = []
 
     def _note(self, call: str) -> None:
         self.calls.append(call)
         if self.failure is not None:
             raise self.failure
 
+    async def async_read_all(self):
+        """Return nothing."""
+        return [], 1
+
+    async def async_watch(self, cursor, wait_s):
+        """Note how long the watch would wait."""
+        self.waits_s.append(wait_s)
+        self._note("watch")
+        return [], cursor
+
     async def async_write_record(self, record, ttl_s):
         """Note a write."""
         self._note("write")
@@ -141,3 +153,19 @@
     feed.failure = ConflictError("another entry")
     await async_run(coordinator, clock, 1.0)
     assert "record is not written" not in caplog.text
+
+
+async def test_silent_store_is_asked_for_answers_at_once(
+    coordinator, feed, monkeypatch
+):
+    """While the store is away no call waits, so its return is noticed soon."""
+    monkeypatch.setattr(module, "STORE_RETRY_S", 0.0)
+    await coordinator.async_follow()
+    await coordinator.async_follow()
+    feed.failure = FeedError("silent")
+    await coordinator.async_follow()
+    await coordinator.async_follow()
+    feed.failure = None
+    await coordinator.async_follow()
+    await coordinator.async_follow()
+    assert [wait_s > 0 for wait_s in feed.waits_s] == [True, True, False, False, True]
