Confirm keys more often, and use what is known for 3.8 s

Change: watches of 0.7 s; greatest age 3.8 s, which with the second in which a watch may hear nothing leaves 0.2 s.

--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/limits.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/limits.py
@@ -28,4 +28,4 @@
 
 # Time that a watch may hear nothing while changes are made, and time for a
 # request to reach its upstream, in seconds.
-_KNOWLEDGE_MARGIN_S = 1.5
+_KNOWLEDGE_MARGIN_S = 1.2
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/const.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/const.py
@@ -18,7 +18,7 @@
 
 # Time that a watch of the store waits for a change, in seconds: the age of
 # what is known grows by this much between two confirmations.
-WATCH_WAIT_S: Final = 1.0
+WATCH_WAIT_S: Final = 0.7
 # Pause after a watch that brought changes, in seconds, so that changes which
 # follow each other closely are read by one call.
 WATCH_PAUSE_S: Final = 0.2
