Run a stream that may not be repeated once, and never deny a dropped answer

Found by reading: a low confidence sent also a stream that may not be repeated to a second model, and a request whose unsure answer was dropped was refused with 503 when no other upstream took it. Both tests failed first.

--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/forwarder.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/forwarder.py
@@ -61,7 +61,7 @@
         self._sent = 0
         self._runs = 0
         self._unreachable = 0
-        self._may_have_run = False
+        self._has_failed = False
         self._tried: set[str] = set()
         self._failure: web.Response | None = None
         self._response: web.StreamResponse | None = None
@@ -136,7 +136,7 @@
             if not failed:
                 return answer
             self._failure = answer
-            self._may_have_run = True
+            self._has_failed = True
             if not self._route.repeat.is_repeatable or not self._may_send():
                 return answer
 
@@ -192,7 +192,7 @@
                 if refusal.code is ResultCode.UPSTREAM_FULL and self._can_wait():
                     await asyncio.sleep(COLD_RETRY_S)
                     continue
-                if self._may_have_run:
+                if self._runs:
                     self._raise_ended()
                 raise
             return Attempt(
@@ -205,7 +205,7 @@
             )
 
     async def _async_note_lost(self, attempt: Attempt, error: LostAnswerError) -> None:
-        self._may_have_run = True
+        self._has_failed = True
         self._tried.add(attempt.upstream_id)
         attempt.log.outcome += f": {error.detail}"
         if not await self._client.async_is_up(attempt.address):
@@ -260,9 +260,11 @@
 
     def _climb(self, head: AnswerHead) -> bool:
         """Take a larger model for the next attempt; return whether."""
+        if not self._model or not self._route.repeat.is_repeatable:
+            return False
         left = self._route.max_attempts - self._runs
         # The last attempt is kept for a failure once there has been one.
-        if not self._model or left < (2 if self._may_have_run else 1):
+        if left < (2 if self._has_failed else 1):
             return False
         larger = self._node.cascade.next_model(
             self._route, self._model, head.confidence
@@ -318,7 +320,7 @@
         """Raise the refusal for a request that gets no further attempt."""
         if self._failure is not None:
             raise UpstreamFailureError(self._failure)
-        if self._may_have_run:
+        if self._runs:
             raise RefusalError(ResultCode.UPSTREAM_FAILED, "the upstream failed")
         raise RefusalError(
             ResultCode.UPSTREAM_UNREACHABLE,
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/server.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/server.py
@@ -26,6 +26,8 @@
 _STATUSES = {ResultCode.REQUEST_QUARANTINED: 502}
 # When to come back to a process that knows no routes, in seconds.
 _RETRY_NOT_READY_S = 0.5
+# Status for the log where nobody is left to read an answer.
+_STATUS_CALLER_GONE = 499
 
 
 class RelayServer:
@@ -95,6 +97,10 @@
         except AnswerBrokenError as error:
             code, detail = error.code, error.detail
             response = self._break_off(http_request, forwarder)
+        except ConnectionError as error:
+            # The caller has left in the middle of its answer.
+            detail = type(error).__name__
+            response = self._break_off(http_request, forwarder)
         except CardamomnotchError as error:
             code, detail = error.code, error.detail
             response = self._refusal(error, request)
@@ -141,6 +147,8 @@
         """Close the connection, so that the answer does not look whole."""
         if http_request.transport is not None:
             http_request.transport.close()
+        if forwarder is None or forwarder.response is None:
+            return web.Response(status=_STATUS_CALLER_GONE)
         return forwarder.response
 
     def _note_end(
--- a/tests/entry/relay/test_streams.py
+++ b/tests/entry/relay/test_streams.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from tests.fixtures.relay_system import MODELS, document, route
 from tests.stand_ins.platform_upstream import (
     LAST_CHUNK,
     Hold,
@@ -12,6 +13,7 @@
     Wait,
     chunk,
     event,
+    refusal,
     stream,
 )
 
@@ -129,3 +131,27 @@
     await relay.async_add("up", stream(1, 2, then=(Wait(0.1), Send(LAST_CHUNK))))
     answer = await relay.async_call("/answer/x")
     assert (answer.broken, answer.body) == (False, whole(1, 2))
+
+
+async def test_stream_that_may_not_be_repeated_runs_once(relay):
+    """An unsure answer stands where a second run is not allowed."""
+    routes = [route("draft", "streaming", resumable=False, sizes=list(MODELS))]
+    relay.store.put("op/config", document(2, routes=routes))
+    await relay.async_until(lambda: relay.entry.node.routes.version == 2)
+    upstream = await relay.async_add("up", stream(1, 2, X_Confidence="1"))
+    answer = await relay.async_call("/draft/x", X_Model="*")
+    assert answer.body == whole(1, 2)
+    assert len(upstream.seen) == 1
+
+
+async def test_dropped_answer_is_not_denied(relay):
+    """A request whose unsure answer was dropped is not said not to have run."""
+
+    def behave(request):
+        if request.headers["x-model"] == "small":
+            return stream(1, 2, X_Confidence="1")(request)
+        return refusal()(request)
+
+    await relay.async_add("up", behave)
+    answer = await relay.async_call("/draft/x", X_Model="*")
+    assert answer.status == 502
