Let a restarted entry go on with its part of a roll-out

Cause: found by reading: after a restart the stages of a roll-out began anew, so a roll-out interrupted by a kill of all entries could not be completed in time, and evidence was lost with its entry.

--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/node.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/node.py
@@ -57,6 +57,8 @@
         self._placer = Placer(identity.zone)
         self._entries: set[str] = {identity.name}
         self._addresses: dict[str, str] = {}
+        # The earlier start whose record was taken over.
+        self._resumed = ""
         self.load = LoadBook(
             self.fleet, self._placer, self._cold, self.versions, self._entries
         )
@@ -122,13 +124,14 @@
     def _(self, change: changes.EntryReported, now_s: float) -> None:
         record = change.record
         if record.entry == self._identity.name:
+            self._resume(record, now_s)
             return
         self._entries.add(record.entry)
         if record.address:
             self._addresses[record.entry] = record.address
         self._retries.set_entries(len(self._entries))
         for service, report in record.rollouts.items():
-            self.versions.set_report(record.entry, service, report)
+            self.versions.set_report(record.entry, service, report, now_s)
         self.crashes.set_counts(record.entry, record.crashes)
 
     @apply.register
@@ -147,7 +150,8 @@
         """Take over all that the store holds, and drop what it does not."""
         upstreams, zones, services = set(), set(), set()
         entries = {self._identity.name}
-        for change in listing:
+        # Records are about orders, so they come last.
+        for change in sorted(listing, key=_is_record):
             self.apply(change, now_s)
             match change:
                 case changes.UpstreamListed():
@@ -167,6 +171,14 @@
         for missing in self._entries - entries:
             self.apply(changes.EntryGone(entry=missing), now_s)
 
+    def _resume(self, record: changes.EntryRecord, now_s: float) -> None:
+        """Go on with what an earlier start of this entry has told, once."""
+        if record.incarnation in (self._identity.incarnation, self._resumed):
+            return
+        self._resumed = record.incarnation
+        for service, report in record.rollouts.items():
+            self.versions.resume(service, report, now_s)
+
     def record(self, now_s: float) -> changes.EntryRecord:
         """Return what the other entries should know of this one."""
         rollouts = {
@@ -273,6 +285,10 @@
         return document.services.get(name) or Service(name=name, max_connections=1)
 
 
+def _is_record(change: changes.Change) -> bool:
+    return isinstance(change, changes.EntryReported)
+
+
 def _draw_share(route: Route, facts: RequestFacts) -> str:
     if len(route.shares) == 1:
         return route.shares[0].service
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/rollout.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/rollout.py
@@ -70,6 +70,8 @@
     order_id: int
     # The largest share at which this entry sends to the new version.
     share: float
+    # Time since the order, in seconds.
+    passed_s: float = 0.0
     new: Evidence
     old: Evidence
 
@@ -149,11 +151,16 @@
             return RolloutState.COMPLETED
         return RolloutState.IN_PROGRESS
 
+    def note_passed(self, passed_s: float, now_s: float) -> None:
+        """Take over from an entry that has known the order for longer."""
+        self.started_at_s = min(self.started_at_s, now_s - passed_s)
+
     def report(self, now_s: float) -> RolloutReport:
         """Return what the other entries should know."""
         return RolloutReport(
             order_id=self.order_id,
             share=self.share(now_s),
+            passed_s=round(now_s - self.started_at_s, 1),
             new=attrs.evolve(self.new),
             old=attrs.evolve(self.old),
         )
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/versions.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/versions.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Sequence
 
+import attrs
 import xxhash
 
 from .fleet import UpstreamState
@@ -57,11 +58,22 @@
         self._statuses[service] = (revision, target, state)
         self._apply_status(service)
 
-    def set_report(self, entry: str, service: str, report: RolloutReport) -> None:
+    def set_report(
+        self, entry: str, service: str, report: RolloutReport, now_s: float
+    ) -> None:
         """Take over another entry's evidence."""
         rollout = self._rollouts.get(service)
         if rollout and rollout.order_id == report.order_id:
             rollout.reports[entry] = report
+            rollout.note_passed(report.passed_s, now_s)
+
+    def resume(self, service: str, report: RolloutReport, now_s: float) -> None:
+        """Take over what this entry has told before it was restarted."""
+        rollout = self._rollouts.get(service)
+        if rollout and rollout.order_id == report.order_id:
+            rollout.new.add(attrs.evolve(report.new, in_flight=0))
+            rollout.old.add(attrs.evolve(report.old, in_flight=0))
+            rollout.note_passed(report.passed_s, now_s)
 
     def forget_entry(self, entry: str) -> None:
         """Drop the evidence of an entry that has left."""
--- a/tests/core/relay/test_node.py
+++ b/tests/core/relay/test_node.py
@@ -141,3 +141,22 @@
     assert not node.record(1.0).is_urgent_after(before)
     rollout.note_answer("v2", True, 0.1)
     assert node.record(1.0).is_urgent_after(before)
+
+
+def test_restarted_entry_goes_on_with_its_rollout(node, make_document):
+    """After a restart, the order's age and the evidence are taken over."""
+    order = changes.RolloutOrdered(
+        order=RolloutOrder(service="drafts", target="v2", duration_s=20.0), order_id=5
+    )
+    node.apply(order, 0.0)
+    node.versions.get("drafts").note_answer("v2", True, None)
+    told = node.record(12.0)
+    identity = RelayIdentity(name="entry-a", zone="zone-a", incarnation="2")
+    restarted = RelayNode(identity, RelayLimits())
+    listing = [changes.EntryReported(record=told), order]
+    restarted.apply_listing(listing, 500.0)
+    restarted.apply(changes.EntryReported(record=told), 500.1)
+    rollout = restarted.versions.get("drafts")
+    assert rollout.share(500.0) == 0.3
+    assert rollout.share(503.5) == 1.0
+    assert rollout.new.bad == 1
