--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/composition.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/composition.py
@@ -82,6 +82,7 @@
             ),
             settings.limits,
         )
+        self._metrics = RelayMetrics(self._node)
         self._draining = False
         self._unready_since_s: float | None = None
 
@@ -90,6 +91,11 @@
         """Return the node, for diagnostics."""
         return self._node
 
+    @property
+    def metrics(self) -> RelayMetrics:
+        """Return the metrics, for the store's client to count its calls."""
+        return self._metrics
+
     @property
     def is_ready(self) -> bool:
         """Return whether the balancer should send new connections."""
@@ -102,13 +108,12 @@
     async def async_setup(self, feed: Feed) -> None:
         """Start serving."""
         self._client = UpstreamClient()
-        metrics = RelayMetrics(self._node)
         self._server = RelayServer(
             node=self._node,
             client=self._client,
             wire=self._wire,
             clock=boot_clock,
-            metrics=metrics,
+            metrics=self._metrics,
         )
         self._peers = PeerExchange(self._node, boot_clock, self._peer_socket)
         await self._peers.async_setup()
@@ -117,7 +122,7 @@
             create_admin_app(
                 is_ready=lambda: self.is_ready,
                 diagnostics=lambda: diagnostics(self._node, self._server, boot_clock()),
-                registry=metrics.registry,
+                registry=self._metrics.registry,
             ),
             self._admin_socket,
         )
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/metrics.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/metrics.py
@@ -5,6 +5,8 @@
 from cardamomnotch_core.relay.node import RelayNode
 from cardamomnotch_protocol.result_codes import ResultCode
 
+from .models import AttemptLog
+
 _BUCKETS_S = (0.01, 0.03, 0.1, 0.3, 1.0, 3.0, 10.0)
 
 
@@ -31,6 +33,19 @@
             ["kind", "outcome"],
             registry=self.registry,
         )
+        self._attempts = Counter(
+            "cardamomnotch_relay_attempts",
+            "Attempts at upstreams that ended, by what they were for and outcome.",
+            ["route", "version", "model", "outcome"],
+            registry=self.registry,
+        )
+        self._first_byte = Histogram(
+            "cardamomnotch_relay_first_byte_seconds",
+            "Time from sending an attempt to the head of its answer.",
+            ["version", "model"],
+            buckets=_BUCKETS_S,
+            registry=self.registry,
+        )
         version = Gauge(
             "cardamomnotch_relay_document_version",
             "Version of the routes in force.",
@@ -49,6 +64,16 @@
         self._ended.labels(result=code.name.lower()).inc()
         self._seconds.observe(seconds)
 
+    def note_attempt(self, route: str, log: AttemptLog) -> None:
+        """Count an attempt that has ended."""
+        outcome = log.outcome.partition(":")[0]
+        self._attempts.labels(
+            route=route, version=log.version, model=log.model, outcome=outcome
+        ).inc()
+        if log.first_byte_ms >= 0:
+            first_byte = self._first_byte.labels(version=log.version, model=log.model)
+            first_byte.observe(log.first_byte_ms / 1000)
+
     def note_store_call(self, kind: str, outcome: str) -> None:
         """Count a call to the store."""
         self._store_calls.labels(kind=kind, outcome=outcome).inc()
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/server.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/server.py
@@ -164,6 +164,8 @@
         seconds = now_s - arrived_at_s
         route = forwarder.route if forwarder else None
         self._metrics.note_request(code, seconds)
+        for log in forwarder.attempts if forwarder else ():
+            self._metrics.note_attempt(route.name if route else "", log)
         log_event(
             _LOGGER,
             "request ended",
--- a/tests/entry/relay/test_answers.py
+++ b/tests/entry/relay/test_answers.py
@@ -231,3 +231,22 @@
     await relay.async_call("/read/x", X_Request_Priority="5")
     (seen,) = upstream.seen
     assert seen.headers["x-request-priority"] == expected
+
+
+async def test_metrics_count_requests_and_attempts(relay):
+    """The admin address shows how requests and attempts ended."""
+    await relay.async_add("up-bad", lost, service="bookings")
+    await relay.async_add("up-good", plain(b"good"), service="bookings")
+    for _ in range(4):
+        await relay.async_call("/read/x")
+    async with relay.session.get(f"http://{relay.admin_address}/metrics") as response:
+        text = await response.text()
+    assert 'cardamomnotch_relay_requests_ended_total{result="ok"} 4.0' in text
+    attempts = "cardamomnotch_relay_attempts_total"
+    labels = 'model="",outcome="answered",route="read",version="v1"'
+    assert f"{attempts}{{{labels}}} 4.0" in text
+    assert 'outcome="lost"' in text
+    async with relay.session.get(f"http://{relay.admin_address}/state") as response:
+        state = await response.json()
+    assert {upstream["id"] for upstream in state["upstreams"]} == {"up-bad", "up-good"}
+    assert API_KEY not in str(state)
