--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/const.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/const.py
@@ -2,9 +2,6 @@
 
 from typing import Final
 
-# Part of the route's attempts that a request may use for the first run of a
-# cascade; the larger model needs one, and one is kept for a failure.
-CASCADE_MIN_ATTEMPTS: Final = 2
 # An answer below this confidence, from 0 to 100, is asked of a larger model.
 DEFAULT_CONFIDENCE_FLOOR: Final = 50
 
@@ -17,11 +14,6 @@
 PENALTY_S: Final = 1.0
 MAX_PENALTY_S: Final = 8.0
 
-# Requests in flight that one upstream may have beyond the mean before the
-# next one of the rendezvous order is taken, as a factor and a number.
-LOAD_FACTOR: Final = 1.3
-LOAD_SLACK: Final = 2.0
-
 # Part of the platform's retry budget that the entries use together; the rest
 # covers requests counted in different windows.
 RETRY_BUDGET_PART: Final = 0.8
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/limits.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/limits.py
@@ -17,8 +17,6 @@
     cold_slack: float = 5.0
     # Time that a process has to end after SIGTERM.
     grace_s: float = 8.0
-    # Longest time between two requests of a session.
-    session_ttl_s: float = 5.0
 
     @property
     def knowledge_max_age_s(self) -> float:
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/models.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/models.py
@@ -43,8 +43,6 @@
     shares: tuple[Share, ...]
     timeout_s: float
     target_latency_s: float
-    # Longest pause between two events that is still on time; 0: none is set.
-    target_gap_s: float = 0.0
     # Most upstreams that one request may be sent to.
     max_attempts: int = 1
     # 0 is the most urgent.
@@ -60,13 +58,8 @@
     """A group of upstreams that serve the same routes."""
 
     name: str
-    max_connections: int
     # Requests a second that one cold upstream tolerates; 0: it has no limit.
     cold_rate: float = 0.0
-    # Requests that one upstream works on at once.
-    slots: int = 0
-    # Cost of 1,000 generated tokens by model.
-    model_costs: dict[str, float] = attrs.field(factory=dict)
 
 
 @attrs.frozen(kw_only=True)
@@ -82,9 +75,7 @@
 class CallerLimits:
     """What a caller may send."""
 
-    max_header_bytes: int = 16_384
     max_body_bytes: int = 4_194_304
-    idle_timeout_s: float = 15.0
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/node.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/node.py
@@ -282,7 +282,7 @@
         document = self.routes.document
         assert document is not None
         name = _draw_share(route, facts)
-        return document.services.get(name) or Service(name=name, max_connections=1)
+        return document.services.get(name) or Service(name=name)
 
 
 def _is_record(change: changes.Change) -> bool:
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/composition.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/composition.py
@@ -18,7 +18,6 @@
 from .const import (
     BALANCER_NOTICE_S,
     FLUSH_S,
-    IDLE_MARGIN_S,
     MAX_LINE_BYTES,
     PUBLISH_INTERVAL_S,
     READY_CHECK_S,
@@ -37,8 +36,9 @@
 _BACKLOG = 512
 # Time that open connections get to close at the end, in seconds.
 _CLOSE_TIMEOUT_S = 0.1
-# Idle timeout until the operators set one, in seconds.
-_DEFAULT_IDLE_S = 15.0
+# Time for which a caller's idle connection is kept, in seconds: longer than the
+# operators' limits, which may change while a connection is open.
+_IDLE_S = 75.0
 
 
 def boot_clock() -> float:
@@ -131,7 +131,7 @@
             self._server.async_handle,
             handler_cancellation=True,
             access_log=None,
-            keepalive_timeout=_DEFAULT_IDLE_S + IDLE_MARGIN_S,
+            keepalive_timeout=_IDLE_S,
             max_line_size=MAX_LINE_BYTES,
             max_field_size=MAX_LINE_BYTES,
         )
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/const.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/const.py
@@ -52,10 +52,6 @@
 # Largest request line and largest single header line, in bytes.
 MAX_LINE_BYTES: Final = 16_384
 
-# Requests that a caller may still send on a kept connection are waited for
-# this much longer than the operators' idle timeout, in seconds.
-IDLE_MARGIN_S: Final = 2.0
-
 # Attempts of a request that waits for a cold upstream, seconds apart.
 COLD_RETRY_S: Final = 0.1
 
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/event_stream.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/event_stream.py
@@ -13,18 +13,12 @@
     def __init__(self, last_event_id: str = "") -> None:
         self._pending = b""
         self._last_event_id = last_event_id
-        self._events = 0
 
     @property
     def last_event_id(self) -> str:
         """Return the id of the newest whole event."""
         return self._last_event_id
 
-    @property
-    def events(self) -> int:
-        """Return how many events were handed out."""
-        return self._events
-
     @property
     def pending(self) -> bytes:
         """Return the bytes of an event that is not whole yet."""
@@ -41,7 +35,6 @@
         whole, self._pending = data[:end], data[end:]
         for event in whole.split(_SEPARATOR):
             if event:
-                self._events += 1
                 self._last_event_id = _event_id(event) or self._last_event_id
         return whole
 
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/models.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/models.py
@@ -59,8 +59,6 @@
     confidence: int | None = None
     # False for a body that is not the upstream's own bytes.
     is_plain: bool = True
-    # Length of the body if the upstream gives it.
-    length: int | None = None
 
 
 class AttemptOutcome(StrEnum):
--- a/script/benchmarks/relay_decision.py
+++ b/script/benchmarks/relay_decision.py
@@ -41,7 +41,7 @@
         timeout_s=10.0,
         target_latency_s=2.0,
     )
-    services = {"drafts": Service(name="drafts", max_connections=100)}
+    services = {"drafts": Service(name="drafts")}
     document = RouteDocument(
         version=1, routes=(route,), services=services, workspaces=None
     )
--- a/tests/core/relay/conftest.py
+++ b/tests/core/relay/conftest.py
@@ -42,9 +42,7 @@
         return RouteDocument(
             version=version,
             routes=tuple(routes if routes is not None else [make_route()]),
-            services={
-                "drafts": Service(name="drafts", max_connections=100, cold_rate=7.3)
-            },
+            services={"drafts": Service(name="drafts", cold_rate=7.3)},
             workspaces={key: Workspace(name="firm-one") for key in keys},
             **fields,
         )
