--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -6,6 +6,8 @@
 
 PATH = Path(__file__).parents[1] / "KNOWN-RED.txt"
 _FIELDS = 4
+# How "what was seen" begins for a real fault that shows in some runs only.
+_INTERMITTENT = "intermittent"
 
 
 @attrs.frozen
@@ -17,6 +19,11 @@
     seen: str
     issue: str
 
+    @property
+    def is_intermittent(self) -> bool:
+        """Return whether the test fails in some runs only."""
+        return self.seen.startswith(_INTERMITTENT)
+
 
 def load_known_red(path: Path = PATH) -> tuple[KnownRed, ...]:
     """Return the entries; raise ValueError for a line with a part missing."""
