Say once what stood twice in the relay, and drop what nothing reads

Reading TOML (read_toml serves both settings), the first failure status, a flag that was kept as a request's facts, an unused field and an impossible None of a placement, one condition told twice in the coordinator. Choices are the same.

--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/node.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/node.py
@@ -243,11 +243,7 @@
                 ResultCode.UPSTREAM_FULL, "the upstreams are cold", _RETRY_COLD_S
             )
         fresh = [state for state in open_now if state.upstream_id not in tried]
-        placement = self._placer.choose(
-            fresh or open_now, facts, model, body_bytes, now_s
-        )
-        assert placement is not None
-        return placement
+        return self._placer.choose(fresh or open_now, facts, model, body_bytes, now_s)
 
     def may_climb(
         self,
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/placing.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/placing.py
@@ -75,7 +75,6 @@
     waiting_ms: float
     cached_tokens: int
     unread_tokens: int
-    candidates: int
 
     @property
     def expected_ms(self) -> float:
@@ -104,24 +103,25 @@
         model: str,
         body_bytes: int,
         now_s: float,
-    ) -> Placement | None:
-        """Return the best of ``candidates``; None if there are none."""
+    ) -> Placement:
+        """Return the best of ``candidates``, of which there must be one."""
         considered = self._shortlist(candidates, facts, model)
         usable = [state for state in considered if not state.is_penalized(now_s)]
-        usable = usable or list(candidates)
-        if not usable:
-            return None
-        placements = (
-            self._placement(state, facts, model, len(candidates), now_s)
-            for state in usable
-        )
-        return min(
-            placements,
-            key=lambda placement: (
+        costs_ms = [
+            (
                 placement.expected_ms + self._transfer_ms(placement.state, body_bytes),
-                -_affinity(facts, model, placement.state),
-            ),
-        )
+                placement,
+            )
+            for placement in (
+                self._placement(state, facts, model, now_s)
+                for state in usable or candidates
+            )
+        ]
+        least_ms = min(cost_ms for cost_ms, _ in costs_ms)
+        best = [placement for cost_ms, placement in costs_ms if cost_ms == least_ms]
+        if len(best) == 1:
+            return best[0]
+        return max(best, key=lambda placement: _affinity(facts, model, placement.state))
 
     def note_sent(
         self, state: UpstreamState, prompt: Sequence[PromptPart], model: str
@@ -173,7 +173,6 @@
         state: UpstreamState,
         facts: RequestFacts,
         model: str,
-        candidates: int,
         now_s: float,
     ) -> Placement:
         cached = self._memory(state).cached_tokens(model, facts)
@@ -185,7 +184,6 @@
             waiting_ms=waiting_ms + state.running(now_s) * RUNNING_REQUEST_MS,
             cached_tokens=cached,
             unread_tokens=unread,
-            candidates=candidates,
         )
 
     def _transfer_ms(self, state: UpstreamState, body_bytes: int) -> float:
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/attempts.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/attempts.py
@@ -4,10 +4,10 @@
 
 from aiohttp import ClientError, ClientResponse
 
-from cardamomnotch_core.relay.models import RequestFacts
 from cardamomnotch_core.relay.node import RelayNode
 from cardamomnotch_core.relay.placing import Placement
 
+from .const import FIRST_FAILURE_STATUS
 from .exceptions import LostAnswerError, UnreachableError
 from .interfaces import Wire
 from .models import (
@@ -19,7 +19,6 @@
 )
 from .upstream_client import UpstreamClient
 
-_FIRST_FAILURE_STATUS = 500
 # Outcomes that say nothing about the upstream's version.
 _NEUTRAL = frozenset(
     {AttemptOutcome.NOT_RUN, AttemptOutcome.UNREACHABLE, AttemptOutcome.CANCELLED}
@@ -48,7 +47,7 @@
         self._placement = placement
         self._state = placement.state
         self._model = model
-        self._facts: RequestFacts | None = None
+        self._is_counted = False
         self._response: ClientResponse | None = None
         self._head: AnswerHead | None = None
         self._sent_at_s = 0.0
@@ -95,7 +94,7 @@
         Raises UnreachableError if it was not sent, LostAnswerError if it may
         have run without an answer that can be trusted.
         """
-        self._facts = request.facts
+        self._is_counted = True
         self._sent_at_s = self._clock()
         self._node.load.note_sent(
             self._placement, request.facts, self._model, self, self._sent_at_s
@@ -143,7 +142,7 @@
             return
         self._closed = True
         self.log.outcome = outcome.value
-        if self._facts is not None:
+        if self._is_counted:
             self._node.load.note_ended(self._state, self, self._clock())
         if self._response is not None:
             self._response.close()
@@ -159,7 +158,7 @@
         if reason:
             self.close(AttemptOutcome.LOST)
             raise LostAnswerError(reason)
-        if head.status >= _FIRST_FAILURE_STATUS:
+        if head.status >= FIRST_FAILURE_STATUS:
             return
         self._state.note_success()
         assert self._first_byte_s is not None
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/const.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/const.py
@@ -55,6 +55,9 @@
 # Attempts of a request that waits for a cold upstream, seconds apart.
 COLD_RETRY_S: Final = 0.1
 
+# Statuses of upstreams' own failures begin here.
+FIRST_FAILURE_STATUS: Final = 500
+
 # Decimal places of the seconds in Retry-After.
 RETRY_AFTER_DIGITS: Final = 2
 
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/coordinator.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/coordinator.py
@@ -78,13 +78,12 @@
         before = self._node.routes.version
         if whole:
             self._node.apply_listing(found, now_s)
+            self._log_listing(found, cursor)
         else:
             for change in found:
                 self._node.apply(change, now_s)
+            self._log_changes(found, before)
         self._node.routes.confirm(asked_at_s)
-        if whole:
-            self._log_listing(found, cursor)
-        self._log_changes([] if whole else found, before)
         if found:
             await asyncio.sleep(WATCH_PAUSE_S)
 
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/forwarder.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/forwarder.py
@@ -11,7 +11,12 @@
 from cardamomnotch_protocol.result_codes import ResultCode
 
 from .attempts import Attempt
-from .const import COLD_RETRY_S, MAX_PRIORITY, MAX_REFUSED
+from .const import (
+    COLD_RETRY_S,
+    FIRST_FAILURE_STATUS,
+    MAX_PRIORITY,
+    MAX_REFUSED,
+)
 from .event_stream import EventSplitter
 from .exceptions import (
     AnswerBrokenError,
@@ -23,7 +28,6 @@
 from .models import AnswerHead, AttemptLog, AttemptOutcome, AttemptTerms, CallerRequest
 from .upstream_client import UpstreamClient
 
-_FIRST_FAILURE_STATUS = 500
 # Upstreams that one request may find unreachable before it is refused.
 _MAX_UNREACHABLE = 4
 _RETRY_UNREACHABLE_S = 0.3
@@ -128,7 +132,7 @@
             except LostAnswerError as error:
                 await self._async_note_lost(attempt, error)
                 continue
-            failed = head.status >= _FIRST_FAILURE_STATUS
+            failed = head.status >= FIRST_FAILURE_STATUS
             attempt.close(AttemptOutcome.FAILED if failed else AttemptOutcome.ANSWERED)
             answer = web.Response(
                 status=head.status, headers=head.headers, body=content
--- a/packages/cardamomnotch-runtime/src/cardamomnotch_runtime/settings.py
+++ b/packages/cardamomnotch-runtime/src/cardamomnotch_runtime/settings.py
@@ -73,17 +73,22 @@
     )
 
 
-def load_settings(path: Path, cls: type[_T]) -> _T:
-    """Return the checked settings of ``path``.
-
-    Raises SettingsError with one line that names the file and each key.
-    """
+def read_toml(path: Path) -> dict[str, Any]:
+    """Return the document in ``path``; raises SettingsError that names it."""
     try:
-        document = tomllib.loads(path.read_text(encoding="utf-8"))
+        return tomllib.loads(path.read_text(encoding="utf-8"))
     except OSError as error:
         raise SettingsError(f"{path}: {error.strerror}") from error
     except (UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
         raise SettingsError(f"{path}: {error}") from error
+
+
+def load_settings(path: Path, cls: type[_T]) -> _T:
+    """Return the checked settings of ``path``.
+
+    Raises SettingsError with one line that names the file and each key.
+    """
+    document = read_toml(path)
     try:
         return structure(_CONVERTER, document, cls)
     except SchemaError as error:
