Leave a suspect of another entry's crash to that entry

Ruled out: a verdict that comes after the wait (it came after 0.26 s), the sidecar's count (it was told of two crashes and had none of its own).

--- a/packages/cardamomnotch-core/src/cardamomnotch_core/quarantine/models.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/quarantine/models.py
@@ -32,6 +32,8 @@
     forget_at_s: float
     # Another entry is about to find out whether the request is guilty.
     wait_until_s: float = float("-inf")
+    # It was in a crash as a request of this entry.
+    judged_here: bool = False
     # The request of this entry that runs it once more.
     rerun_id: str = ""
     # The VMs that had crashed under it when that run began.
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/quarantine/tracker.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/quarantine/tracker.py
@@ -102,6 +102,8 @@
             return self._quarantine(fingerprint, now_s)
         for one in {fingerprint, *co_suspects}:
             self._suspect(one, vm_id, co_suspects, now_s)
+        self._take_over(fingerprint)
+        self._leave_to_others(set(co_suspects) - {fingerprint}, now_s + VERDICT_WAIT_S)
         if fingerprint != co_suspects[0]:
             return None
         made_at_s = self._book.wall_time_s(now_s)
@@ -130,9 +132,7 @@
         for fingerprint in fingerprints:
             if self._get(fingerprint, now_s) is None:
                 self._suspect(fingerprint, vm_id, (), now_s)
-                self._suspects[fingerprint] = attrs.evolve(
-                    self._suspects[fingerprint], wait_until_s=now_s + wait_s
-                )
+                self._leave_to_others((fingerprint,), now_s + wait_s)
 
     def expire(self, now_s: float) -> None:
         """Forget the suspects whose time has come."""
@@ -165,10 +165,30 @@
             crashed_vms=(known.crashed_vms if known else _NO_VMS) | {vm_id},
             co_suspects=co_suspects or (known.co_suspects if known else ()),
             forget_at_s=now_s + SUSPECT_RETENTION_S,
+            wait_until_s=known.wait_until_s if known else float("-inf"),
+            judged_here=known.judged_here if known else False,
             rerun_id=known.rerun_id if known else "",
             rerun_avoids=known.rerun_avoids if known else _NO_VMS,
         )
 
+    def _take_over(self, fingerprint: str) -> None:
+        """Wait for no other entry's verdict on a request that crashed here."""
+        self._suspects[fingerprint] = attrs.evolve(
+            self._suspects[fingerprint], judged_here=True, wait_until_s=float("-inf")
+        )
+
+    def _leave_to_others(self, fingerprints: Iterable[str], until_s: float) -> None:
+        """Run none of ``fingerprints`` that crashed nothing here until ``until_s``.
+
+        A neighbour in a crash may be another entry's, which judges it.
+        """
+        for fingerprint in fingerprints:
+            suspect = self._suspects[fingerprint]
+            if not suspect.judged_here:
+                self._suspects[fingerprint] = attrs.evolve(
+                    suspect, wait_until_s=max(suspect.wait_until_s, until_s)
+                )
+
     def _get(self, fingerprint: str, now_s: float) -> SuspectRecord | None:
         suspect = self._suspects.get(fingerprint)
         if suspect is None or suspect.forget_at_s > now_s:
--- a/tests/core/quarantine/test_tracker.py
+++ b/tests/core/quarantine/test_tracker.py
@@ -138,3 +138,30 @@
     tracker.check("crates:old", 2.0)
     assert _refusal(tracker, "crates:new", 2.9).code is ResultCode.SUSPECT_BUSY
     tracker.check("crates:new", 3.1)
+
+
+def test_own_neighbours_wait_for_no_other_entry(tracker):
+    """Whichever of two own requests is judged first, both may come again."""
+    for fingerprint in _TOGETHER:
+        tracker.check(fingerprint, 0.1)
+
+
+def test_neighbour_in_a_crash_is_left_to_its_own_entry(tracker):
+    """An entry whose request was next to a suspect does not run the suspect."""
+    tracker.judge(
+        "crates:third", "third", "engine-1", ("crates:other", "crates:third"), 1.0
+    )
+    refusal = _refusal(tracker, "crates:other", 1.0 + VERDICT_WAIT_S - 0.1)
+    assert refusal.code is ResultCode.SUSPECT_BUSY
+    tracker.check("crates:other", 1.0 + VERDICT_WAIT_S)
+
+
+def test_crash_of_a_neighbour_keeps_the_listed_wait(tracker):
+    """A listed suspect that crashes another upstream here is still left alone."""
+    tracker.take_reported("engine-2", ("crates:other",), 1.0)
+    tracker.judge(
+        "crates:third", "third", "engine-1", ("crates:other", "crates:third"), 1.5
+    )
+    refusal = _refusal(tracker, "crates:other", 1.0 + VERDICT_WAIT_S + 0.1)
+    assert refusal.code is ResultCode.SUSPECT_BUSY
+    assert tracker.crashed_vms("crates:other", "x", 1.6) == {"engine-1", "engine-2"}
