Give both stores one interface, and keep the relay's use of it in the product

KeyValueStore (cardamomnotch-platform) is what every store offers: get, read, wait, put, compare-and-swap, leases. The product's client and the platform's implement it, one table of contract tests runs over both, and the relay's feed (record, reports, lost answers read back) moved from platform/ into the product, tested over both. platform/ holds calls and formats only.

--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/lists/coordinator.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/lists/coordinator.py
@@ -7,8 +7,8 @@
 from cardamomnotch_core.nodes import actions
 from cardamomnotch_platform.exceptions import StoreError
 from cardamomnotch_platform.store.budget import BackOff
-from cardamomnotch_platform.store.client import StoreClient
 from cardamomnotch_platform.store.configuration import RevisionConflictError
+from cardamomnotch_platform.store.interface import KeyValueStore
 from cardamomnotch_protocol.exceptions import CardamomnotchError
 from cardamomnotch_runtime.runner import NodeRunner
 from cardamomnotch_runtime.tasks import TaskGroup
@@ -25,7 +25,7 @@
 
     def __init__(
         self,
-        store: StoreClient,
+        store: KeyValueStore,
         runner: NodeRunner,
         tasks: TaskGroup,
         random_source: random.Random,
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/lists/rebase.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/lists/rebase.py
@@ -6,8 +6,8 @@
 )
 from cardamomnotch_core.configuration.models import Configuration
 from cardamomnotch_core.configuration.rebase import rebase
-from cardamomnotch_platform.store.client import StoreClient
 from cardamomnotch_platform.store.configuration import RevisionConflictError
+from cardamomnotch_platform.store.interface import KeyValueStore
 
 from .writer import async_replace
 
@@ -15,7 +15,7 @@
 
 
 async def async_rebase(
-    store: StoreClient, configuration: Configuration, base: Configuration
+    store: KeyValueStore, configuration: Configuration, base: Configuration
 ) -> int:
     """Put what ``configuration`` changes in ``base`` on top of what holds.
 
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/lists/writer.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/lists/writer.py
@@ -15,12 +15,12 @@
 from cardamomnotch_core.configuration.models import Configuration, ConfigurationRecord
 from cardamomnotch_core.configuration.rebase import differing_paths
 from cardamomnotch_platform.exceptions import StoreError
-from cardamomnotch_platform.store.client import StoreClient
 from cardamomnotch_platform.store.configuration import (
     RevisionConflictError,
     async_read_configuration,
     async_write_configuration,
 )
+from cardamomnotch_platform.store.interface import KeyValueStore
 from cardamomnotch_protocol.models import ConfigurationMessage
 
 _MAX_TRIES = 10
@@ -28,14 +28,14 @@
 _KEPT_CHANGE_IDS = 32
 
 
-async def async_read_record(store: StoreClient) -> ConfigurationRecord | None:
+async def async_read_record(store: KeyValueStore) -> ConfigurationRecord | None:
     """Return the lists in the store, if there are any."""
     stored = await async_read_configuration(store)
     return record_from_message(stored.message) if stored.message else None
 
 
 async def async_replace(
-    store: StoreClient,
+    store: KeyValueStore,
     edit: Callable[[Configuration], Configuration],
     based_on: int | None = None,
     above: int = 0,
@@ -75,7 +75,7 @@
 
 
 async def _async_write(
-    store: StoreClient, message: ConfigurationMessage, mod_revision: int
+    store: KeyValueStore, message: ConfigurationMessage, mod_revision: int
 ) -> None:
     try:
         await async_write_configuration(store, message, mod_revision)
@@ -105,7 +105,7 @@
     return (message.change_id, *message.former_change_ids)[:_KEPT_CHANGE_IDS]
 
 
-async def async_make_change(store: StoreClient, change: ListsChange) -> int:
+async def async_make_change(store: KeyValueStore, change: ListsChange) -> int:
     """Make ``change`` on top of whatever is accepted; return the revision.
 
     Raises ConfigurationError if the result contradicts itself, StoreError,
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/placement/coordinator.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/placement/coordinator.py
@@ -9,7 +9,7 @@
 from cardamomnotch_core.placement.models import Engine, Placement
 from cardamomnotch_core.placement.planner import plan_versions, wanted_replicas
 from cardamomnotch_platform.exceptions import StoreError
-from cardamomnotch_platform.store.client import StoreClient
+from cardamomnotch_platform.store.interface import KeyValueStore
 from cardamomnotch_runtime.runner import NodeRunner
 
 from .lease import PlannerLease
@@ -27,7 +27,7 @@
         *,
         node: EntryNode,
         runner: NodeRunner,
-        store: StoreClient,
+        store: KeyValueStore,
         lease: PlannerLease,
         random_source: random.Random,
     ) -> None:
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/placement/lease.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/placement/lease.py
@@ -1,7 +1,7 @@
 """The planner's lease in the store."""
 
 from cardamomnotch_platform.exceptions import StoreError
-from cardamomnotch_platform.store.client import StoreClient
+from cardamomnotch_platform.store.interface import KeyValueStore
 
 PLANNER_KEY = "cardamomnotch/planner"
 _TTL_S = 10
@@ -14,7 +14,7 @@
     holder's is always higher, whatever any clock says.
     """
 
-    def __init__(self, store: StoreClient, holder: str) -> None:
+    def __init__(self, store: KeyValueStore, holder: str) -> None:
         self._store = store
         self._holder = holder
         self._lease_id = 0
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/placement/store.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/placement/store.py
@@ -4,7 +4,7 @@
 import orjson
 
 from cardamomnotch_core.placement.models import Placement
-from cardamomnotch_platform.store.client import StoreClient
+from cardamomnotch_platform.store.interface import KeyValueStore
 from cardamomnotch_platform.store.models import StoreEntry
 from cardamomnotch_protocol.schema import strict_converter, structure
 
@@ -27,13 +27,13 @@
     return StoredPlacement(placement=placement, mod_revision=entry.mod_revision)
 
 
-async def async_read_placement(store: StoreClient) -> StoredPlacement:
+async def async_read_placement(store: KeyValueStore) -> StoredPlacement:
     """Return the placement in the store; empty if there is none."""
     return _from_entry(await store.async_get(PLACEMENT_KEY))
 
 
 async def async_write_placement(
-    store: StoreClient, placement: Placement, mod_revision: int
+    store: KeyValueStore, placement: Placement, mod_revision: int
 ) -> StoredPlacement:
     """Write ``placement`` if the key is still at ``mod_revision``.
 
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/composition.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/composition.py
@@ -10,6 +10,7 @@
 
 from cardamomnotch_core.relay.limits import RelayLimits
 from cardamomnotch_core.relay.node import RelayIdentity, RelayNode
+from cardamomnotch_platform.store.interface import KeyValueStore
 from cardamomnotch_runtime.admin import create_admin_app
 from cardamomnotch_runtime.server import HttpServer, bind
 from cardamomnotch_runtime.structured_log import log_event
@@ -25,7 +26,8 @@
 )
 from .coordinator import StoreCoordinator
 from .diagnostics import diagnostics
-from .interfaces import Feed, Wire
+from .feed import StoreFeed
+from .interfaces import Documents, Wire
 from .metrics import RelayMetrics
 from .peers import PeerExchange
 from .server import RelayServer
@@ -64,9 +66,12 @@
 class RelayEntry:
     """All parts of one relaying entry, wired."""
 
-    def __init__(self, settings: RelaySettings, wire: Wire) -> None:
+    def __init__(
+        self, settings: RelaySettings, wire: Wire, documents: Documents
+    ) -> None:
         self._settings = settings
         self._wire = wire
+        self._documents = documents
         self._caller_socket = bind(settings.caller_address, "caller_address")
         self._admin_socket = bind(settings.admin_address, "admin_address")
         self._peer_socket = bind(
@@ -105,7 +110,7 @@
     def _grace_s(self) -> float:
         return max(0.0, self._settings.limits.grace_s - STOP_MARGIN_S)
 
-    async def async_setup(self, feed: Feed) -> None:
+    async def async_setup(self, store: KeyValueStore) -> None:
         """Start serving."""
         self._client = UpstreamClient()
         self._server = RelayServer(
@@ -117,7 +122,9 @@
         )
         self._peers = PeerExchange(self._node, boot_clock, self._peer_socket)
         await self._peers.async_setup()
-        self._coordinator = StoreCoordinator(self._node, feed, boot_clock)
+        self._coordinator = StoreCoordinator(
+            self._node, StoreFeed(store, self._documents), boot_clock
+        )
         self._admin = HttpServer(
             create_admin_app(
                 is_ready=lambda: self.is_ready,
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/coordinator.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/coordinator.py
@@ -14,6 +14,11 @@
 )
 from cardamomnotch_core.relay.node import RelayNode
 from cardamomnotch_core.relay.rollout import Rollout, RolloutState
+from cardamomnotch_platform.exceptions import (
+    HistoryLostError,
+    StoreConflictError,
+    StoreError,
+)
 from cardamomnotch_runtime.structured_log import log_event
 
 from .const import (
@@ -29,8 +34,7 @@
     WATCH_WAIT_S,
     WATCHES_IN_MAX_AGE,
 )
-from .exceptions import ConflictError, FeedError, HistoryLostError
-from .interfaces import Feed
+from .feed import StoreFeed
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -38,7 +42,9 @@
 class StoreCoordinator:
     """One watch on everything, one record, and the reports on roll-outs."""
 
-    def __init__(self, node: RelayNode, feed: Feed, clock: Callable[[], float]) -> None:
+    def __init__(
+        self, node: RelayNode, feed: StoreFeed, clock: Callable[[], float]
+    ) -> None:
         self._node = node
         self._feed = feed
         self._clock = clock
@@ -61,14 +67,14 @@
             if whole:
                 found, cursor = await self._feed.async_read_all()
             else:
-                found, cursor = await self._feed.async_watch(
+                found, cursor = await self._feed.async_wait(
                     self._cursor, self._watch_wait_s
                 )
         except HistoryLostError:
             log_event(_LOGGER, "store history lost", cursor=self._cursor)
             self._cursor = None
             return
-        except FeedError as error:
+        except StoreError as error:
             self._note_unavailable(error)
             await asyncio.sleep(STORE_RETRY_S)
             return
@@ -112,9 +118,9 @@
             await self._async_publish_record()
             for rollout in self._node.versions.rollouts:
                 await self._async_report(rollout)
-        except ConflictError:
+        except StoreConflictError:
             return
-        except FeedError as error:
+        except StoreError as error:
             self._publish_after_s = self._clock() + PUBLISH_RETRY_S
             self._note_unwritten(error)
             return
@@ -124,11 +130,10 @@
 
     async def async_unload(self) -> None:
         """Take this entry's record back."""
-        if self._record is not None:
-            try:
-                await self._feed.async_drop_record(self._record)
-            except FeedError as error:
-                log_event(_LOGGER, "record not dropped", detail=error.detail)
+        try:
+            await self._feed.async_drop_record()
+        except StoreError as error:
+            log_event(_LOGGER, "record not dropped", detail=error.detail)
 
     def _log_listing(self, found: list[Change], cursor: int) -> None:
         kinds = Counter(type(change).__name__ for change in found)
@@ -168,14 +173,14 @@
             self._available = True
             log_event(_LOGGER, "store is available")
 
-    def _note_unavailable(self, error: FeedError) -> None:
+    def _note_unavailable(self, error: StoreError) -> None:
         if self._available:
             self._available = False
             log_event(
                 _LOGGER, "store is unavailable", logging.WARNING, detail=error.detail
             )
 
-    def _note_unwritten(self, error: FeedError) -> None:
+    def _note_unwritten(self, error: StoreError) -> None:
         if not self._unwritten:
             self._unwritten = True
             log_event(
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/exceptions.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/exceptions.py
@@ -36,19 +36,3 @@
     def __init__(self, answer: web.Response) -> None:
         super().__init__("the upstream failed")
         self.answer = answer
-
-
-class FeedError(CardamomnotchError):
-    """The store did not answer, or refused."""
-
-    code = ResultCode.STORE_UNAVAILABLE
-
-
-class HistoryLostError(FeedError):
-    """The store no longer knows the changes asked for."""
-
-
-class ConflictError(FeedError):
-    """Another process wrote first."""
-
-    code = ResultCode.STORE_CONFLICT
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/interfaces.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/interfaces.py
@@ -6,7 +6,7 @@
 
 from cardamomnotch_core.relay.changes import Change, EntryRecord
 from cardamomnotch_core.relay.rollout import RolloutState
-from cardamomnotch_core.relay.versions import Rollout
+from cardamomnotch_platform.store.models import StoreEntry
 
 from .models import AnswerHead, AttemptTerms, CallerRequest
 
@@ -31,30 +31,20 @@
         """Return the headers of an answer of the system's own."""
 
 
-class Feed(Protocol):
-    """What the platform's store holds for the relay.
+class Documents(Protocol):
+    """Keys and formats of what lies in the store."""
 
-    Every method raises FeedError if no answer came; a write may have taken
-    effect all the same.
-    """
+    def decode(self, entry: StoreEntry) -> Change | None:
+        """Return what an entry or a change means; None if nothing to the relay."""
 
-    async def async_read_all(self) -> tuple[list[Change], int]:
-        """Return all that is known as changes, and the cursor to go on from."""
+    def record_key(self, entry: str) -> str:
+        """Return the key of an entry's record."""
 
-    async def async_watch(self, cursor: int, wait_s: float) -> tuple[list[Change], int]:
-        """Return the changes after ``cursor`` as soon as there are any.
+    def encode_record(self, record: EntryRecord) -> bytes:
+        """Return the stored form of ``record``."""
 
-        Raises HistoryLostError if they are no longer known.
-        """
+    def status_key(self, service: str) -> str:
+        """Return the key of the report on a service's roll-out."""
 
-    async def async_write_record(self, record: EntryRecord, ttl_s: float) -> None:
-        """Write this entry's record; it lapses after ``ttl_s`` seconds."""
-
-    async def async_keep_record(self) -> bool:
-        """Keep the record alive; return whether it still stands."""
-
-    async def async_drop_record(self, record: EntryRecord) -> None:
-        """Delete this entry's record."""
-
-    async def async_report_rollout(self, rollout: Rollout, state: RolloutState) -> None:
-        """Report how far a roll-out is; raises ConflictError if another did."""
+    def encode_status(self, target: str, state: RolloutState) -> bytes:
+        """Return the stored form of a report on a roll-out."""
--- a/packages/cardamomnotch-platform/src/cardamomnotch_platform/exceptions.py
+++ b/packages/cardamomnotch-platform/src/cardamomnotch_platform/exceptions.py
@@ -14,6 +14,20 @@
     """The store could not be asked; a write may have taken effect."""
 
 
+class HistoryLostError(StoreError):
+    """The store no longer knows the changes asked for."""
+
+
+class LeaseLostError(StoreError):
+    """The lease that a write hangs on has lapsed; nothing was written."""
+
+
+class StoreConflictError(StoreError):
+    """Another process wrote first."""
+
+    code = ResultCode.STORE_CONFLICT
+
+
 class VmListError(PlatformError):
     """The VM list could not be read."""
 
--- a/packages/cardamomnotch-platform/src/cardamomnotch_platform/store/configuration.py
+++ b/packages/cardamomnotch-platform/src/cardamomnotch_platform/store/configuration.py
@@ -7,7 +7,7 @@
 from cardamomnotch_protocol.models import ConfigurationMessage
 from cardamomnotch_protocol.result_codes import ResultCode
 
-from .client import StoreClient
+from .interface import KeyValueStore
 from .models import StoreEntry
 
 CONFIGURATION_KEY = "cardamomnotch/configuration"
@@ -47,13 +47,13 @@
     return StoredConfiguration(message=message, mod_revision=entry.mod_revision)
 
 
-async def async_read_configuration(store: StoreClient) -> StoredConfiguration:
+async def async_read_configuration(store: KeyValueStore) -> StoredConfiguration:
     """Return the configuration in the store."""
     return read_entry(await store.async_get(CONFIGURATION_KEY))
 
 
 async def async_write_configuration(
-    store: StoreClient, message: ConfigurationMessage, mod_revision: int
+    store: KeyValueStore, message: ConfigurationMessage, mod_revision: int
 ) -> None:
     """Write ``message`` if the key is still at ``mod_revision``.
 
--- a/packages/cardamomnotch-platform/src/cardamomnotch_platform/store/models.py
+++ b/packages/cardamomnotch-platform/src/cardamomnotch_platform/store/models.py
@@ -5,12 +5,24 @@
 
 @attrs.frozen(kw_only=True)
 class StoreEntry:
-    """A key with its value and revisions; ``mod_revision`` 0 means absent."""
+    """A key with its value and revisions; ``mod_revision`` 0 means absent.
+
+    ``is_deleted`` is set in a change that deletes the key.
+    """
 
     key: str
     value: bytes = b""
     mod_revision: int = 0
     lease_id: int = 0
+    is_deleted: bool = False
+
+
+@attrs.frozen(kw_only=True)
+class StoreView:
+    """Entries or changes, and the revision that they reach up to."""
+
+    entries: tuple[StoreEntry, ...]
+    revision: int
 
 
 @attrs.frozen(kw_only=True)
@@ -31,4 +43,4 @@
     """A lease and the seconds that the store granted."""
 
     lease_id: int
-    ttl_s: int
+    ttl_s: float
--- a/tests/adapter/test_documents.py
+++ b/tests/adapter/test_documents.py
@@ -1,24 +1,18 @@
 """Decoding of what lies in the store."""
 
-import base64
-
 import orjson
 import pytest
 
-from cardamomnotch_adapter.documents import (
-    StoredItem,
-    decode_change,
-    decode_item,
-    decode_record,
-    encode_record,
-    encode_status,
-)
+from cardamomnotch_adapter.documents import PlatformDocuments, decode_record
 from cardamomnotch_core.relay import changes
 from cardamomnotch_core.relay.models import RepeatRule
 from cardamomnotch_core.relay.rollout import Evidence, RolloutReport, RolloutState
+from cardamomnotch_platform.store.models import StoreEntry
 
 from tests.fixtures.relay_system import document
 
+DOCUMENTS = PlatformDocuments()
+
 ENTRY = {
     "service": "drafts",
     "address": "10.128.0.9:8080",
@@ -35,12 +29,12 @@
 def stored(key, value):
     """Return a stored item; bytes stay as they are."""
     raw = value if isinstance(value, bytes) else orjson.dumps(value)
-    return StoredItem(key=key, value=raw, revision=12)
+    return StoreEntry(key=key, value=raw, mod_revision=12)
 
 
 def test_upstream():
     """An upstream's entry becomes the product's own type."""
-    change = decode_change(stored("servers/i-1", ENTRY))
+    change = DOCUMENTS.decode(stored("servers/i-1", ENTRY))
     upstream = change.upstream
     assert (upstream.upstream_id, upstream.service) == ("i-1", "drafts")
     assert (upstream.cold_left_s, upstream.is_draining) == (1.5, False)
@@ -64,19 +58,19 @@
 @pytest.mark.parametrize("value", UNREADABLE.values(), ids=UNREADABLE)
 def test_unreadable_entry_names_no_upstream(value):
     """A malformed entry takes the upstream off the list, and harms no other."""
-    change = decode_change(stored("servers/i-1", value))
+    change = DOCUMENTS.decode(stored("servers/i-1", value))
     assert change == changes.UpstreamUnlisted(upstream_id="i-1")
 
 
 @pytest.mark.parametrize("value", [b"{", {"version": 3}, []], ids=str)
 def test_unreadable_document_changes_nothing(value):
     """The routes in force stay when a newer document cannot be read."""
-    assert decode_change(stored("op/config", value)) is None
+    assert DOCUMENTS.decode(stored("op/config", value)) is None
 
 
 def test_document():
     """The operators' document keeps its routes, services and keys."""
-    found = decode_change(stored("op/config", document(7))).document
+    found = DOCUMENTS.decode(stored("op/config", document(7))).document
     by_name = {route.name: route for route in found.routes}
     assert found.version == 7
     assert by_name["draft"].repeat is RepeatRule.RESUMABLE_STREAM
@@ -93,7 +87,7 @@
     """Without a list of tenants, callers need no key."""
     value = document()
     del value["tenants"]
-    assert decode_change(stored("op/config", value)).document.workspaces is None
+    assert DOCUMENTS.decode(stored("op/config", value)).document.workspaces is None
 
 
 def test_split_route():
@@ -103,7 +97,7 @@
         {"service": "drafts", "weight": 90},
         {"service": "bookings", "weight": 10},
     ]
-    route = decode_change(stored("op/config", value)).document.routes[0]
+    route = DOCUMENTS.decode(stored("op/config", value)).document.routes[0]
     assert [share.weight for share in route.shares] == [90.0, 10.0]
 
 
@@ -121,13 +115,13 @@
 )
 def test_deleted_items(key, expected):
     """A deletion means the opposite of a write, or nothing."""
-    item = decode_item({"key": key, "revision": 5, "tombstone": True})
-    assert decode_change(item) == expected
+    item = StoreEntry(key=key, mod_revision=5, is_deleted=True)
+    assert DOCUMENTS.decode(item) == expected
 
 
 def test_rollout_order_and_status():
     """An order carries its revision, a status names its target."""
-    order = decode_change(
+    order = DOCUMENTS.decode(
         stored(
             "op/rollout/drafts",
             {"service": "drafts", "target": "v2", "duration_s": 12},
@@ -138,8 +132,11 @@
         "v2",
         12.0,
     )
-    status = decode_change(
-        stored("status/rollout/drafts", encode_status("v2", RolloutState.REVERTED))
+    status = DOCUMENTS.decode(
+        stored(
+            "status/rollout/drafts",
+            DOCUMENTS.encode_status("v2", RolloutState.REVERTED),
+        )
     )
     assert (status.target, status.state) == ("v2", RolloutState.REVERTED)
 
@@ -159,12 +156,4 @@
         },
         crashes={"print": 1},
     )
-    assert decode_record(orjson.loads(encode_record(record))) == record
-
-
-def test_values_are_base64():
-    """Values come as padded base64 text."""
-    item = decode_item(
-        {"key": "op/config", "value": base64.b64encode(b"x").decode(), "revision": 1}
-    )
-    assert item.value == b"x"
+    assert decode_record(orjson.loads(DOCUMENTS.encode_record(record))) == record
--- a/tests/entry/relay/test_coordinator.py
+++ b/tests/entry/relay/test_coordinator.py
@@ -9,7 +9,7 @@
 from cardamomnotch_core.relay.rollout import RolloutState
 from cardamomnotch_entry.relay import coordinator as module
 from cardamomnotch_entry.relay.coordinator import StoreCoordinator
-from cardamomnotch_entry.relay.exceptions import ConflictError, FeedError
+from cardamomnotch_platform.exceptions import StoreConflictError, StoreError
 
 STEP_S = 0.1
 
@@ -32,7 +32,7 @@
         """Return nothing."""
         return [], 1
 
-    async def async_watch(self, cursor, wait_s):
+    async def async_wait(self, cursor, wait_s):
         """Note how long the watch would wait."""
         self.waits_s.append(wait_s)
         self._note("watch")
@@ -109,7 +109,7 @@
 async def test_refusing_store_is_not_pressed(coordinator, clock, feed, caplog):
     """Refused writes are tried again about once a second, and logged once."""
     caplog.set_level("INFO")
-    feed.failure = FeedError("status 429")
+    feed.failure = StoreError("status 429")
     await async_run(coordinator, clock, 10)
     assert 5 <= len(feed.calls) <= 16
     feed.failure = None
@@ -150,7 +150,7 @@
     order = RolloutOrder(service="drafts", target="v2", duration_s=20.0)
     node.apply(changes.RolloutOrdered(order=order, order_id=5), clock())
     await async_run(coordinator, clock, 0.2)
-    feed.failure = ConflictError("another entry")
+    feed.failure = StoreConflictError("another entry")
     await async_run(coordinator, clock, 1.0)
     assert "record is not written" not in caplog.text
 
@@ -162,7 +162,7 @@
     monkeypatch.setattr(module, "STORE_RETRY_S", 0.0)
     await coordinator.async_follow()
     await coordinator.async_follow()
-    feed.failure = FeedError("silent")
+    feed.failure = StoreError("silent")
     await coordinator.async_follow()
     await coordinator.async_follow()
     feed.failure = None
--- a/tests/stand_ins/platform_store.py
+++ b/tests/stand_ins/platform_store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+import itertools
 from typing import Any
 
 import attrs
@@ -41,6 +42,7 @@
         self._events: list[dict[str, Any]] = []
         self._revision = 100
         self._leases: set[int] = set()
+        self._lease_ids = itertools.count(7000)
         self._changed = asyncio.Event()
 
     def create_app(self) -> web.Application:
@@ -52,6 +54,7 @@
         app.router.add_post("/kv-txn", self._async_txn)
         app.router.add_post("/kv-lease", self._async_lease)
         app.router.add_post("/kv-keep/{lease}", self._async_keep)
+        app.router.add_delete("/kv-lease-end/{lease}", self._async_end)
         self.faults.add_routes(app)
         return app
 
@@ -89,6 +92,11 @@
             if item.lease == lease:
                 self.delete(item.key)
 
+    def end_leases(self) -> None:
+        """Let all leases lapse."""
+        for lease in tuple(self._leases):
+            self.end_lease(lease)
+
     def drop_history(self) -> None:
         """Forget all events."""
         self._events.clear()
@@ -167,7 +175,11 @@
         body = orjson.loads(await request.read())
         expected = body["expected_revision"]
         if any(self.revision(row["key"]) != row["revision"] for row in expected):
-            return web.json_response({"items": []}, status=412)
+            keys = [row["key"] for row in expected]
+            found = [self._items[key] for key in keys if key in self._items]
+            return web.json_response(
+                {"items": [item.as_json() for item in found]}, status=412
+            )
         leases = {write["lease"] for write in body["writes"]}
         if leases - self._leases - {0}:
             return web.json_response({}, status=404)
@@ -179,7 +191,7 @@
 
     async def _async_lease(self, request: web.Request) -> web.Response:
         body = orjson.loads(await request.read())
-        lease = 7000 + len(self._leases)
+        lease = next(self._lease_ids)
         self._leases.add(lease)
         return web.json_response({"lease": lease, "ttl_ms": body["ttl_ms"]})
 
@@ -187,3 +199,9 @@
         if int(request.match_info["lease"]) not in self._leases:
             return web.json_response({}, status=404)
         return web.json_response({"ttl_ms": 6000})
+
+    async def _async_end(self, request: web.Request) -> web.Response:
+        lease = int(request.match_info["lease"])
+        status = 200 if lease in self._leases else 404
+        self.end_lease(lease)
+        return web.json_response({}, status=status)
--- a/tests/stand_ins/store.py
+++ b/tests/stand_ins/store.py
@@ -1,7 +1,7 @@
 """Stand-in for the store: revisions, transactions, leases and watches.
 
 Faults: ``down``, ``delay_s``, ``lose_answer`` (after the effect),
-``drop_watches``, ``lapse_leases``.
+``drop_watches``, ``lapse_leases``, ``compacted`` (the history is dropped).
 """
 
 import asyncio
@@ -24,6 +24,14 @@
     return base64.b64encode(data).decode()
 
 
+def _in_range(key: bytes, request: dict[str, Any]) -> bool:
+    start = _from_base64(request["key"])
+    if "range_end" not in request:
+        return key == start
+    end = _from_base64(request["range_end"])
+    return start <= key and (end == b"\0" or key < end)
+
+
 class StoreStandIn:
     """Keeps keys in memory and counts its calls by kind."""
 
@@ -32,7 +40,7 @@
         self.revision = 1
         self.entries: dict[bytes, dict[str, Any]] = {}
         self.leases: dict[int, tuple[float, float]] = {}
-        self._events: list[tuple[int, bytes, bytes]] = []
+        self._events: list[tuple[int, bytes, bytes | None]] = []
         self._changed = asyncio.Event()
         self._lease_ids = itertools.count(1000)
 
@@ -62,7 +70,10 @@
             if delay_s := self.faults.get("delay_s"):
                 await asyncio.sleep(delay_s)
             self._expire_leases()
-            answer = handler(orjson.loads(data))
+            try:
+                answer = handler(orjson.loads(data))
+            except KeyError as error:
+                return web.json_response({"code": 5, "error": str(error)}, status=404)
             if path != "kv/range" and self.faults.use("lose_answer"):
                 request.transport.abort()
             answer["header"] = {"revision": str(self.revision)}
@@ -81,8 +92,7 @@
         start = _from_base64(body["key"])
         if "range_end" not in body:
             return [start] if start in self.entries else []
-        end = _from_base64(body["range_end"])
-        return sorted(key for key in self.entries if start <= key < end)
+        return sorted(key for key in self.entries if _in_range(key, body))
 
     def _as_json(self, key: bytes) -> dict[str, Any]:
         entry = self.entries[key]
@@ -120,6 +130,8 @@
         return {"response_range": self._range(item["request_range"])}
 
     def _put(self, key: bytes, value: bytes, lease: int) -> None:
+        if lease and lease not in self.leases:
+            raise KeyError(f"lease {lease}")
         self.revision += 1
         self.entries[key] = {
             "value": value,
@@ -129,17 +141,17 @@
         self.faults.count("bytes_written", len(value))
         self._notify(key, value)
 
-    def _notify(self, key: bytes, value: bytes) -> None:
+    def _notify(self, key: bytes, value: bytes | None) -> None:
         self._events.append((self.revision, key, value))
         self._changed.set()
         self._changed = asyncio.Event()
 
     def _delete_range(self, body: dict[str, Any]) -> dict[str, Any]:
         keys = self._keys(body)
+        self.revision += bool(keys)
         for key in keys:
             del self.entries[key]
-        if keys:
-            self.revision += 1
+            self._notify(key, None)
         return {"deleted": str(len(keys))}
 
     def _grant(self, body: dict[str, Any]) -> dict[str, Any]:
@@ -166,6 +178,7 @@
         for key in held:
             del self.entries[key]
             self.revision += 1
+            self._notify(key, None)
 
     def _expire_leases(self) -> None:
         lapse_all = self.faults.use("lapse_leases")
@@ -179,17 +192,19 @@
         if self.faults.use("down"):
             return web.Response(status=503)
         create = orjson.loads(await request.read())["create_request"]
-        key = _from_base64(create["key"])
         revision = int(create.get("start_revision", self.revision + 1))
         response = web.StreamResponse()
         await response.prepare(request)
         await response.write(b'{"result":{"created":true}}\n')
+        if self.faults.use("compacted"):
+            await response.write(b'{"result":{"compact_revision":"9"}}\n')
         while not self.faults.use("drop_watches") and not self.faults.get("down"):
             changed = self._changed
             for at, changed_key, value in self._events:
-                if at >= revision and changed_key == key:
-                    await response.write(self._event_line(at, key, value))
-                    revision = at + 1
+                if at >= revision and _in_range(changed_key, create):
+                    await response.write(self._event_line(at, changed_key, value))
+            if self._events:
+                revision = max(revision, self._events[-1][0] + 1)
             try:
                 async with asyncio.timeout(0.2):
                     await changed.wait()
@@ -197,10 +212,10 @@
                 continue
         return response
 
-    def _event_line(self, revision: int, key: bytes, value: bytes) -> bytes:
-        kv = {
-            "key": _to_base64(key),
-            "value": _to_base64(value),
-            "mod_revision": str(revision),
-        }
-        return orjson.dumps({"result": {"events": [{"kv": kv}]}}) + b"\n"
+    def _event_line(self, revision: int, key: bytes, value: bytes | None) -> bytes:
+        kv = {"key": _to_base64(key), "mod_revision": str(revision)}
+        if value is None:
+            event = {"type": "DELETE", "kv": kv}
+        else:
+            event = {"kv": {**kv, "value": _to_base64(value)}}
+        return orjson.dumps({"result": {"events": [event]}}) + b"\n"
