Take the platform's settings by template into the product's own schema

Bounds are attrs fields with validators; the bound on exposure is one of them, so that an installation with a smaller one is kept to it (it was a constant). Before, a change was only logged.

--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/cold.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/cold.py
@@ -23,6 +23,11 @@
         self._slack = slack
         self._sent: dict[str, deque[float]] = {}
 
+    def set_bound(self, overshoot: float, slack: float) -> None:
+        """Change the factor and the number by which a rate may be passed."""
+        self._overshoot = overshoot
+        self._slack = slack
+
     def allows(
         self,
         upstream_id: str,
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/const.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/const.py
@@ -5,9 +5,11 @@
 # An answer below this confidence, from 0 to 100, is asked of a larger model.
 DEFAULT_CONFIDENCE_FLOOR: Final = 50
 
-# Share of a service's requests that a version in roll-out gets at first; well
-# below the platform's bound on exposure, which counts the whole roll-out.
-ROLLOUT_FIRST_SHARE: Final = 0.08
+# Shares of a version in roll-out, at first and once it has been seen, as parts
+# of the bound on exposure. The bound counts the whole roll-out: over the first
+# two stages the version gets 0.55 * 0.53 + 0.2 * 2 = 0.69 of the bound.
+ROLLOUT_FIRST_PART: Final = 0.53
+ROLLOUT_SECOND_PART: Final = 2.0
 
 # An upstream that could not be reached is tried last for this time, in
 # seconds; it is doubled with each further failure.
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/limits.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/limits.py
@@ -1,29 +1,47 @@
 """Bounds that the installation sets, which its settings name."""
 
+from typing import Any
+
 import attrs
 
+_POSITIVE = attrs.validators.gt(0)
+_NOT_NEGATIVE = attrs.validators.ge(0)
+_PART = attrs.validators.and_(attrs.validators.gt(0), attrs.validators.le(1))
+
+
+def _bound(default: float, validator: Any = _NOT_NEGATIVE) -> Any:
+    return attrs.field(default=default, validator=validator)
+
 
 @attrs.frozen(kw_only=True)
 class RelayLimits:
-    """Bounds over all entries together; times in seconds."""
+    """Table ``limits``: bounds over all entries together."""
 
-    # Longest time that a key which was taken away may still be used.
-    revocation_s: float = 5.0
-    retry_ratio: float = 0.5
-    retry_slack: float = 20.0
-    retry_window_s: float = 10.0
+    # Longest time that a key which was taken away may still be used, in
+    # milliseconds.
+    revocation_ms: float = _bound(5_000.0, _POSITIVE)
+    # Attempts beyond the first, as a part of the requests, and beyond that,
+    # within the window in seconds.
+    retry_ratio: float = _bound(0.5)
+    retry_slack: float = _bound(20.0)
+    retry_window_s: float = _bound(10.0, _POSITIVE)
     # A cold upstream's rate may be passed by this factor and number.
-    cold_overshoot: float = 1.5
-    cold_slack: float = 5.0
-    # Time that a process has to end after SIGTERM.
-    grace_s: float = 8.0
+    cold_overshoot: float = _bound(1.5)
+    cold_slack: float = _bound(5.0)
+    # Part of a service's requests that a bad version may get in its roll-out.
+    exposure_share: float = _bound(0.15, _PART)
+    # Time that a process has to end after SIGTERM, in seconds.
+    grace_s: float = _bound(8.0, _POSITIVE)
 
     @property
     def knowledge_max_age_s(self) -> float:
         """Return how old the knowledge of keys may be when it is used."""
-        return max(0.5, self.revocation_s - _KNOWLEDGE_MARGIN_S)
+        revocation_s = self.revocation_ms / 1000
+        return max(_KNOWLEDGE_MIN_AGE_S, revocation_s - _KNOWLEDGE_MARGIN_S)
 
 
 # Time that a watch may hear nothing while changes are made, and time for a
 # request to reach its upstream, in seconds.
 _KNOWLEDGE_MARGIN_S = 1.2
+# Shortest age that leaves time for one question to the store, in seconds.
+_KNOWLEDGE_MIN_AGE_S = 0.5
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/node.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/node.py
@@ -44,10 +44,10 @@
 
     def __init__(self, identity: RelayIdentity, limits: RelayLimits) -> None:
         self._identity = identity
-        self.limits = limits
+        self._limits = limits
         self.routes = RouteTable(limits.knowledge_max_age_s)
         self.fleet = Fleet()
-        self.versions = VersionBook()
+        self.versions = VersionBook(limits.exposure_share)
         self.crashes = CrashBook()
         self.cascade = Cascade()
         self._cold = ColdLimiter(limits.cold_overshoot, limits.cold_slack)
@@ -63,6 +63,11 @@
             self.fleet, self._placer, self._cold, self.versions, self._entries
         )
 
+    @property
+    def limits(self) -> RelayLimits:
+        """Return the installation's bounds."""
+        return self._limits
+
     @property
     def identity(self) -> RelayIdentity:
         """Return who this entry is."""
@@ -78,6 +83,16 @@
         """Return where the other live entries are reached, "ip:port"."""
         return tuple(self._addresses.values())
 
+    def apply_limits(self, limits: RelayLimits) -> None:
+        """Put changed bounds in force."""
+        self._limits = limits
+        self.routes.set_max_age(limits.knowledge_max_age_s)
+        self.versions.set_exposure_share(limits.exposure_share)
+        self._cold.set_bound(limits.cold_overshoot, limits.cold_slack)
+        self._retries.set_bound(
+            limits.retry_ratio, limits.retry_slack, limits.retry_window_s
+        )
+
     @singledispatchmethod
     def apply(self, change: object, now_s: float) -> None:
         """Take over a change from the store."""
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/retries.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/retries.py
@@ -22,11 +22,15 @@
     """
 
     def __init__(self, ratio: float, slack: float, window_s: float) -> None:
+        self.set_bound(ratio, slack, window_s)
+        self._entries = 1
+        self._windows: dict[str, _Window] = {}
+
+    def set_bound(self, ratio: float, slack: float, window_s: float) -> None:
+        """Change the bound over all entries."""
         self._ratio = ratio * RETRY_BUDGET_PART
         self._slack = slack * RETRY_BUDGET_PART
         self._window_s = window_s
-        self._entries = 1
-        self._windows: dict[str, _Window] = {}
 
     def set_entries(self, count: int) -> None:
         """Share the slack with ``count`` entries, this one included."""
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/rollout.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/rollout.py
@@ -5,11 +5,13 @@
 
 import attrs
 
-from .const import ROLLOUT_FIRST_SHARE
+from .const import ROLLOUT_FIRST_PART, ROLLOUT_SECOND_PART
+from .limits import RelayLimits
 from .models import RolloutOrder
 
-# Parts of the roll-out's time at which the share grows, with the share.
-_STAGES = ((0.75, 1.0), (0.55, 0.3), (0.0, ROLLOUT_FIRST_SHARE))
+# Parts of the roll-out's time at which the share grows.
+_SECOND_STAGE_FROM = 0.55
+_LAST_STAGE_FROM = 0.75
 # Part of the roll-out's time before which it is not completed, so that the new
 # version is seen under the whole load for a while.
 _COMPLETE_FROM = 0.85
@@ -85,6 +87,8 @@
     order_id: int
     started_at_s: float
     state: RolloutState = RolloutState.IN_PROGRESS
+    # Part of the service's requests that the version may get if it is bad.
+    exposure_share: float = RelayLimits().exposure_share
     # True once this entry has reason to go back, reported or not.
     is_bad: bool = False
     new: Evidence = attrs.field(factory=Evidence)
@@ -102,7 +106,11 @@
         if self.state is RolloutState.REVERTED or self.is_bad:
             return 0.0
         passed = self._passed(now_s)
-        return next(share for start, share in _STAGES if passed >= start)
+        if passed >= _LAST_STAGE_FROM:
+            return 1.0
+        if passed >= _SECOND_STAGE_FROM:
+            return min(1.0, ROLLOUT_SECOND_PART * self.exposure_share)
+        return ROLLOUT_FIRST_PART * self.exposure_share
 
     def note_answer(self, version: str, bad: bool, seconds: float | None) -> None:
         """Count an answer; ``seconds`` is the time to its first byte."""
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/routes.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/routes.py
@@ -38,6 +38,10 @@
         """Return when the last question that confirmed the version was sent."""
         return self._confirmed_at_s
 
+    def set_max_age(self, max_age_s: float) -> None:
+        """Change how old what is known may be when it is used."""
+        self._max_age_s = max_age_s
+
     def apply(self, document: RouteDocument) -> bool:
         """Put ``document`` in force if it is newer; return whether it is."""
         if document.version <= self.version:
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/versions.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/versions.py
@@ -6,6 +6,7 @@
 import xxhash
 
 from .fleet import UpstreamState
+from .limits import RelayLimits
 from .models import RequestFacts, RolloutOrder
 from .rollout import Rollout, RolloutReport, RolloutState
 
@@ -19,7 +20,8 @@
     chooses the same one.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, exposure_share: float = RelayLimits().exposure_share) -> None:
+        self._exposure_share = exposure_share
         self._rollouts: dict[str, Rollout] = {}
         self._statuses: dict[str, tuple[int, str, RolloutState]] = {}
 
@@ -33,6 +35,10 @@
         """Return the services that have a roll-out."""
         return frozenset(self._rollouts)
 
+    def set_exposure_share(self, exposure_share: float) -> None:
+        """Change the bound on what a bad version gets, for later orders."""
+        self._exposure_share = exposure_share
+
     def get(self, service: str) -> Rollout | None:
         """Return the service's newest roll-out."""
         return self._rollouts.get(service)
@@ -42,7 +48,9 @@
         known = self._rollouts.get(order.service)
         if known is not None and known.order_id >= order_id:
             return
-        self._rollouts[order.service] = Rollout(order, order_id, now_s)
+        self._rollouts[order.service] = Rollout(
+            order, order_id, now_s, exposure_share=self._exposure_share
+        )
         self._apply_status(order.service)
 
     def withdraw(self, service: str) -> None:
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/composition.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/composition.py
@@ -8,7 +8,6 @@
 import attrs
 from aiohttp import web
 
-from cardamomnotch_core.relay.limits import RelayLimits
 from cardamomnotch_core.relay.node import RelayIdentity, RelayNode
 from cardamomnotch_platform.store.interface import KeyValueStore
 from cardamomnotch_runtime.admin import create_admin_app
@@ -31,11 +30,13 @@
 from .metrics import RelayMetrics
 from .peers import PeerExchange
 from .server import RelayServer
+from .settings import RelaySettings
 from .upstream_client import UpstreamClient
 
 _LOGGER = logging.getLogger(__name__)
 # Connections that may wait to be accepted.
 _BACKLOG = 512
+_ADDRESSES = ("caller_address", "peer_address", "admin_address")
 # Time that open connections get to close at the end, in seconds.
 _CLOSE_TIMEOUT_S = 0.1
 # Time for which a caller's idle connection is kept, in seconds: longer than the
@@ -48,21 +49,6 @@
     return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
-@attrs.frozen(kw_only=True)
-class RelaySettings:
-    """Settings of a relaying entry."""
-
-    name: str
-    zone: str
-    # Address for callers, "ip:port".
-    caller_address: str
-    # Address for datagrams of the other entries, "ip:port".
-    peer_address: str
-    # Address for the balancer's and operators' questions, "ip:port".
-    admin_address: str
-    limits: RelayLimits
-
-
 class RelayEntry:
     """All parts of one relaying entry, wired."""
 
@@ -197,9 +183,18 @@
             if connection not in self._server.busy_connections:
                 connection.force_close()
 
-    def reload(self) -> None:
-        """Note that the settings file has changed.
-
-        Addresses and bounds hold for the life of the process.
-        """
-        log_event(_LOGGER, "settings changed; they are used at the next start")
+    def reload(self, settings: RelaySettings) -> None:
+        """Take over changed settings; addresses hold until the next start."""
+        self._node.apply_limits(settings.limits)
+        kept = [
+            name
+            for name in _ADDRESSES
+            if getattr(settings, name) != getattr(self._settings, name)
+        ]
+        self._settings = attrs.evolve(self._settings, limits=settings.limits)
+        log_event(
+            _LOGGER,
+            "settings read again",
+            limits=attrs.asdict(settings.limits),
+            used_at_next_start=kept,
+        )
--- /dev/null
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/settings.py
@@ -0,0 +1,24 @@
+"""Settings of a relaying entry."""
+
+import attrs
+
+from cardamomnotch_core.relay.limits import RelayLimits
+from cardamomnotch_runtime.settings import LogSettings, address_field
+
+
+@attrs.frozen(kw_only=True)
+class RelaySettings:
+    """All tables of a relaying entry's settings file."""
+
+    name: str
+    zone: str
+    # Address for callers, "ip:port".
+    caller_address: str = address_field()
+    # Address for datagrams of the other entries, "ip:port".
+    peer_address: str = address_field()
+    # Address for the balancer's and operators' questions, "ip:port".
+    admin_address: str = address_field()
+    # Address of the store, "ip:port".
+    store_address: str = address_field()
+    limits: RelayLimits = attrs.field(factory=RelayLimits)
+    log: LogSettings = attrs.field(factory=LogSettings)
--- a/packages/cardamomnotch-runtime/src/cardamomnotch_runtime/settings.py
+++ b/packages/cardamomnotch-runtime/src/cardamomnotch_runtime/settings.py
@@ -28,9 +28,13 @@
         ipaddress.ip_address(host.strip("[]"))
         number = int(port)
     except ValueError as error:
-        raise ValueError(f'expected "ip:port", not {value!r}') from error
+        raise ValueError(
+            f'{attribute.name}: expected "ip:port", not {value!r}'
+        ) from error
     if not separator or not 0 < number <= _MAX_PORT:
-        raise ValueError(f"port of {value!r} must lie from 1 to {_MAX_PORT}")
+        raise ValueError(
+            f"{attribute.name}: port of {value!r} must lie from 1 to {_MAX_PORT}"
+        )
 
 
 def address_field() -> Any:
--- a/tests/entry/relay/test_knowledge.py
+++ b/tests/entry/relay/test_knowledge.py
@@ -4,9 +4,12 @@
 
 import pytest
 
+from cardamomnotch_core.relay import changes
 from cardamomnotch_core.relay.limits import RelayLimits
+from cardamomnotch_core.relay.models import RolloutOrder
 from cardamomnotch_entry.relay import composition
 from cardamomnotch_entry.relay.composition import boot_clock
+from cardamomnotch_entry.relay.settings import RelaySettings
 
 from tests.fixtures.relay_system import RelaySystem, document, route
 from tests.stand_ins.platform_upstream import plain
@@ -15,7 +18,7 @@
 @pytest.fixture
 async def hasty():
     """Return an entry whose knowledge of keys ages within 1.5 seconds."""
-    system = RelaySystem(RelayLimits(revocation_s=3.0, grace_s=1.0))
+    system = RelaySystem(RelayLimits(revocation_ms=3_000.0, grace_s=1.0))
     await system.async_start()
     await system.async_add("up", service="bookings")
     yield system
@@ -175,3 +178,27 @@
     await relay.async_until(lambda: relay.store.value("entries/entry-a-1"))
     await relay.async_stop_entry()
     assert relay.store.value("entries/entry-a-1") is None
+
+
+async def test_changed_bounds_are_used_at_once(relay, caplog):
+    """Settings that change while the entry runs hold without a restart."""
+    caplog.set_level("INFO")
+    entry = relay.entry
+    settings = RelaySettings(
+        name="entry-a-1",
+        zone="zone-a",
+        caller_address="127.0.0.1:2",
+        peer_address=entry.node.identity.address,
+        admin_address=relay.admin_address,
+        store_address="127.0.0.1:1",
+        limits=RelayLimits(revocation_ms=2_000.0, exposure_share=0.01, grace_s=1.0),
+    )
+    entry.reload(settings)
+    assert entry.node.limits == settings.limits
+    order = RolloutOrder(service="drafts", target="v2", duration_s=20.0)
+    entry.node.apply(changes.RolloutOrdered(order=order, order_id=5), 0.0)
+    assert entry.node.versions.get("drafts").share(1.0) <= 0.01
+    relay.store.faults.active["silent"] = True
+    await relay.async_until(lambda: not entry.is_ready)
+    told = next(one for one in caplog.records if one.message == "settings read again")
+    assert told.fields["used_at_next_start"] == ["caller_address"]
