End requests whose head or body comes too slowly, with 408

The HTTP library bounds only the time between two requests, so a caller could hold a connection with half a head for ever. Times are the operators' own (head, silence in a body); 408 says that nothing ran. A refused body is read on for 1 s, not 10. Table of cases in test_bad_input.py; a long answer is not ended.

--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/models.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/models.py
@@ -73,9 +73,13 @@
 
 @attrs.frozen(kw_only=True)
 class CallerLimits:
-    """What a caller may send."""
+    """What a caller may send, and how long it may take; times in seconds."""
 
     max_body_bytes: int = 4_194_304
+    # Time for a request's head, from its first byte on.
+    header_timeout_s: float = 10.0
+    # Silence between two parts of a body, or before a connection's first byte.
+    idle_timeout_s: float = 75.0
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/routes.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/routes.py
@@ -4,10 +4,11 @@
 
 from .const import RECENT_PART
 from .exceptions import RefusalError
-from .models import Route, RouteDocument, Workspace
+from .models import CallerLimits, Route, RouteDocument, Workspace
 
 # When to come back to a process that has not heard from the store, in seconds.
 _RETRY_STALE_S = 0.5
+_DEFAULT_LIMITS = CallerLimits()
 
 
 class RouteTable:
@@ -28,6 +29,11 @@
         """Return the version in force, if any is known."""
         return self._document
 
+    @property
+    def caller_limits(self) -> CallerLimits:
+        """Return what callers may send; the default until a version is known."""
+        return self._document.limits if self._document else _DEFAULT_LIMITS
+
     @property
     def version(self) -> int:
         """Return the number of the version in force; 0: none is known."""
--- /dev/null
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/caller_connection.py
@@ -0,0 +1,81 @@
+"""A caller's connection, which has to send its requests in time."""
+
+import asyncio
+import logging
+from collections.abc import Callable
+from typing import Any, Final
+
+from aiohttp import web
+
+from cardamomnotch_core.relay.models import CallerLimits
+from cardamomnotch_protocol.result_codes import ResultCode, describe
+from cardamomnotch_runtime.structured_log import log_event
+
+_LOGGER = logging.getLogger(__name__)
+_STATUS = describe(ResultCode.REQUEST_TOO_SLOW).http_status
+_TOO_SLOW: Final = (
+    f"HTTP/1.1 {_STATUS.value} {_STATUS.phrase}\r\n"
+    "Content-Length: 0\r\nConnection: close\r\n\r\n"
+).encode()
+
+
+class CallerConnection(web.RequestHandler):
+    """Ends if it stays silent at first, or if a request's head comes too slowly.
+
+    The HTTP library bounds only the time between two requests.
+    """
+
+    def __init__(
+        self, server: web.Server, limits: Callable[[], CallerLimits], **kwargs: Any
+    ) -> None:
+        super().__init__(server, **kwargs)
+        self._caller_limits = limits
+        self._timer: asyncio.TimerHandle | None = None
+        self._is_serving = False
+        self._has_sent = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Wait for the first byte."""
+        super().connection_made(transport)
+        self._start_timer(self._caller_limits().idle_timeout_s)
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Stop waiting."""
+        self._stop_timer()
+        super().connection_lost(exc)
+
+    def data_received(self, data: bytes) -> None:
+        """Wait for the whole head from its first byte on."""
+        if not self._has_sent:
+            self._stop_timer()
+        if not self._is_serving and self._timer is None:
+            self._has_sent = True
+            self._start_timer(self._caller_limits().header_timeout_s)
+        super().data_received(data)
+
+    def note_head(self) -> None:
+        """Note that a request's head is whole."""
+        self._stop_timer()
+        self._is_serving = True
+
+    def note_answered(self) -> None:
+        """Note that the request has its answer."""
+        self._is_serving = False
+
+    def _start_timer(self, seconds: float) -> None:
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(seconds, self._end)
+
+    def _stop_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def _end(self) -> None:
+        self._timer = None
+        if self.transport is None or self._is_serving:
+            return
+        log_event(_LOGGER, "caller was too slow", has_sent=self._has_sent)
+        if self._has_sent:
+            self.transport.write(_TOO_SLOW)
+        self.force_close()
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/composition.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/composition.py
@@ -15,6 +15,7 @@
 from cardamomnotch_runtime.structured_log import log_event
 from cardamomnotch_runtime.tasks import TaskGroup, async_wait_until
 
+from .caller_connection import CallerConnection
 from .const import (
     BALANCER_NOTICE_S,
     FLUSH_S,
@@ -42,6 +43,9 @@
 # Time for which a caller's idle connection is kept, in seconds: longer than the
 # operators' limits, which may change while a connection is open.
 _IDLE_S = 75.0
+# Time for which the rest of a refused body is read, so that its caller gets the
+# refusal instead of a reset, in seconds.
+_LINGER_S = 1.0
 
 
 def boot_clock() -> float:
@@ -123,14 +127,10 @@
         self._callers = web.Server(
             self._server.async_handle,
             handler_cancellation=True,
-            access_log=None,
-            keepalive_timeout=_IDLE_S,
-            max_line_size=MAX_LINE_BYTES,
-            max_field_size=MAX_LINE_BYTES,
         )
         loop = asyncio.get_running_loop()
         self._listener = await loop.create_server(
-            self._callers, sock=self._caller_socket, backlog=_BACKLOG
+            self._accept_caller, sock=self._caller_socket, backlog=_BACKLOG
         )
         self._tasks.repeat(lambda: 0.0, self._coordinator.async_follow)
         self._tasks.repeat(lambda: PUBLISH_INTERVAL_S, self._coordinator.async_publish)
@@ -167,6 +167,18 @@
         await self._client.async_unload()
         log_event(_LOGGER, "entry stopped", in_flight=self._server.in_flight)
 
+    def _accept_caller(self) -> CallerConnection:
+        return CallerConnection(
+            self._callers,
+            lambda: self._node.routes.caller_limits,
+            loop=asyncio.get_running_loop(),
+            access_log=None,
+            keepalive_timeout=_IDLE_S,
+            lingering_time=_LINGER_S,
+            max_line_size=MAX_LINE_BYTES,
+            max_field_size=MAX_LINE_BYTES,
+        )
+
     async def _async_check_ready(self) -> None:
         """Move kept connections elsewhere once the balancer has left out this VM."""
         now_s = boot_clock()
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/server.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/server.py
@@ -1,5 +1,6 @@
 """The HTTP server for callers."""
 
+import asyncio
 import logging
 from collections.abc import Callable, Set
 
@@ -12,6 +13,7 @@
 from cardamomnotch_runtime.responses import error_body
 from cardamomnotch_runtime.structured_log import log_event
 
+from .caller_connection import CallerConnection
 from .const import RETRY_AFTER_DIGITS
 from .exceptions import AnswerBrokenError, UpstreamFailureError
 from .forwarder import Forwarder
@@ -49,10 +51,10 @@
         self._metrics = metrics
         self._in_flight = 0
         self._draining = False
-        self._busy: set[web.RequestHandler] = set()
+        self._busy: set[CallerConnection] = set()
 
     @property
-    def busy_connections(self) -> Set[web.RequestHandler]:
+    def busy_connections(self) -> Set[CallerConnection]:
         """Return the connections with a request that is being served."""
         return self._busy
 
@@ -69,7 +71,9 @@
         """Answer one request."""
         arrived_at_s = self._clock()
         self._in_flight += 1
-        self._busy.add(http_request.protocol)
+        connection: CallerConnection = http_request.protocol
+        connection.note_head()
+        self._busy.add(connection)
         forwarder: Forwarder | None = None
         request: CallerRequest | None = None
         code: ResultCode | None = ResultCode.CALLER_GONE
@@ -106,7 +110,8 @@
             response = self._refusal(error, request)
         finally:
             self._in_flight -= 1
-            self._busy.discard(http_request.protocol)
+            self._busy.discard(connection)
+            connection.note_answered()
             self._note_end(forwarder, request, code, detail, response, arrived_at_s)
         if self._draining or code is ResultCode.NOT_READY:
             # The caller's next connection may reach an entry that can serve.
@@ -119,13 +124,21 @@
             raise RefusalError(
                 ResultCode.NOT_READY, "no routes yet", _RETRY_NOT_READY_S
             )
-        limit = document.limits.max_body_bytes
+        limits = document.limits
+        content = http_request.content
         parts: list[bytes] = []
         size = 0
-        async for data in http_request.content.iter_any():
+        while not content.at_eof():
+            try:
+                async with asyncio.timeout(limits.idle_timeout_s):
+                    data = await content.readany()
+            except TimeoutError as error:
+                raise RefusalError(
+                    ResultCode.REQUEST_TOO_SLOW, "the body stopped"
+                ) from error
             parts.append(data)
             size += len(data)
-            if size > limit:
+            if size > limits.max_body_bytes:
                 raise RefusalError(ResultCode.BODY_TOO_LARGE, "the body is too large")
         return b"".join(parts)
 
--- a/packages/cardamomnotch-protocol/src/cardamomnotch_protocol/result_codes.py
+++ b/packages/cardamomnotch-protocol/src/cardamomnotch_protocol/result_codes.py
@@ -27,6 +27,7 @@
     CAPACITY_EXCEEDED = 110
     CALLER_GONE = 111
     INVALID_SESSION = 112
+    REQUEST_TOO_SLOW = 113
     UNKNOWN_MODEL = 201
     MODEL_NOT_ALLOWED = 202
     NO_VERSION_IN_SERVICE = 203
@@ -98,6 +99,7 @@
         (ResultCode.CAPACITY_EXCEEDED, 429, "The plan's capacity is used up.", True),
         (ResultCode.CALLER_GONE, 408, "The caller closed the connection.", False),
         (ResultCode.INVALID_SESSION, 400, "The session token is not valid.", False),
+        (ResultCode.REQUEST_TOO_SLOW, 408, "The request came too slowly.", True),
         (ResultCode.UNKNOWN_MODEL, 404, "The model is not in the catalogue.", False),
         (ResultCode.MODEL_NOT_ALLOWED, 403, "The plan excludes the model.", False),
         (ResultCode.NO_VERSION_IN_SERVICE, 503, "No version is in service.", True),
--- a/tests/entry/relay/test_bad_input.py
+++ b/tests/entry/relay/test_bad_input.py
@@ -4,6 +4,11 @@
 
 import pytest
 
+from cardamomnotch_core.relay.limits import RelayLimits
+
+from tests.fixtures.relay_system import RelaySystem
+from tests.stand_ins.platform_upstream import Wait, plain
+
 _HEAD = (
     b"Host: calls.example\r\nAuthorization: Token key-one\r\n"
     b"X-Attempt-Id: one\r\nConnection: close\r\n"
@@ -106,3 +111,62 @@
     await _async_send(relay, data)
     (seen,) = upstream.seen
     assert (seen.target, seen.body) == ("/book/outer", inner)
+
+
+@pytest.fixture
+async def strict():
+    """Return an entry whose callers have little time."""
+    system = RelaySystem(RelayLimits(grace_s=1.05))
+    times = {"header_timeout_ms": 300, "idle_timeout_ms": 300}
+    await system.async_start(limits={"max_body_bytes": 100_000, **times})
+    yield system
+    await system.async_stop()
+
+
+_LENGTH = b"Content-Length: 5\r\n\r\n"
+SLOW = {
+    "head that stops": b"GET /read/x HTTP/1.1\r\n" + _HEAD,
+    "first byte only": b"G",
+    "body that stops": b"POST /book/x HTTP/1.1\r\n" + _HEAD + _LENGTH + b"ab",
+}
+
+
+@pytest.mark.parametrize("data", SLOW.values(), ids=SLOW)
+async def test_slow_request_is_ended(strict, data):
+    """Whoever does not send a whole request in time hears that nothing ran."""
+    upstream = await strict.async_add("up", service="bookings")
+    answer = await _async_send(strict, data)
+    assert answer.startswith(b"HTTP/1.1 408 ")
+    assert not upstream.seen
+
+
+async def test_trickled_head_is_ended(strict):
+    """A byte now and then does not buy a head more time."""
+    host, _, port = strict.callers_address.rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    async with asyncio.timeout(5):
+        while not reader.at_eof():
+            writer.write(b"a")
+            try:
+                async with asyncio.timeout(0.05):
+                    if (await reader.read()).startswith(b"HTTP/1.1 408 "):
+                        break
+            except TimeoutError:
+                continue
+    writer.close()
+
+
+async def test_connection_without_a_request_is_ended(strict):
+    """A connection that sends nothing is closed without an answer."""
+    assert await _async_send(strict, b"") == b""
+
+
+def _answer_late(request):
+    return [Wait(0.8), *plain(b"late")(request)]
+
+
+async def test_long_request_is_not_ended(strict):
+    """The limits concern what callers send, not how long an answer takes."""
+    await strict.async_add("up", _answer_late, service="bookings")
+    answer = await strict.async_call("/read/x")
+    assert (answer.status, answer.body) == (200, b"late")
