Resume a broken stream on the version that began it

Cause: the version of a resumed attempt followed from the session and the share of the moment, so a stream that broke while a roll-out moved could be continued by the other version. Now the part that the caller has binds the version, unless it is withdrawn or has no upstream left.

--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/node.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/node.py
@@ -234,13 +234,15 @@
         now_s: float,
         *,
         tried: frozenset[str] = frozenset(),
+        version: str = "",
     ) -> Placement:
         """Return the upstream for an attempt.
 
-        Upstreams in ``tried`` come last. Raises RefusalError if there is none.
+        Upstreams in ``tried`` come last; ``version`` names the one that has
+        answered the request in part. Raises RefusalError if there is none.
         """
         known = self.fleet.candidates(service.name, now_s)
-        allowed = self.versions.allowed(service.name, known, facts, now_s)
+        allowed = self.versions.allowed(service.name, known, facts, now_s, version)
         if not allowed:
             raise RefusalError(
                 ResultCode.NO_UPSTREAM, "no upstream is known", _RETRY_NO_UPSTREAM_S
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/rollout.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/rollout.py
@@ -112,6 +112,12 @@
             return min(1.0, ROLLOUT_SECOND_PART * self.exposure_share)
         return ROLLOUT_FIRST_PART * self.exposure_share
 
+    def has_withdrawn(self, version: str) -> bool:
+        """Return whether ``version`` must get no new work."""
+        if version == self.order.target:
+            return self.is_bad or self.state is RolloutState.REVERTED
+        return self.state is RolloutState.COMPLETED
+
     def note_answer(self, version: str, bad: bool, seconds: float | None) -> None:
         """Count an answer; ``seconds`` is the time to its first byte."""
         side = self.side(version)
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/versions.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/versions.py
@@ -97,13 +97,19 @@
         candidates: Sequence[UpstreamState],
         facts: RequestFacts,
         now_s: float,
+        keep: str = "",
     ) -> list[UpstreamState]:
         """Return the candidates of the version that the request should get.
 
         The other version steps in where the chosen one has no upstream,
-        unless it is bad or on its way out.
+        unless it is bad or on its way out. ``keep`` names the version that has
+        answered the request in part; it goes on there if it can.
         """
         rollout = self._rollouts.get(service)
+        if keep and not (rollout and rollout.has_withdrawn(keep)):
+            same = [state for state in candidates if state.upstream.version == keep]
+            if same:
+                return same
         if rollout is None:
             return list(candidates)
         target = rollout.order.target
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/attempts.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/attempts.py
@@ -70,6 +70,11 @@
         """Return the model that the router named; empty if the caller did."""
         return self._model
 
+    @property
+    def version(self) -> str:
+        """Return the version of the upstream."""
+        return self._state.upstream.version
+
     @property
     def upstream_id(self) -> str:
         """Return the id of the upstream."""
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/forwarder.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/forwarder.py
@@ -61,6 +61,8 @@
         self._workspace: Workspace | None = None
         self._deadline_s = arrived_at_s
         self._model = ""
+        # The version that the caller has a part of an answer of.
+        self._version = ""
         # Attempts that reached an upstream, and those that may have run.
         self._sent = 0
         self._runs = 0
@@ -191,6 +193,7 @@
                     len(self._body),
                     self._clock(),
                     tried=frozenset(self._tried),
+                    version=self._version,
                 )
             except RefusalError as refusal:
                 if refusal.code is ResultCode.UPSTREAM_FULL and self._can_wait():
@@ -251,7 +254,7 @@
     ) -> Attempt:
         if not self._route.repeat.is_repeatable:
             raise AnswerBrokenError(error.detail) from error
-        self._model = attempt.model
+        self._model, self._version = attempt.model, attempt.version
         try:
             await self._async_note_lost(attempt, error)
             while True:
--- a/tests/core/relay/test_rollouts.py
+++ b/tests/core/relay/test_rollouts.py
@@ -124,6 +124,42 @@
         assert len(versions) == 1
 
 
+def test_begun_answer_goes_on_at_its_version(book, fleet, make_facts):
+    """Whatever the share has become, a part of an answer binds its version."""
+    for name in ("one", "two", "three"):
+        facts = make_facts(name)
+        for now_s in (1.0, 15.0, 20.0):
+            candidates = fleet.candidates("drafts", now_s)
+            for version in ("v1", "v2"):
+                found = book.allowed("drafts", candidates, facts, now_s, version)
+                assert {state.upstream.version for state in found} == {version}
+
+
+@pytest.mark.parametrize(
+    ("state", "withdrawn", "left"),
+    [(RolloutState.REVERTED, "v2", "v1"), (RolloutState.COMPLETED, "v1", "v2")],
+)
+def test_withdrawn_version_ends_no_answer(
+    book, fleet, make_facts, state, withdrawn, left
+):
+    """A withdrawn version gets no new work, not even the rest of an answer."""
+    book.set_status("drafts", "v2", state, 11)
+    candidates = fleet.candidates("drafts", 1.0)
+    found = book.allowed("drafts", candidates, make_facts(), 1.0, withdrawn)
+    assert {item.upstream.version for item in found} == {left}
+
+
+def test_begun_answer_goes_on_elsewhere_without_its_version(book, fleet, make_facts):
+    """Where its version has no upstream left, the other one goes on."""
+    candidates = [
+        state
+        for state in fleet.candidates("drafts", 1.0)
+        if state.upstream.version == "v2"
+    ]
+    found = book.allowed("drafts", candidates, make_facts(), 20.0, "v1")
+    assert {state.upstream.version for state in found} == {"v2"}
+
+
 def test_reverted_version_gets_nothing(book, fleet, make_facts):
     """After a report of "reverted", no request goes to the new version."""
     book.set_status("drafts", "v2", RolloutState.REVERTED, 11)
--- a/tests/entry/relay/test_streams.py
+++ b/tests/entry/relay/test_streams.py
@@ -49,6 +49,24 @@
     assert "2" in last_event_ids
 
 
+async def test_stream_goes_on_at_its_version(relay):
+    """A stream that breaks goes on at the version that it began with."""
+    later = (Wait(0.5), Reset())
+    await relay.async_add("up-cut", stream(1, 2, then=later), version="v1")
+    call = asyncio.create_task(relay.async_call("/draft/x"))
+    await relay.async_until(lambda: relay.upstreams["up-cut"].seen)
+    # Farther away, so that the other ones would be chosen before it.
+    same = await relay.async_add("up-same", resumed, version="v1", zone="zone-b")
+    others = [
+        await relay.async_add(f"up-other-{number}", resumed, version="v2")
+        for number in range(3)
+    ]
+    answer = await call
+    assert (answer.body, answer.broken) == (whole(1, 5), False)
+    assert [seen.headers.get("last-event-id") for seen in same.seen] == ["2"]
+    assert not any(other.seen for other in others)
+
+
 @pytest.mark.parametrize("then", BREAKS.values(), ids=BREAKS)
 async def test_other_stream_ends_broken(relay, then):
     """A stream that may not be resumed does not look whole."""
