Tell no more of finished roll-outs, and let changes gather in large fleets

Cause: an entry's record held the evidence of finished roll-outs, which grows with each answer, so each entry wrote its record every 4 s for the rest of its life and each write woke every entry: calls grow with the square of the entries. Now only roll-outs under way are told of, and the pause after a change grows with the entries, from 0.2 s to at most 0.6 s. The keys of due reports are plain tuples.

--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/node.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/node.py
@@ -198,7 +198,7 @@
         """Return what the other entries should know of this one."""
         rollouts = {
             rollout.order.service: rollout.report(now_s)
-            for rollout in self.versions.rollouts
+            for rollout in self.versions.open_rollouts
         }
         return changes.EntryRecord(
             entry=self._identity.name,
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/versions.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/versions.py
@@ -30,6 +30,15 @@
         """Return the roll-outs, finished ones included."""
         return tuple(self._rollouts.values())
 
+    @property
+    def open_rollouts(self) -> tuple[Rollout, ...]:
+        """Return the roll-outs that are under way."""
+        return tuple(
+            rollout
+            for rollout in self._rollouts.values()
+            if rollout.state is RolloutState.IN_PROGRESS
+        )
+
     @property
     def services(self) -> frozenset[str]:
         """Return the services that have a roll-out."""
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/const.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/const.py
@@ -20,8 +20,12 @@
 # what is known grows by this much between two confirmations.
 WATCH_WAIT_S: Final = 0.7
 # Pause after a watch that brought changes, in seconds, so that changes which
-# follow each other closely are read by one call.
-WATCH_PAUSE_S: Final = 0.2
+# follow each other closely are read by one call. Each entry's record wakes all
+# entries, so it grows with their number; the longest leaves more than a second
+# of the two within which changes have to be in force.
+MIN_WATCH_PAUSE_S: Final = 0.2
+WATCH_PAUSE_PER_ENTRY_S: Final = 0.02
+MAX_WATCH_PAUSE_S: Final = 0.6
 # Watches that follow each other within the greatest age of what is known.
 WATCHES_IN_MAX_AGE: Final = 3
 # Pause after a call to the store has failed, in seconds.
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/coordinator.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/coordinator.py
@@ -22,6 +22,8 @@
 from cardamomnotch_runtime.structured_log import log_event
 
 from .const import (
+    MAX_WATCH_PAUSE_S,
+    MIN_WATCH_PAUSE_S,
     PUBLISH_RETRY_S,
     RECORD_INTERVAL_S,
     RECORD_RENEWAL_S,
@@ -30,7 +32,7 @@
     REPORT_STAGGER_S,
     STORE_OUTAGE_S,
     STORE_RETRY_S,
-    WATCH_PAUSE_S,
+    WATCH_PAUSE_PER_ENTRY_S,
     WATCH_WAIT_S,
     WATCHES_IN_MAX_AGE,
 )
@@ -57,7 +59,7 @@
         self._publish_after_s = -math.inf
         self._unwritten = False
         self._states: dict[str, tuple[int, RolloutState]] = {}
-        self._due_at_s: dict[tuple[str, RolloutState], float] = {}
+        self._due_at_s: dict[tuple[str, int, RolloutState], float] = {}
 
     async def async_follow(self) -> None:
         """Take over what has changed; called again and again."""
@@ -91,7 +93,13 @@
             self._log_changes(found, before)
         self._node.routes.confirm(asked_at_s)
         if found:
-            await asyncio.sleep(WATCH_PAUSE_S)
+            await asyncio.sleep(self._watch_pause_s)
+
+    @property
+    def _watch_pause_s(self) -> float:
+        """Return how long to let changes gather."""
+        pause_s = WATCH_PAUSE_PER_ENTRY_S * len(self._node.entries)
+        return min(MAX_WATCH_PAUSE_S, max(MIN_WATCH_PAUSE_S, pause_s))
 
     @property
     def _watch_wait_s(self) -> float:
@@ -219,7 +227,7 @@
         ):
             return
         due_at_s = self._due_at_s.setdefault(
-            (f"{service}/{rollout.order_id}", state), now_s + self._stagger_s()
+            (service, rollout.order_id, state), now_s + self._stagger_s()
         )
         if now_s < due_at_s:
             return
--- a/tests/entry/relay/test_coordinator.py
+++ b/tests/entry/relay/test_coordinator.py
@@ -22,6 +22,7 @@
         self.calls: list[str] = []
         self.reports: list[RolloutState] = []
         self.waits_s: list[float] = []
+        self.found: list[changes.Change] = []
 
     def _note(self, call: str) -> None:
         self.calls.append(call)
@@ -36,7 +37,7 @@
         """Note how long the watch would wait."""
         self.waits_s.append(wait_s)
         self._note("watch")
-        return [], cursor
+        return self.found, cursor
 
     async def async_write_record(self, record, ttl_s):
         """Note a write."""
@@ -92,6 +93,15 @@
     return StoreCoordinator(node, feed, clock)
 
 
+def async_note(slept_s):
+    """Return a sleep that only notes how long it should last."""
+
+    async def async_sleep(seconds):
+        slept_s.append(seconds)
+
+    return async_sleep
+
+
 async def async_run(coordinator, clock, seconds):
     """Let the coordinator write for a while."""
     for _ in range(round(seconds / STEP_S)):
@@ -144,6 +154,41 @@
     assert feed.reports == []
 
 
+async def test_finished_rollout_is_told_no_more(coordinator, clock, feed, node):
+    """Once a roll-out has ended, its evidence wakes no other entry."""
+    order = RolloutOrder(service="drafts", target="v2", duration_s=20.0)
+    node.apply(changes.RolloutOrdered(order=order, order_id=5), clock())
+    await async_run(coordinator, clock, 1.0)
+    completed = changes.RolloutReported(
+        service="drafts", target="v2", state=RolloutState.COMPLETED, revision=6
+    )
+    node.apply(completed, clock())
+    await async_run(coordinator, clock, 5.0)
+    written = feed.calls.count("write")
+    for _ in range(5):
+        node.versions.get("drafts").note_answer("v2", False, 0.1)
+        await async_run(coordinator, clock, 5.0)
+    assert feed.calls.count("write") == written
+
+
+@pytest.mark.parametrize(
+    ("entries", "pause_s"), [(1, 0.2), (7, 0.2), (20, 0.4), (300, 0.6)]
+)
+async def test_larger_fleets_let_changes_gather(
+    coordinator, feed, node, monkeypatch, entries, pause_s
+):
+    """The pause after a change grows with the entries that a change wakes."""
+    await coordinator.async_follow()
+    for number in range(entries - len(node.entries)):
+        record = changes.EntryRecord(entry=f"more-{number}", incarnation="1")
+        node.apply(changes.EntryReported(record=record), 100.0)
+    slept_s = []
+    monkeypatch.setattr(module.asyncio, "sleep", async_note(slept_s))
+    feed.found = [changes.ZoneTakenOut(zone="zone-z")]
+    await coordinator.async_follow()
+    assert slept_s == pytest.approx([pause_s])
+
+
 async def test_lost_race_is_no_failure(coordinator, clock, feed, node, caplog):
     """An entry that another was ahead of goes on as before."""
     caplog.set_level("INFO")
