Tell other entries less: short notices, ends that wait

Cause: on the grown zsz site (31 entries) two thirds of the bytes between zones are notices of load. An attempt was named by a hash of 20 digits, each notice named the upstream again, and an end was sent by itself. Now attempts are numbered, only a start names the upstream, and an end waits up to 0.2 s for another notice to go with.

--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/const.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/const.py
@@ -73,6 +73,10 @@
 # seconds.
 MAX_RUN_S: Final = 20.0
 
+# Time that the end of an attempt waits for another notice to go with, in
+# seconds: what runs at an upstream weighs little, what waits there much.
+ENDED_NOTICE_DELAY_S: Final = 0.2
+
 # Part of the greatest age of what is known after which an entry is not ready.
 RECENT_PART: Final = 0.6
 # When to come back to an entry that is cut off from the store, in seconds: at
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/load.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/load.py
@@ -1,10 +1,13 @@
 """What is under way at upstreams, told to and by the other entries."""
 
+import itertools
 from collections.abc import Hashable, Iterable, Set
 
 from .cold import ColdLimiter
 from .const import (
+    ENDED_NOTICE_DELAY_S,
     IDLE_WAIT_MS,
+    MAX_RUN_S,
     OTHERS_RECENT_S,
     RETRY_ELSEWHERE_S,
     RETRY_OUTAGE_S,
@@ -36,6 +39,13 @@
         self._versions = versions
         self._entries = entries
         self._notices: list[LoadNotice] = []
+        # When the notices that can wait have to be told.
+        self._due_at_s = float("inf")
+        # The numbers of own attempts, which are shorter than their keys.
+        self._numbers: dict[Hashable, int] = {}
+        self._next_number = itertools.count()
+        # Upstreams of other entries' attempts, and when they were heard of.
+        self._others: dict[tuple[str, int], tuple[str, float]] = {}
         # When another entry was heard, and when one began a request.
         self._heard_at_s = float("-inf")
         self._others_served_at_s = float("-inf")
@@ -58,15 +68,17 @@
         rollout = self._versions.get(state.upstream.service)
         if rollout is not None:
             rollout.side(state.upstream.version).in_flight += 1
+        self._numbers[key] = next(self._next_number)
         self._tell(
             LoadNotice(
                 kind=LoadKind.STARTED,
+                attempt=self._numbers[key],
                 upstream_id=state.upstream_id,
-                attempt=hash(key),
                 reading_ms=int(placement.reading_ms),
                 model=model,
                 prompt=facts.prompt[:-1],
-            )
+            ),
+            now_s,
         )
 
     def note_first_byte(
@@ -84,13 +96,8 @@
             self._placer.first_tokens.note(
                 model, placement.unread_tokens, seen_s * 1000
             )
-        self._tell(
-            LoadNotice(
-                kind=LoadKind.ANSWERED,
-                upstream_id=state.upstream_id,
-                attempt=hash(key),
-            )
-        )
+        notice = LoadNotice(kind=LoadKind.ANSWERED, attempt=self._numbers[key])
+        self._tell(notice, now_s)
 
     def note_ended(self, state: UpstreamState, key: Hashable, now_s: float) -> None:
         """Note that an attempt is over, however it ended."""
@@ -100,15 +107,18 @@
         if rollout is not None:
             side = rollout.side(state.upstream.version)
             side.in_flight = max(0, side.in_flight - 1)
-        self._tell(
-            LoadNotice(
-                kind=LoadKind.ENDED, upstream_id=state.upstream_id, attempt=hash(key)
-            )
-        )
+        notice = LoadNotice(kind=LoadKind.ENDED, attempt=self._numbers.pop(key))
+        self._tell(notice, now_s + ENDED_NOTICE_DELAY_S)
 
-    def take_notices(self) -> list[LoadNotice]:
-        """Return what the other entries should be told of, once."""
+    def take_notices(self, now_s: float) -> list[LoadNotice]:
+        """Return what the other entries should be told of by now, once.
+
+        An end alone waits for a while, so that it goes with another notice.
+        """
+        if now_s < self._due_at_s:
+            return []
         notices, self._notices = self._notices, []
+        self._due_at_s = float("inf")
         return notices
 
     def apply_notices(
@@ -116,13 +126,18 @@
     ) -> None:
         """Take over what another entry has sent to upstreams."""
         self._heard_at_s = now_s
+        self._forget_lost(now_s)
         for notice in notices:
+            key = (entry, notice.attempt)
             if notice.kind is LoadKind.STARTED:
                 self._others_served_at_s = now_s
-            state = self._fleet.get(notice.upstream_id)
+                self._others[key] = (notice.upstream_id, now_s)
+            upstream_id, _ = self._others.get(key, ("", 0.0))
+            if notice.kind is LoadKind.ENDED:
+                self._others.pop(key, None)
+            state = self._fleet.get(upstream_id)
             if state is None:
                 continue
-            key = (entry, notice.attempt)
             if notice.kind is LoadKind.STARTED:
                 state.queue.start(key, notice.reading_ms, now_s)
                 state.others_in_flight[key] = now_s
@@ -143,6 +158,15 @@
         served = now_s - self._others_served_at_s <= OTHERS_RECENT_S
         return RETRY_OUTAGE_S if heard and not served else RETRY_ELSEWHERE_S
 
-    def _tell(self, notice: LoadNotice) -> None:
+    def _tell(self, notice: LoadNotice, due_at_s: float) -> None:
         if len(self._entries) > 1:
             self._notices.append(notice)
+            self._due_at_s = min(self._due_at_s, due_at_s)
+
+    def _forget_lost(self, now_s: float) -> None:
+        """Forget other entries' attempts of which no end was heard."""
+        while self._others:
+            key, (_, heard_at_s) = next(iter(self._others.items()))
+            if heard_at_s > now_s - MAX_RUN_S:
+                return
+            del self._others[key]
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/notices.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/notices.py
@@ -20,10 +20,11 @@
     """One event of one attempt; losing a notice does no lasting harm."""
 
     kind: LoadKind
-    upstream_id: str
     # Identifies the attempt within its entry.
     attempt: int
-    # Expected time to read the prompt; only of a start, as are the next two.
+    # The rest is told of a start only.
+    upstream_id: str = ""
+    # Expected time to read the prompt.
     reading_ms: int = 0
     model: str = ""
     # The parts of the prompt that other requests may share.
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/peers.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/peers.py
@@ -24,14 +24,14 @@
     rows = [
         [
             notice.kind.value,
-            notice.upstream_id,
             notice.attempt,
+            notice.upstream_id,
             notice.reading_ms,
             notice.model,
             [[part.part_id, part.tokens] for part in notice.prompt],
         ]
         if notice.kind is LoadKind.STARTED
-        else [notice.kind.value, notice.upstream_id, notice.attempt]
+        else [notice.kind.value, notice.attempt]
         for notice in notices
     ]
     return orjson.dumps([entry, rows])
@@ -47,16 +47,16 @@
 
 def _decode_row(
     kind: str,
-    upstream_id: str,
     attempt: int,
+    upstream_id: str = "",
     reading_ms: int = 0,
     model: str = "",
     prompt: Any = (),
 ) -> LoadNotice:
     return LoadNotice(
         kind=LoadKind(kind),
-        upstream_id=upstream_id,
         attempt=attempt,
+        upstream_id=upstream_id,
         reading_ms=reading_ms,
         model=model,
         prompt=tuple(
@@ -97,7 +97,7 @@
     async def async_send(self) -> None:
         """Send what has happened since the last time; called again and again."""
         await asyncio.sleep(NOTICE_DELAY_S)
-        notices = self._node.load.take_notices()
+        notices = self._node.load.take_notices(self._clock())
         if not notices or self._transport is None:
             return
         for start in range(0, len(notices), MAX_NOTICES):
