--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/server.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/server.py
@@ -10,7 +10,7 @@
 from cardamomnotch_core.relay.node import RelayNode
 from cardamomnotch_protocol.exceptions import CardamomnotchError
 from cardamomnotch_protocol.result_codes import ResultCode, describe
-from cardamomnotch_runtime.responses import error_body
+from cardamomnotch_runtime.responses import error_body, json_response
 from cardamomnotch_runtime.structured_log import log_event
 
 from .caller_connection import CallerConnection
@@ -146,7 +146,7 @@
         self, error: CardamomnotchError, request: CallerRequest | None
     ) -> web.Response:
         status = _STATUSES.get(error.code, int(describe(error.code).http_status))
-        response = web.json_response(error_body(error), status=status)
+        response = json_response(error_body(error), status=status)
         if error.retry_after_s is not None:
             value = f"{error.retry_after_s:.{RETRY_AFTER_DIGITS}f}"
             response.headers["Retry-After"] = value
--- a/packages/cardamomnotch-runtime/src/cardamomnotch_runtime/process.py
+++ b/packages/cardamomnotch-runtime/src/cardamomnotch_runtime/process.py
@@ -1,12 +1,10 @@
 """Running a process until it is told to stop."""
 
 import asyncio
-import json
 import logging
 import signal
 import sys
 import time
-import traceback
 from collections.abc import Awaitable, Callable
 
 import aiomisc
@@ -14,7 +12,7 @@
 
 from .const import EXIT_BAD_SETTINGS
 from .settings import LogSettings, SettingsError
-from .structured_log import LineWriter, StructuredHandler
+from .structured_log import JsonLineFormatter, LineWriter, LineWriterHandler
 
 # The loop's own pool; the product itself uses no threads.
 _POOL_THREADS = 2
@@ -37,27 +35,11 @@
         await self.unload()
 
 
-class _JsonFormatter(logging.Formatter):
-    """Formats a record as one JSON object a line."""
-
-    def format(self, record: logging.LogRecord) -> str:
-        """Return ``record`` as JSON."""
-        fields = {
-            "time": self.formatTime(record, "%Y-%m-%dT%H:%M:%S%z"),
-            "level": record.levelname.lower(),
-            "logger": record.name,
-            "message": record.getMessage(),
-        }
-        if record.exc_info:
-            fields["traceback"] = "".join(traceback.format_exception(*record.exc_info))
-        return json.dumps(fields)
-
-
 def configure_logging(settings: LogSettings) -> None:
     """Send log lines to standard error."""
     handler = logging.StreamHandler(sys.stderr)
     if settings.format == "json":
-        handler.setFormatter(_JsonFormatter())
+        handler.setFormatter(JsonLineFormatter())
     else:
         handler.setFormatter(
             logging.Formatter("%(asctime)s %(levelname)s %(name)s %(message)s")
@@ -68,7 +50,8 @@
 def configure_structured_logging(settings: LogSettings, process: str) -> None:
     """Send log lines to standard output as JSON, without blocking."""
     writer = LineWriter(sys.stdout.fileno(), time.monotonic)
-    handler = StructuredHandler(writer, process)
+    handler = LineWriterHandler(writer)
+    handler.setFormatter(JsonLineFormatter(process))
     logging.basicConfig(level=settings.level.upper(), handlers=[handler], force=True)
 
 
--- a/packages/cardamomnotch-runtime/src/cardamomnotch_runtime/structured_log.py
+++ b/packages/cardamomnotch-runtime/src/cardamomnotch_runtime/structured_log.py
@@ -82,19 +82,18 @@
             self._pending = self._pending[written:]
 
 
-class StructuredHandler(logging.Handler):
-    """Sends records to a LineWriter, one JSON object each."""
+class JsonLineFormatter(logging.Formatter):
+    """Formats a record as one JSON object; time in seconds since 1970."""
 
-    def __init__(self, writer: LineWriter, process: str) -> None:
+    def __init__(self, process: str = "") -> None:
         super().__init__()
-        self._writer = writer
-        self._process = process
+        self._process = {"process": process} if process else {}
 
-    def emit(self, record: logging.LogRecord) -> None:
-        """Write ``record``."""
+    def format(self, record: logging.LogRecord) -> str:
+        """Return ``record`` as JSON."""
         fields = {
             "time": record.created,
-            "process": self._process,
+            **self._process,
             "level": record.levelname.lower(),
             "logger": record.name.rpartition(".")[2],
             "message": record.getMessage(),
@@ -102,4 +101,16 @@
         }
         if record.exc_info:
             fields["traceback"] = "".join(traceback.format_exception(*record.exc_info))
-        self._writer.write(orjson.dumps(fields, default=str) + b"\n")
+        return orjson.dumps(fields, default=str).decode()
+
+
+class LineWriterHandler(logging.Handler):
+    """Sends formatted records to a LineWriter."""
+
+    def __init__(self, writer: LineWriter) -> None:
+        super().__init__()
+        self._writer = writer
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Write ``record``."""
+        self._writer.write(self.format(record).encode() + b"\n")
--- a/tests/runtime/test_structured_log.py
+++ b/tests/runtime/test_structured_log.py
@@ -7,8 +7,9 @@
 import pytest
 
 from cardamomnotch_runtime.structured_log import (
+    JsonLineFormatter,
     LineWriter,
-    StructuredHandler,
+    LineWriterHandler,
     log_event,
 )
 
@@ -37,7 +38,8 @@
     """A line carries its message, its process and its fields."""
     reader, writer = pipe
     logger = logging.getLogger("tests.structured")
-    handler = StructuredHandler(LineWriter(writer, lambda: 0.0), "entry-a")
+    handler = LineWriterHandler(LineWriter(writer, lambda: 0.0))
+    handler.setFormatter(JsonLineFormatter("entry-a"))
     logger.addHandler(handler)
     logger.setLevel(logging.INFO)
     log_event(logger, "request ended", code=7, nested={"a": [1]})
