--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/composition.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/composition.py
@@ -10,8 +10,9 @@
 
 from cardamomnotch_core.relay.node import RelayIdentity, RelayNode
 from cardamomnotch_platform.store.interface import KeyValueStore
-from cardamomnotch_runtime.admin import create_admin_app
+from cardamomnotch_runtime.admin import create_admin_app, create_metrics_app
 from cardamomnotch_runtime.server import HttpServer, bind
+from cardamomnotch_runtime.settings import SettingsError
 from cardamomnotch_runtime.structured_log import log_event
 from cardamomnotch_runtime.tasks import TaskGroup, async_wait_until
 
@@ -37,7 +38,12 @@
 _LOGGER = logging.getLogger(__name__)
 # Connections that may wait to be accepted.
 _BACKLOG = 512
-_ADDRESSES = ("caller_address", "peer_address", "admin_address")
+_ADDRESSES = (
+    "caller_address",
+    "peer_address",
+    "admin_address",
+    "metrics_address",
+)
 # Time that open connections get to close at the end, in seconds.
 _CLOSE_TIMEOUT_S = 0.1
 # Time for which a caller's idle connection is kept, in seconds: longer than the
@@ -78,6 +84,7 @@
             settings.limits,
         )
         self._metrics = RelayMetrics(self._node)
+        self._metrics_server: HttpServer | None = None
         self._draining = False
         self._unready_since_s: float | None = None
 
@@ -124,6 +131,7 @@
             self._admin_socket,
         )
         await self._admin.async_start()
+        await self._async_start_metrics()
         self._callers = web.Server(
             self._server.async_handle,
             handler_cancellation=True,
@@ -164,9 +172,26 @@
         await self._coordinator.async_unload()
         await self._peers.async_unload()
         await self._admin.async_stop()
+        if self._metrics_server is not None:
+            await self._metrics_server.async_stop()
         await self._client.async_unload()
         log_event(_LOGGER, "entry stopped", in_flight=self._server.in_flight)
 
+    async def _async_start_metrics(self) -> None:
+        address = self._settings.metrics_address
+        if not address:
+            return
+        try:
+            bound = bind(address, "metrics_address")
+        except SettingsError as error:
+            # Callers are served all the same.
+            log_event(_LOGGER, "no metrics", logging.WARNING, detail=error.detail)
+            return
+        self._metrics_server = HttpServer(
+            create_metrics_app(self._metrics.registry), bound
+        )
+        await self._metrics_server.async_start()
+
     def _accept_caller(self) -> CallerConnection:
         return CallerConnection(
             self._callers,
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/settings.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/settings.py
@@ -3,7 +3,11 @@
 import attrs
 
 from cardamomnotch_core.relay.limits import RelayLimits
-from cardamomnotch_runtime.settings import LogSettings, address_field
+from cardamomnotch_runtime.settings import (
+    LogSettings,
+    address_field,
+    optional_address_field,
+)
 
 
 @attrs.frozen(kw_only=True)
@@ -18,6 +22,8 @@
     peer_address: str = address_field()
     # Address for the balancer's and operators' questions, "ip:port".
     admin_address: str = address_field()
+    # Address for metrics alone, "ip:port"; without one the admin address has them.
+    metrics_address: str = optional_address_field()
     # Address of the store, "ip:port".
     store_address: str = address_field()
     limits: RelayLimits = attrs.field(factory=RelayLimits)
--- a/packages/cardamomnotch-runtime/src/cardamomnotch_runtime/admin.py
+++ b/packages/cardamomnotch-runtime/src/cardamomnotch_runtime/admin.py
@@ -11,6 +11,19 @@
 _METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 
 
+def create_metrics_app(registry: CollectorRegistry) -> web.Application:
+    """Return an application that shows metrics only."""
+
+    async def metrics(_: web.Request) -> web.Response:
+        return web.Response(
+            body=generate_latest(registry), headers={"Content-Type": _METRICS_TYPE}
+        )
+
+    app = web.Application()
+    app.router.add_get("/metrics", metrics)
+    return app
+
+
 def create_admin_app(
     *,
     is_ready: Callable[[], bool],
@@ -26,17 +39,11 @@
         ready = is_ready()
         return json_response({"ready": ready}, status=200 if ready else 503)
 
-    async def metrics(_: web.Request) -> web.Response:
-        return web.Response(
-            body=generate_latest(registry), headers={"Content-Type": _METRICS_TYPE}
-        )
-
     async def state(_: web.Request) -> web.Response:
         return json_response(diagnostics())
 
-    app = web.Application()
+    app = create_metrics_app(registry)
     app.router.add_get("/healthz", healthz)
     app.router.add_get("/readyz", readyz)
-    app.router.add_get("/metrics", metrics)
     app.router.add_get("/state", state)
     return app
--- a/packages/cardamomnotch-runtime/src/cardamomnotch_runtime/settings.py
+++ b/packages/cardamomnotch-runtime/src/cardamomnotch_runtime/settings.py
@@ -37,11 +37,21 @@
         )
 
 
+def _check_optional_address(owner: Any, attribute: attrs.Attribute, value: str) -> None:
+    if value:
+        _check_address(owner, attribute, value)
+
+
 def address_field() -> Any:
     """Return a required attrs field that holds "ip:port"."""
     return attrs.field(validator=_check_address)
 
 
+def optional_address_field() -> Any:
+    """Return an attrs field that holds "ip:port", or nothing."""
+    return attrs.field(default="", validator=_check_optional_address)
+
+
 def host_and_port(address: str) -> tuple[str, int]:
     """Return the parts of a checked "ip:port"."""
     host, _, port = address.rpartition(":")
--- a/tests/adapter/test_settings.py
+++ b/tests/adapter/test_settings.py
@@ -67,6 +67,7 @@
     assert settings.caller_address == "10.1.0.40:8227"
     assert settings.peer_address == "10.1.0.40:7340"
     assert settings.store_address == "10.200.1.7:8223"
+    assert settings.metrics_address == "10.1.0.40:9187"
     assert settings.limits.revocation_ms == 5000.0
     assert settings.limits.retry_slack == 58.0
     assert settings.limits.exposure_share == 0.1
@@ -88,6 +89,7 @@
         (filled_in().replace("exposure_share = 0.1", "exposure_share = 2"), "limits"),
         (filled_in().replace("grace_s = 8", "grace_h = 8"), "unknown key: grace_h"),
         (filled_in().replace(":8227", ":front"), "caller_address"),
+        (filled_in().replace(":9187", ":99999"), "metrics_address"),
         (filled_in().replace("[limits]", "limits = 3\n[other]"), "limits"),
         ("nonsense", ""),
     ],
@@ -99,6 +101,7 @@
         "more than all",
         "unknown key",
         "no port",
+        "no such port",
         "no table",
         "no TOML",
     ],
--- /dev/null
+++ b/tests/entry/relay/test_metrics_address.py
@@ -0,0 +1,46 @@
+"""Metrics on an address of their own."""
+
+import socket
+
+import pytest
+
+from cardamomnotch_core.relay.limits import RelayLimits
+
+from tests.fixtures.local_system import free_port
+from tests.fixtures.relay_system import RelaySystem
+
+
+@pytest.fixture
+async def start():
+    """Return a function that starts an entry with a metrics address."""
+    systems = []
+
+    async def async_start(address):
+        system = RelaySystem(RelayLimits(grace_s=1.05), metrics_address=address)
+        systems.append(system)
+        await system.async_start()
+        return system
+
+    yield async_start
+    for system in systems:
+        await system.async_stop()
+
+
+async def test_metrics_alone_are_shown(start):
+    """The address shows metrics, and nothing else of the entry."""
+    address = f"127.0.0.1:{free_port()}"
+    system = await start(address)
+    async with system.session.get(f"http://{address}/metrics") as response:
+        assert response.status == 200
+        assert "relay_" in await response.text()
+    async with system.session.get(f"http://{address}/state") as response:
+        assert response.status == 404
+
+
+async def test_address_in_use_stops_no_entry(start, caplog):
+    """Callers are served where the metrics find no port."""
+    with socket.create_server(("127.0.0.1", 0)) as other:
+        address = f"127.0.0.1:{other.getsockname()[1]}"
+        system = await start(address)
+        assert system.entry.is_ready
+    assert "no metrics" in caplog.text
