--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/const.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/const.py
@@ -56,6 +56,11 @@
 # Largest request line and largest single header line, in bytes.
 MAX_LINE_BYTES: Final = 16_384
 
+# Characters of an unknown path that are logged.
+MAX_LOGGED_PATH: Final = 80
+# Keys and routes that one log line names as added or removed.
+MAX_LOGGED_NAMES: Final = 10
+
 # Attempts of a request that waits for a cold upstream, seconds apart.
 COLD_RETRY_S: Final = 0.1
 
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/coordinator.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/coordinator.py
@@ -12,6 +12,7 @@
     EntryRecord,
     EntryReported,
 )
+from cardamomnotch_core.relay.models import RouteDocument
 from cardamomnotch_core.relay.node import RelayNode
 from cardamomnotch_core.relay.rollout import Rollout, RolloutState
 from cardamomnotch_platform.exceptions import (
@@ -37,6 +38,7 @@
     WATCHES_IN_MAX_AGE,
 )
 from .feed import StoreFeed
+from .route_difference import describe_difference
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -83,14 +85,16 @@
         now_s = self._clock()
         self._note_available(now_s)
         self._cursor = cursor
-        before = self._node.routes.version
+        before = self._node.routes.document
         if whole:
             self._node.apply_listing(found, now_s)
             self._log_listing(found, cursor)
+            self._log_routes(before)
         else:
             for change in found:
                 self._node.apply(change, now_s)
-            self._log_changes(found, before)
+            self._log_changes(found)
+            self._log_routes(before)
         self._node.routes.confirm(asked_at_s)
         if found:
             await asyncio.sleep(self._watch_pause_s)
@@ -153,23 +157,28 @@
             found=dict(kinds),
         )
 
-    def _log_changes(self, found: list[Change], before: int) -> None:
+    def _log_changes(self, found: list[Change]) -> None:
         for change in found:
             match change:
-                case EntryReported():
+                case EntryReported() | DocumentWritten():
                     continue
-                case DocumentWritten():
-                    log_event(
-                        _LOGGER,
-                        "routes read",
-                        version=change.document.version,
-                        in_force=self._node.routes.version,
-                        before=before,
-                    )
                 case _:
                     kind = type(change).__name__
                     log_event(_LOGGER, "store change", kind=kind, change=str(change))
 
+    def _log_routes(self, before: RouteDocument | None) -> None:
+        """Log what has changed with the version that is now in force."""
+        document = self._node.routes.document
+        if document is None or document is before:
+            return
+        log_event(
+            _LOGGER,
+            "routes in force",
+            version=document.version,
+            before=before.version if before else 0,
+            **(describe_difference(before, document) if before else {}),
+        )
+
     def _note_available(self, now_s: float) -> None:
         reached_at_s = self._reached_at_s
         if reached_at_s is not None and now_s - reached_at_s > (
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/forwarder.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/forwarder.py
@@ -60,6 +60,7 @@
         self._service: Service | None = None
         self._workspace: Workspace | None = None
         self._deadline_s = arrived_at_s
+        self._allowed_s = 0.0
         self._model = ""
         # The version that the caller has a part of an answer of.
         self._version = ""
@@ -79,6 +80,11 @@
         """Return the request's route, once it is known."""
         return self._route
 
+    @property
+    def allowed_ms(self) -> int:
+        """Return the time that route and caller allow; 0 until it is known."""
+        return int(self._allowed_s * 1000)
+
     @property
     def workspace(self) -> Workspace | None:
         """Return the caller's workspace, once it is known."""
@@ -108,6 +114,7 @@
         waits_s = route.timeout_s
         if request.deadline_s is not None:
             waits_s = min(waits_s, request.deadline_s)
+        self._allowed_s = waits_s
         self._deadline_s = self._arrived_at_s + waits_s
         if request.facts.chooses_model and route.models:
             self._model = node.cascade.first_model(route)
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/server.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/server.py
@@ -11,10 +11,10 @@
 from cardamomnotch_protocol.exceptions import CardamomnotchError
 from cardamomnotch_protocol.result_codes import ResultCode, describe
 from cardamomnotch_runtime.responses import error_body, json_response
-from cardamomnotch_runtime.structured_log import log_event
+from cardamomnotch_runtime.structured_log import log_event, secret_digest
 
 from .caller_connection import CallerConnection
-from .const import RETRY_AFTER_DIGITS
+from .const import MAX_LOGGED_PATH, RETRY_AFTER_DIGITS
 from .exceptions import AnswerBrokenError, UpstreamFailureError
 from .forwarder import Forwarder
 from .interfaces import Wire
@@ -192,10 +192,25 @@
             if forwarder and forwarder.workspace
             else "",
             ms=int(seconds * 1000),
+            allowed_ms=forwarder.allowed_ms if forwarder else 0,
             document=self._node.routes.version,
             document_age_ms=int((now_s - self._node.routes.confirmed_at_s) * 1000)
             if self._node.routes.version
             else -1,
             session=request.facts.session if request else "",
             attempts=[log.as_dict() for log in forwarder.attempts] if forwarder else [],
+            **_refusal_inputs(code, request),
         )
+
+
+def _refusal_inputs(
+    code: ResultCode | None, request: CallerRequest | None
+) -> dict[str, str]:
+    """Return what the routes were asked with, where that decided."""
+    if request is None:
+        return {}
+    if code is ResultCode.UNKNOWN_KEY:
+        return {"key": secret_digest(request.api_key or "")}
+    if code is ResultCode.UNKNOWN_ROUTE:
+        return {"host": request.host, "path": request.path[:MAX_LOGGED_PATH]}
+    return {}
--- a/packages/cardamomnotch-runtime/src/cardamomnotch_runtime/structured_log.py
+++ b/packages/cardamomnotch-runtime/src/cardamomnotch_runtime/structured_log.py
@@ -1,5 +1,6 @@
 """Log lines as JSON objects, written without blocking the loop."""
 
+import hashlib
 import logging
 import os
 import traceback
@@ -12,6 +13,8 @@
 MAX_LINES_PER_S: Final = 400
 # Bytes that wait for a reader that is slow before lines are dropped.
 MAX_PENDING_BYTES: Final = 262_144
+# Enough to tell an installation's keys apart.
+_DIGEST_BYTES: Final = 4
 _ATTR_FIELDS: Final = "fields"
 
 
@@ -23,6 +26,12 @@
         logger.log(level, message, extra={_ATTR_FIELDS: fields})
 
 
+def secret_digest(secret: str) -> str:
+    """Return what names ``secret`` in logs without telling it."""
+    data = secret.encode(errors="surrogateescape")
+    return hashlib.blake2s(data, digest_size=_DIGEST_BYTES).hexdigest()
+
+
 class LineWriter:
     """Writes lines to a file descriptor that must never block.
 
--- /dev/null
+++ b/tests/entry/relay/test_route_difference.py
@@ -0,0 +1,40 @@
+"""What the log says of a new version of the operators' document."""
+
+import attrs
+
+from cardamomnotch_adapter.documents import decode_document
+from cardamomnotch_entry.relay.route_difference import describe_difference
+from cardamomnotch_runtime.structured_log import secret_digest
+
+from tests.fixtures.relay_system import API_KEY, document, route
+
+BEFORE = decode_document(document(1))
+
+
+def test_nothing_has_changed():
+    """A version that changes nothing but its number says nothing."""
+    assert describe_difference(BEFORE, decode_document(document(2))) == {}
+
+
+def test_routes_and_keys():
+    """Routes come by name, keys by digest."""
+    routes = [
+        route("book", "non_idempotent", service="bookings", timeout_ms=900),
+        route("new", "idempotent", service="bookings"),
+        *document()["routes"][3:],
+    ]
+    tenants = [{"name": "firm-two", "api_keys": ["another-key"]}]
+    after = decode_document(document(2, routes=routes, tenants=tenants))
+    found = describe_difference(BEFORE, after)
+    assert found["routes_added"] == ["new"]
+    assert found["routes_changed"] == ["book"]
+    assert found["keys_removed"] == [secret_digest(API_KEY)]
+    assert found["keys_added"] == [secret_digest("another-key")]
+    assert "another-key" not in str(found)
+
+
+def test_long_lists_are_cut():
+    """A line stays short, however many keys a version brings."""
+    keys = dict.fromkeys((f"key-{number}" for number in range(100)), None)
+    after = attrs.evolve(BEFORE, workspaces=keys)
+    assert len(describe_difference(BEFORE, after)["keys_added"]) == 10
