Forget the prompts of an ended process, whatever its id

Cause: what an upstream has read was remembered by its id. A process that began anew under the id kept the memory of the one before, and upstreams that went after the moment of grace that follows an outage were never forgotten. The fleet now tells once when a process has ended.

--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/fleet.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/fleet.py
@@ -1,6 +1,6 @@
 """The upstreams that are known, and what is known of each."""
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 import attrs
 
@@ -67,10 +67,19 @@
         self.penalty_until_s = 0.0
 
 
+def _note_nothing(upstream_id: str) -> None:
+    """Do nothing with the id of a process that has ended."""
+
+
 class Fleet:
-    """Upstreams by id, with zones that are out of service."""
+    """Upstreams by id, with zones that are out of service.
 
-    def __init__(self) -> None:
+    ``note_ended`` is told the id of each upstream whose process is gone, also
+    where another one has begun under the same id.
+    """
+
+    def __init__(self, note_ended: Callable[[str], None] = _note_nothing) -> None:
+        self._note_ended = note_ended
         self._states: dict[str, UpstreamState] = {}
         self._zones_out: set[str] = set()
         self._returned_at_s = float("-inf")
@@ -103,7 +112,10 @@
         """Add an upstream, or take over what it now says of itself."""
         cold_until_s = now_s + upstream.cold_left_s
         state = self._states.get(upstream.upstream_id)
-        if state is None or state.upstream.started_ms != upstream.started_ms:
+        if state is not None and state.upstream.started_ms != upstream.started_ms:
+            self._note_ended(upstream.upstream_id)
+            state = None
+        if state is None:
             state = UpstreamState(upstream)
             self._states[upstream.upstream_id] = state
         state.upstream = upstream
@@ -123,7 +135,7 @@
         if now_s < until_s and not state.upstream.is_draining:
             state.remove_at_s = until_s
             return
-        del self._states[upstream_id]
+        self._drop(upstream_id)
 
     def set_zone_out(self, zone: str, out: bool) -> None:
         """Take an availability zone out of service, or back."""
@@ -134,7 +146,7 @@
         found = []
         for state in tuple(self._states.values()):
             if state.remove_at_s is not None and now_s >= state.remove_at_s:
-                del self._states[state.upstream_id]
+                self._drop(state.upstream_id)
                 continue
             upstream = state.upstream
             if upstream.service != service or upstream.is_draining:
@@ -142,3 +154,7 @@
             if upstream.zone not in self._zones_out:
                 found.append(state)
         return found
+
+    def _drop(self, upstream_id: str) -> None:
+        del self._states[upstream_id]
+        self._note_ended(upstream_id)
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/node.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/node.py
@@ -46,7 +46,7 @@
         self._identity = identity
         self._limits = limits
         self.routes = RouteTable(limits.knowledge_max_age_s)
-        self.fleet = Fleet()
+        self.fleet = Fleet(self._forget_upstream)
         self.versions = VersionBook(limits.exposure_share)
         self.crashes = CrashBook()
         self.cascade = Cascade()
@@ -109,9 +109,6 @@
     @apply.register
     def _(self, change: changes.UpstreamUnlisted, now_s: float) -> None:
         self.fleet.remove(change.upstream_id, now_s)
-        if self.fleet.get(change.upstream_id) is None:
-            self._placer.forget(change.upstream_id)
-            self._cold.forget(change.upstream_id)
 
     @apply.register
     def _(self, change: changes.ZoneTakenOut, now_s: float) -> None:
@@ -280,6 +277,13 @@
         expected_s = elapsed_s + placement.expected_ms / 1000
         return expected_s <= route.target_latency_s * CLIMB_LATENCY_PART
 
+    def _forget_upstream(self, upstream_id: str) -> None:
+        """Drop what was remembered of a process that is gone."""
+        self._placer.forget(upstream_id)
+        # What was sent in this second may reach the next process of that id.
+        if self.fleet.get(upstream_id) is None:
+            self._cold.forget(upstream_id)
+
     def _bears_one_more(
         self, state: UpstreamState, service: Service, now_s: float
     ) -> bool:
--- a/tests/core/relay/test_fleet.py
+++ b/tests/core/relay/test_fleet.py
@@ -36,6 +36,25 @@
     assert ids(fleet, 12.6) == {"up-2"}
 
 
+def test_end_of_a_process_is_told_once(make_upstream):
+    """Gone, gone after an outage, or begun anew under its id: it has ended."""
+    ended = []
+    fleet = Fleet(ended.append)
+    fleet.put(make_upstream("up-1"), 0.0)
+    fleet.put(make_upstream("up-1", is_draining=True), 0.5)
+    assert ended == []
+    fleet.put(make_upstream("up-1", started_ms=2), 1.0)
+    assert ended == ["up-1"]
+    fleet.note_store_returned(10.0)
+    fleet.remove("up-1", 10.1)
+    assert ended == ["up-1"]
+    ids(fleet, 12.6)
+    assert ended == ["up-1", "up-1"]
+    fleet.put(make_upstream("up-2"), 20.0)
+    fleet.remove("up-2", 21.0)
+    assert ended[2:] == ["up-2"]
+
+
 def test_draining_upstream_is_not_kept_after_an_outage(fleet, make_upstream):
     """A leaving upstream does not come back."""
     fleet.put(make_upstream("up-1", is_draining=True), 9.0)
--- a/tests/core/relay/test_node.py
+++ b/tests/core/relay/test_node.py
@@ -5,7 +5,7 @@
 from cardamomnotch_core.relay import changes
 from cardamomnotch_core.relay.exceptions import RefusalError
 from cardamomnotch_core.relay.limits import RelayLimits
-from cardamomnotch_core.relay.models import RolloutOrder, Share
+from cardamomnotch_core.relay.models import PromptPart, RolloutOrder, Share
 from cardamomnotch_core.relay.node import RelayIdentity, RelayNode
 from cardamomnotch_protocol.result_codes import ResultCode
 
@@ -160,3 +160,24 @@
     assert rollout.share(500.0) == 0.3
     assert rollout.share(503.5) == 1.0
     assert rollout.new.bad == 1
+
+
+@pytest.mark.parametrize("how", ["restarted", "gone after an outage"])
+def test_prompts_of_an_ended_process_are_forgotten(
+    node, service, make_upstream, make_facts, how
+):
+    """A process that begins anew has read nothing, whatever its id."""
+    node.apply(changes.UpstreamListed(upstream=make_upstream("up-1")), 0.0)
+    prompt = (PromptPart(part_id="shared", tokens=900),) * 2
+    facts = make_facts(prompt=prompt, prompt_tokens=1_800)
+    placement = node.place(service, facts, "m", 0, 0.0)
+    node.load.note_sent(placement, facts, "m", "key", 0.0)
+    assert node.place(service, facts, "m", 0, 0.0).cached_tokens
+    again = make_upstream("up-1", started_ms=2)
+    if how != "restarted":
+        again = make_upstream("up-1")
+        node.fleet.note_store_returned(10.0)
+        node.apply(changes.UpstreamUnlisted(upstream_id="up-1"), 10.1)
+        assert not node.fleet.candidates("drafts", 13.0)
+    node.apply(changes.UpstreamListed(upstream=again), 14.0)
+    assert node.place(service, facts, "m", 0, 15.0).cached_tokens == 0
