Choose an upstream with less work

Cause: each placement went through all upstreams for those of its service, built an index of them by id, hashed sixteen names and made an attrs object a candidate. Now the candidates of a service are kept until an upstream changes, their index with them, the shortlist takes positions by two hashes a seed, and only the chosen estimate becomes a Placement.

--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/fleet.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/fleet.py
@@ -1,6 +1,6 @@
 """The upstreams that are known, and what is known of each."""
 
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Sequence
 
 import attrs
 
@@ -83,6 +83,11 @@
         self._states: dict[str, UpstreamState] = {}
         self._zones_out: set[str] = set()
         self._returned_at_s = float("-inf")
+        # By service; emptied with each change.
+        self._candidates: dict[str, tuple[UpstreamState, ...]] = {}
+        # When the next missing upstream is dropped, and the last one is warm.
+        self._remove_from_s = float("inf")
+        self._cold_until_s = float("-inf")
 
     @property
     def zones_out(self) -> frozenset[str]:
@@ -121,6 +126,8 @@
         state.upstream = upstream
         state.cold_until_s = cold_until_s
         state.remove_at_s = None
+        self._cold_until_s = max(self._cold_until_s, cold_until_s)
+        self._candidates.clear()
 
     def remove(self, upstream_id: str, now_s: float) -> None:
         """Drop an upstream that is no longer listed.
@@ -134,27 +141,49 @@
         until_s = self._returned_at_s + RETURN_GRACE_S
         if now_s < until_s and not state.upstream.is_draining:
             state.remove_at_s = until_s
+            self._remove_from_s = min(self._remove_from_s, until_s)
             return
         self._drop(upstream_id)
 
     def set_zone_out(self, zone: str, out: bool) -> None:
         """Take an availability zone out of service, or back."""
         (self._zones_out.add if out else self._zones_out.discard)(zone)
+        self._candidates.clear()
 
-    def candidates(self, service: str, now_s: float) -> list[UpstreamState]:
-        """Return the upstreams of ``service`` that may get new work."""
-        found = []
+    def candidates(self, service: str, now_s: float) -> Sequence[UpstreamState]:
+        """Return the upstreams of ``service`` that may get new work.
+
+        The same sequence is returned until an upstream changes.
+        """
+        if now_s >= self._remove_from_s:
+            self._remove_missing(now_s)
+        found = self._candidates.get(service)
+        if found is None:
+            found = tuple(
+                state
+                for state in self._states.values()
+                if state.upstream.service == service
+                and not state.upstream.is_draining
+                and state.upstream.zone not in self._zones_out
+            )
+            self._candidates[service] = found
+        return found
+
+    def has_cold(self, now_s: float) -> bool:
+        """Return whether any upstream may still be cold."""
+        return now_s < self._cold_until_s
+
+    def _remove_missing(self, now_s: float) -> None:
+        self._remove_from_s = float("inf")
         for state in tuple(self._states.values()):
-            if state.remove_at_s is not None and now_s >= state.remove_at_s:
-                self._drop(state.upstream_id)
-                continue
-            upstream = state.upstream
-            if upstream.service != service or upstream.is_draining:
+            if state.remove_at_s is None:
                 continue
-            if upstream.zone not in self._zones_out:
-                found.append(state)
-        return found
+            if now_s >= state.remove_at_s:
+                self._drop(state.upstream_id)
+            else:
+                self._remove_from_s = min(self._remove_from_s, state.remove_at_s)
 
     def _drop(self, upstream_id: str) -> None:
         del self._states[upstream_id]
+        self._candidates.clear()
         self._note_ended(upstream_id)
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/node.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/node.py
@@ -245,7 +245,7 @@
                 ResultCode.NO_UPSTREAM, "no upstream is known", _RETRY_NO_UPSTREAM_S
             )
         open_now = allowed
-        if service.cold_rate:
+        if service.cold_rate and self.fleet.has_cold(now_s):
             open_now = [
                 state
                 for state in allowed
@@ -256,8 +256,10 @@
             raise RefusalError(
                 ResultCode.UPSTREAM_FULL, "the upstreams are cold", _RETRY_COLD_S
             )
-        fresh = [state for state in open_now if state.upstream_id not in tried]
-        return self._placer.choose(fresh or open_now, facts, model, body_bytes, now_s)
+        if tried:
+            fresh = [state for state in open_now if state.upstream_id not in tried]
+            open_now = fresh or open_now
+        return self._placer.choose(open_now, facts, model, body_bytes, now_s)
 
     def may_climb(
         self,
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/placing.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/placing.py
@@ -1,7 +1,9 @@
 """Choice of the upstream that answers a request first and cheapest."""
 
+import operator
 from collections import OrderedDict, deque
 from collections.abc import Iterable, Sequence
+from typing import NamedTuple
 
 import attrs
 
@@ -31,10 +33,10 @@
         self._tokens = 0
         self._parts: OrderedDict[tuple[str, str], int] = OrderedDict()
 
-    def cached_tokens(self, model: str, facts: RequestFacts) -> int:
+    def cached_tokens(self, model: str, beginnings: Iterable[tuple[str, int]]) -> int:
         """Return how many tokens of the prompt need not be read again."""
         total = 0
-        for key, tokens in _beginnings(facts.prompt):
+        for key, tokens in beginnings:
             if (model, key) not in self._parts:
                 break
             total += tokens
@@ -42,7 +44,7 @@
 
     def note_read(self, model: str, prompt: Sequence[PromptPart]) -> None:
         """Note that the upstream reads the prompt."""
-        for key, tokens in _beginnings(prompt):
+        for key, tokens in list_beginnings(prompt):
             if (model, key) not in self._parts:
                 self._tokens += tokens
             self._parts[(model, key)] = tokens
@@ -57,7 +59,8 @@
     return 1 if facts.prompt_tokens else max(1, state.upstream.slots)
 
 
-def _beginnings(prompt: Sequence[PromptPart]) -> Iterable[tuple[str, int]]:
+def list_beginnings(prompt: Sequence[PromptPart]) -> Iterable[tuple[str, int]]:
+    """Yield what names each beginning of the prompt, and its last part's tokens."""
     key = ""
     for part in prompt:
         key = f"{key},{part.part_id}"
@@ -82,6 +85,30 @@
         return self.reading_ms + self.waiting_ms
 
 
+class _Estimate(NamedTuple):
+    """What a candidate would cost; made for each of them, so it is light."""
+
+    cost_ms: float
+    state: UpstreamState
+    reading_ms: float
+    waiting_ms: float
+    cached_tokens: int
+    unread_tokens: int
+
+    def placement(self) -> Placement:
+        """Return the estimate as what was decided."""
+        return Placement(
+            state=self.state,
+            reading_ms=self.reading_ms,
+            waiting_ms=self.waiting_ms,
+            cached_tokens=self.cached_tokens,
+            unread_tokens=self.unread_tokens,
+        )
+
+
+_cost_ms = operator.attrgetter("cost_ms")
+
+
 class Placer:
     """Places requests by expected time to the first token.
 
@@ -95,6 +122,11 @@
         self._memories: dict[str, PromptMemory] = {}
         # The upstreams that have read a beginning, by model and beginning.
         self._holders: OrderedDict[tuple[str, str], deque[str]] = OrderedDict()
+        # The last long sequence of candidates, and the same by id.
+        self._indexed: tuple[Sequence[UpstreamState], dict[str, UpstreamState]] = (
+            (),
+            {},
+        )
 
     def choose(
         self,
@@ -107,21 +139,17 @@
         """Return the best of ``candidates``, of which there must be one."""
         considered = self._shortlist(candidates, facts, model)
         usable = [state for state in considered if not state.is_penalized(now_s)]
-        costs_ms = [
-            (
-                placement.expected_ms + self._transfer_ms(placement.state, body_bytes),
-                placement,
-            )
-            for placement in (
-                self._placement(state, facts, model, now_s)
-                for state in usable or candidates
-            )
+        beginnings = tuple(list_beginnings(facts.prompt))
+        estimates = [
+            self._estimate(state, facts, model, beginnings, body_bytes, now_s)
+            for state in usable or candidates
         ]
-        least_ms = min(cost_ms for cost_ms, _ in costs_ms)
-        best = [placement for cost_ms, placement in costs_ms if cost_ms == least_ms]
+        least_ms = min(estimates, key=_cost_ms).cost_ms
+        best = [estimate for estimate in estimates if estimate.cost_ms == least_ms]
         if len(best) == 1:
-            return best[0]
-        return max(best, key=lambda placement: _affinity(facts, model, placement.state))
+            return best[0].placement()
+        chosen = max(best, key=lambda one: _affinity(facts, model, one.state))
+        return chosen.placement()
 
     def note_sent(
         self, state: UpstreamState, prompt: Sequence[PromptPart], model: str
@@ -130,7 +158,7 @@
         if not prompt:
             return
         self._memory(state).note_read(model, prompt)
-        for key, _ in _beginnings(prompt):
+        for key, _ in list_beginnings(prompt):
             holders = self._holders.setdefault((model, key), deque(maxlen=MAX_HOLDERS))
             if state.upstream_id not in holders:
                 holders.append(state.upstream_id)
@@ -152,38 +180,57 @@
         """
         if len(candidates) <= MAX_CONSIDERED:
             return candidates
-        by_id = {state.upstream_id: state for state in candidates}
+        by_id = self._by_id(candidates)
         found: dict[str, UpstreamState] = {}
-        for key, _ in reversed(list(_beginnings(facts.prompt))):
+        for key, _ in reversed(list(list_beginnings(facts.prompt))):
             for upstream_id in self._holders.get((model, key), ()):
                 if upstream_id in by_id:
                     found[upstream_id] = by_id[upstream_id]
+        count = len(candidates)
         for seed in (f"{model}\x00{facts.prefix_key}", facts.request_id):
+            position, step = (
+                rank(seed, "position"),
+                1 + rank(seed, "step") % (count - 1),
+            )
             for number in range(MAX_CONSIDERED // 3):
-                position = rank(seed, str(number)) % len(candidates)
-                state = candidates[position]
+                state = candidates[(position + number * step) % count]
                 found[state.upstream_id] = state
         return list(found.values())
 
+    def _by_id(self, candidates: Sequence[UpstreamState]) -> dict[str, UpstreamState]:
+        """Return the candidates by id; the same ones come again and again."""
+        known, by_id = self._indexed
+        if candidates is not known:
+            by_id = {state.upstream_id: state for state in candidates}
+            self._indexed = candidates, by_id
+        return by_id
+
     def _memory(self, state: UpstreamState) -> PromptMemory:
         return self._memories.setdefault(state.upstream_id, PromptMemory())
 
-    def _placement(
+    def _estimate(
         self,
         state: UpstreamState,
         facts: RequestFacts,
         model: str,
+        beginnings: Sequence[tuple[str, int]],
+        body_bytes: int,
         now_s: float,
-    ) -> Placement:
-        cached = self._memory(state).cached_tokens(model, facts)
+    ) -> "_Estimate":
+        memory = self._memories.get(state.upstream_id)
+        cached = memory.cached_tokens(model, beginnings) if memory else 0
         unread = max(0, facts.prompt_tokens - cached)
         waiting_ms = state.queue.waiting_ms(now_s, parallel_reads(state, facts))
-        return Placement(
-            state=state,
-            reading_ms=self.first_tokens.expected_ms(model, unread),
-            waiting_ms=waiting_ms + state.running(now_s) * RUNNING_REQUEST_MS,
-            cached_tokens=cached,
-            unread_tokens=unread,
+        waiting_ms += state.running(now_s) * RUNNING_REQUEST_MS
+        reading_ms = self.first_tokens.expected_ms(model, unread)
+        way_ms = self._transfer_ms(state, body_bytes)
+        return _Estimate(
+            reading_ms + waiting_ms + way_ms,
+            state,
+            reading_ms,
+            waiting_ms,
+            cached,
+            unread,
         )
 
     def _transfer_ms(self, state: UpstreamState, body_bytes: int) -> float:
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/versions.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/versions.py
@@ -107,7 +107,7 @@
         facts: RequestFacts,
         now_s: float,
         keep: str = "",
-    ) -> list[UpstreamState]:
+    ) -> Sequence[UpstreamState]:
         """Return the candidates of the version that the request should get.
 
         The other version steps in where the chosen one has no upstream,
@@ -120,7 +120,7 @@
             if same:
                 return same
         if rollout is None:
-            return list(candidates)
+            return candidates
         target = rollout.order.target
         new = [state for state in candidates if state.upstream.version == target]
         old = [state for state in candidates if state.upstream.version != target]
--- a/tests/core/relay/test_placing.py
+++ b/tests/core/relay/test_placing.py
@@ -6,7 +6,7 @@
 from cardamomnotch_core.relay.first_token import FirstTokenModel, QueueEstimate
 from cardamomnotch_core.relay.fleet import Fleet
 from cardamomnotch_core.relay.models import PromptPart
-from cardamomnotch_core.relay.placing import Placer, PromptMemory
+from cardamomnotch_core.relay.placing import Placer, PromptMemory, list_beginnings
 
 
 @pytest.fixture
@@ -102,8 +102,10 @@
     memory = PromptMemory(max_tokens=25_000)
     for name in ("a", "b", "a", "c"):
         memory.note_read("m", draft(name).prompt)
-    assert memory.cached_tokens("m", draft("c", "new")) == 10_000
-    assert memory.cached_tokens("m", draft("b", "new")) == 0
+    assert (
+        memory.cached_tokens("m", list_beginnings(draft("c", "new").prompt)) == 10_000
+    )
+    assert memory.cached_tokens("m", list_beginnings(draft("b", "new").prompt)) == 0
 
 
 def test_speed_is_learned_by_model():
