Take the rest of a refused body for no other request

Found when reading the code: the timer for a head began with the rest of a body that was refused before it was read, and would have written a 408 onto an idle connection. Such a connection is closed after its answer now.

--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/caller_connection.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/caller_connection.py
@@ -59,7 +59,7 @@
         self._is_serving = True
 
     def note_answered(self) -> None:
-        """Note that the request has its answer."""
+        """Note that the request was wholly read and has its answer."""
         self._is_serving = False
 
     def _start_timer(self, seconds: float) -> None:
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/server.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/server.py
@@ -111,8 +111,12 @@
         finally:
             self._in_flight -= 1
             self._busy.discard(connection)
-            connection.note_answered()
             self._note_end(forwarder, request, code, detail, response, arrived_at_s)
+        if not http_request.content.at_eof():
+            # The rest of the body must not be taken for another request.
+            response.force_close()
+            return response
+        connection.note_answered()
         if self._draining or code is ResultCode.NOT_READY:
             # The caller's next connection may reach an entry that can serve.
             response.force_close()
--- a/tests/entry/relay/test_bad_input.py
+++ b/tests/entry/relay/test_bad_input.py
@@ -170,3 +170,20 @@
     await strict.async_add("up", _answer_late, service="bookings")
     answer = await strict.async_call("/read/x")
     assert (answer.status, answer.body) == (200, b"late")
+
+
+async def test_rest_of_a_refused_body_gets_no_answer(strict):
+    """What follows a refused body is the body's, whenever it comes."""
+    host, _, port = strict.callers_address.rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    head = _HEAD.replace(b"Connection: close\r\n", b"")
+    length = b"Content-Length: 100100\r\n\r\n"
+    writer.write(b"POST /book/x HTTP/1.1\r\n" + head + length + b"a" * 100_001)
+    async with asyncio.timeout(5):
+        received = await reader.readuntil(b"\r\n\r\n")
+        assert received.startswith(b"HTTP/1.1 413 ")
+        assert b"Connection: close" in received
+        writer.write(b"a" * 99)
+        rest = await reader.read()
+    assert b"HTTP/1.1" not in rest
+    writer.close()
