--- a/tests/adapter/test_store.py
+++ b/tests/adapter/test_store.py
@@ -1,9 +1,15 @@
 """The store's client, against a stand-in with faults."""
 
+import inspect
+import re
+
 import pytest
 
+from cardamomnotch_adapter import store as store_module
+from cardamomnotch_adapter.const import CALL_RATES
 from cardamomnotch_adapter.store import PlatformStore
 from cardamomnotch_platform.exceptions import HistoryLostError, StoreError
+from cardamomnotch_platform.store.budget import StoreBudget, StoreBudgetError
 
 from tests.stand_ins.platform_store import PlatformStoreStandIn
 
@@ -36,6 +42,30 @@
     assert (await store.async_get("key")).value == b"value"
 
 
+async def test_calls_beyond_the_budget_are_not_made(stand_in, serve_app, http_session):
+    """A process that calls too often is stopped before the store refuses it."""
+    url = await serve_app(stand_in.create_app())
+    now_s = [0.0]
+    budget = StoreBudget(lambda: now_s[0], CALL_RATES)
+    address = url.removeprefix("http://")
+    store = PlatformStore(http_session, address, budget=budget)
+    allowed = int(CALL_RATES["kv-key"].burst)
+    for _ in range(allowed):
+        await store.async_get("key")
+    with pytest.raises(StoreBudgetError):
+        await store.async_get("key")
+    assert stand_in.calls == ["GET /kv-key"] * allowed
+    await store.async_read("")
+    now_s[0] += 1.0
+    await store.async_get("key")
+
+
+def test_every_call_has_a_budget():
+    """No call of the protocol is left without a rate."""
+    names = re.findall(r'"/(kv-[a-z-]+)', inspect.getsource(store_module))
+    assert set(names) == set(CALL_RATES)
+
+
 @pytest.mark.parametrize("fault", ["busy", "limited", "reset", "silent", "garbled"])
 async def test_faults_are_errors(store, stand_in, fault):
     """No fault of the store looks like an answer."""
