--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/limits.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/limits.py
@@ -17,20 +17,21 @@
 class RelayLimits:
     """Table ``limits``: bounds over all entries together."""
 
-    # Longest time that a key which was taken away may still be used, in
-    # milliseconds.
+    # Longest time that a key which was taken away may still be used.
     revocation_ms: float = _bound(5_000.0, _POSITIVE)
-    # Attempts beyond the first, as a part of the requests, and beyond that,
-    # within the window in seconds.
+    # Attempts beyond the first within the window, as a part of the requests.
     retry_ratio: float = _bound(0.5)
+    # Attempts that are allowed beyond that part.
     retry_slack: float = _bound(20.0)
+    # Time over which attempts are counted.
     retry_window_s: float = _bound(10.0, _POSITIVE)
-    # A cold upstream's rate may be passed by this factor and number.
+    # Factor by which a cold upstream's rate may be passed.
     cold_overshoot: float = _bound(1.5)
+    # Requests a second that are allowed beyond that.
     cold_slack: float = _bound(5.0)
     # Part of a service's requests that a bad version may get in its roll-out.
     exposure_share: float = _bound(0.15, _PART)
-    # Time that a process has to end after SIGTERM, in seconds.
+    # Time that a process has to end after SIGTERM.
     grace_s: float = _bound(8.0, _POSITIVE)
 
     @property
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/settings.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/settings.py
@@ -4,7 +4,7 @@
 
 from cardamomnotch_core.relay.limits import RelayLimits
 from cardamomnotch_runtime.settings import (
-    LogSettings,
+    LOG_LEVEL,
     address_field,
     optional_address_field,
 )
@@ -26,5 +26,6 @@
     metrics_address: str = optional_address_field()
     # Address of the store, "ip:port".
     store_address: str = address_field()
+    # Least level of the log lines, which are JSON.
+    log_level: str = attrs.field(default="info", validator=LOG_LEVEL)
     limits: RelayLimits = attrs.field(factory=RelayLimits)
-    log: LogSettings = attrs.field(factory=LogSettings)
--- a/packages/cardamomnotch-runtime/src/cardamomnotch_runtime/process.py
+++ b/packages/cardamomnotch-runtime/src/cardamomnotch_runtime/process.py
@@ -47,12 +47,12 @@
     logging.basicConfig(level=settings.level.upper(), handlers=[handler], force=True)
 
 
-def configure_structured_logging(settings: LogSettings, process: str) -> None:
+def configure_structured_logging(level: str, process: str) -> None:
     """Send log lines to standard output as JSON, without blocking."""
     writer = LineWriter(sys.stdout.fileno(), time.monotonic)
     handler = LineWriterHandler(writer)
     handler.setFormatter(JsonLineFormatter(process))
-    logging.basicConfig(level=settings.level.upper(), handlers=[handler], force=True)
+    logging.basicConfig(level=level.upper(), handlers=[handler], force=True)
 
 
 async def _async_wait_for_stop(reload: Callable[[], None] | None) -> None:
--- a/packages/cardamomnotch-runtime/src/cardamomnotch_runtime/settings.py
+++ b/packages/cardamomnotch-runtime/src/cardamomnotch_runtime/settings.py
@@ -14,6 +14,7 @@
 _T = TypeVar("_T")
 _CONVERTER = strict_converter(forbid_extra_keys=True)
 _MAX_PORT = 65_535
+LOG_LEVEL = attrs.validators.in_(("debug", "info", "warning", "error"))
 
 
 class SettingsError(CardamomnotchError):
@@ -78,10 +79,7 @@
 class LogSettings:
     """Table ``log``: level, and plain or json lines."""
 
-    level: str = attrs.field(
-        default="info",
-        validator=attrs.validators.in_(("debug", "info", "warning", "error")),
-    )
+    level: str = attrs.field(default="info", validator=LOG_LEVEL)
     format: str = attrs.field(
         default="plain", validator=attrs.validators.in_(("plain", "json"))
     )
--- a/script/settings_reference.py
+++ b/script/settings_reference.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from cardamomnotch_entry.relay.settings import RelaySettings
 from cardamomnotch_entry.settings import EntrySettings, OperatorSettings
 from cardamomnotch_sidecar.settings import SidecarSettings
 
@@ -19,6 +20,7 @@
 _FILES = (
     ("`cardamomnotch serve`", EntrySettings),
     ("`cardamomnotch-sidecar run`", SidecarSettings),
+    ("`platform/serve.py`, the relaying entry", RelaySettings),
     ("`cardamomnotch config`, `zone`, `version`, `vm`", OperatorSettings),
 )
 _FIELD = re.compile(r"    (\w+): ")
