Keep a session that goes on with the old version until the second stage

Ruled out: a wrong bucket between entries (all moved to v3, which is right for new sessions), the outage (it begins after). Now sessions that would be moved first are remembered with their version while they go on (own requests, and other entries' by the notices of load, which name the session of these only), and stay until the second stage. Tests of the book, of two entries and of the version failed first.

--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/const.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/const.py
@@ -10,6 +10,11 @@
 # two stages the version gets 0.55 * 0.53 + 0.2 * 2 = 0.69 of the bound.
 ROLLOUT_FIRST_PART: Final = 0.53
 ROLLOUT_SECOND_PART: Final = 2.0
+# Sessions whose version is remembered; the least recently served are forgotten.
+MAX_SESSIONS: Final = 20_000
+# Added to the time that a session goes on, in seconds: the end of a request at
+# another entry is told of this much later at most.
+SESSION_END_MARGIN_S: Final = 0.5
 
 # An upstream that could not be reached is tried last for this time, in
 # seconds; it is doubled with each further failure.
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/limits.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/limits.py
@@ -31,6 +31,8 @@
     cold_slack: float = _bound(5.0)
     # Part of a service's requests that a bad version may get in its roll-out.
     exposure_share: float = _bound(0.15, _PART)
+    # Time after its last request for which a session keeps its version.
+    session_ttl_s: float = _bound(5.0)
     # Time that a process has to end after SIGTERM.
     grace_s: float = _bound(8.0, _POSITIVE)
 
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/load.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/load.py
@@ -41,11 +41,13 @@
         self._notices: list[LoadNotice] = []
         # When the notices that can wait have to be told.
         self._due_at_s = float("inf")
-        # The numbers of own attempts, which are shorter than their keys.
-        self._numbers: dict[Hashable, int] = {}
+        # The numbers of own attempts, which are shorter than their keys, and the
+        # sessions that others are told of.
+        self._numbers: dict[Hashable, tuple[int, str]] = {}
         self._next_number = itertools.count()
-        # Upstreams of other entries' attempts, and when they were heard of.
-        self._others: dict[tuple[str, int], tuple[str, float]] = {}
+        # Upstreams and sessions of other entries' attempts, and when they were
+        # heard of.
+        self._others: dict[tuple[str, int], tuple[str, str, float]] = {}
         # When another entry was heard, and when one began a request.
         self._heard_at_s = float("-inf")
         self._others_served_at_s = float("-inf")
@@ -68,15 +70,22 @@
         rollout = self._versions.get(state.upstream.service)
         if rollout is not None:
             rollout.side(state.upstream.version).in_flight += 1
-        self._numbers[key] = next(self._next_number)
+        upstream = state.upstream
+        session = facts.session if self._versions.moves_first(facts) else ""
+        if session:
+            self._versions.sessions.note_started(
+                upstream.service, session, upstream.version, now_s
+            )
+        self._numbers[key] = next(self._next_number), session
         self._tell(
             LoadNotice(
                 kind=LoadKind.STARTED,
-                attempt=self._numbers[key],
+                attempt=self._numbers[key][0],
                 upstream_id=state.upstream_id,
                 reading_ms=int(placement.reading_ms),
                 model=model,
                 prompt=facts.prompt[:-1],
+                session=session,
             ),
             now_s,
         )
@@ -96,7 +105,8 @@
             self._placer.first_tokens.note(
                 model, placement.unread_tokens, seen_s * 1000
             )
-        notice = LoadNotice(kind=LoadKind.ANSWERED, attempt=self._numbers[key])
+        number, _ = self._numbers[key]
+        notice = LoadNotice(kind=LoadKind.ANSWERED, attempt=number)
         self._tell(notice, now_s)
 
     def note_ended(self, state: UpstreamState, key: Hashable, now_s: float) -> None:
@@ -107,7 +117,9 @@
         if rollout is not None:
             side = rollout.side(state.upstream.version)
             side.in_flight = max(0, side.in_flight - 1)
-        notice = LoadNotice(kind=LoadKind.ENDED, attempt=self._numbers.pop(key))
+        number, session = self._numbers.pop(key)
+        self._note_session_ended(state, session, now_s)
+        notice = LoadNotice(kind=LoadKind.ENDED, attempt=number)
         self._tell(notice, now_s + ENDED_NOTICE_DELAY_S)
 
     def take_notices(self, now_s: float) -> list[LoadNotice]:
@@ -131,8 +143,8 @@
             key = (entry, notice.attempt)
             if notice.kind is LoadKind.STARTED:
                 self._others_served_at_s = now_s
-                self._others[key] = (notice.upstream_id, now_s)
-            upstream_id, _ = self._others.get(key, ("", 0.0))
+                self._others[key] = (notice.upstream_id, notice.session, now_s)
+            upstream_id, session, _ = self._others.get(key, ("", "", 0.0))
             if notice.kind is LoadKind.ENDED:
                 self._others.pop(key, None)
             state = self._fleet.get(upstream_id)
@@ -142,11 +154,17 @@
                 state.queue.start(key, notice.reading_ms, now_s)
                 state.others_in_flight[key] = now_s
                 self._placer.note_sent(state, notice.prompt, notice.model)
+                if session:
+                    upstream = state.upstream
+                    self._versions.sessions.note_started(
+                        upstream.service, session, upstream.version, now_s
+                    )
             elif notice.kind is LoadKind.ANSWERED:
                 state.queue.finish(key, now_s, answered=True)
             else:
                 state.queue.finish(key, now_s, answered=False)
                 state.others_in_flight.pop(key, None)
+                self._note_session_ended(state, session, now_s)
 
     def stale_retry_s(self, now_s: float) -> float:
         """Return when a caller should come back while the store is away.
@@ -163,10 +181,19 @@
             self._notices.append(notice)
             self._due_at_s = min(self._due_at_s, due_at_s)
 
+    def _note_session_ended(
+        self, state: UpstreamState, session: str, now_s: float
+    ) -> None:
+        if session:
+            upstream = state.upstream
+            self._versions.sessions.note_ended(
+                upstream.service, session, upstream.version, now_s
+            )
+
     def _forget_lost(self, now_s: float) -> None:
         """Forget other entries' attempts of which no end was heard."""
         while self._others:
-            key, (_, heard_at_s) = next(iter(self._others.items()))
+            key, (_, _, heard_at_s) = next(iter(self._others.items()))
             if heard_at_s > now_s - MAX_RUN_S:
                 return
             del self._others[key]
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/node.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/node.py
@@ -47,7 +47,7 @@
         self._limits = limits
         self.routes = RouteTable(limits.knowledge_max_age_s)
         self.fleet = Fleet(self._forget_upstream)
-        self.versions = VersionBook(limits.exposure_share)
+        self.versions = VersionBook(limits.exposure_share, limits.session_ttl_s)
         self.crashes = CrashBook()
         self.cascade = Cascade()
         self._cold = ColdLimiter(limits.cold_overshoot, limits.cold_slack)
@@ -88,6 +88,7 @@
         self._limits = limits
         self.routes.set_max_age(limits.knowledge_max_age_s)
         self.versions.set_exposure_share(limits.exposure_share)
+        self.versions.sessions.set_ttl(limits.session_ttl_s)
         self._cold.set_bound(limits.cold_overshoot, limits.cold_slack)
         self._retries.set_bound(
             limits.retry_ratio, limits.retry_slack, limits.retry_window_s
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/notices.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/notices.py
@@ -29,3 +29,5 @@
     model: str = ""
     # The parts of the prompt that other requests may share.
     prompt: tuple[PromptPart, ...] = ()
+    # Only of sessions that a roll-out would move first.
+    session: str = ""
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/rollout.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/rollout.py
@@ -112,6 +112,10 @@
             return min(1.0, ROLLOUT_SECOND_PART * self.exposure_share)
         return ROLLOUT_FIRST_PART * self.exposure_share
 
+    def keeps_sessions(self, now_s: float) -> bool:
+        """Return whether sessions that go on must stay where they are."""
+        return self._passed(now_s) < _SECOND_STAGE_FROM
+
     def has_withdrawn(self, version: str) -> bool:
         """Return whether ``version`` must get no new work."""
         if version == self.order.target:
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/versions.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/versions.py
@@ -5,10 +5,12 @@
 import attrs
 import xxhash
 
+from .const import ROLLOUT_FIRST_PART
 from .fleet import UpstreamState
 from .limits import RelayLimits
 from .models import RequestFacts, RolloutOrder
 from .rollout import Rollout, RolloutReport, RolloutState
+from .sessions import SessionBook
 
 _BUCKETS = 10_000
 
@@ -20,8 +22,13 @@
     chooses the same one.
     """
 
-    def __init__(self, exposure_share: float = RelayLimits().exposure_share) -> None:
+    def __init__(
+        self,
+        exposure_share: float = RelayLimits().exposure_share,
+        session_ttl_s: float = RelayLimits().session_ttl_s,
+    ) -> None:
         self._exposure_share = exposure_share
+        self.sessions = SessionBook(session_ttl_s)
         self._rollouts: dict[str, Rollout] = {}
         self._statuses: dict[str, tuple[int, str, RolloutState]] = {}
 
@@ -129,9 +136,22 @@
             return old
         if share >= 1.0:
             return new or old
-        if _bucket(facts) < share * _BUCKETS:
-            return new or old
-        return old
+        if _bucket(facts) >= share * _BUCKETS:
+            return old
+        if rollout.keeps_sessions(now_s) and self._is_elsewhere(service, facts, now_s):
+            return old or new
+        return new or old
+
+    def moves_first(self, facts: RequestFacts) -> bool:
+        """Return whether a roll-out would move the request's session first."""
+        share = ROLLOUT_FIRST_PART * self._exposure_share
+        return bool(facts.session) and _bucket(facts) < share * _BUCKETS
+
+    def _is_elsewhere(self, service: str, facts: RequestFacts, now_s: float) -> bool:
+        """Return whether the session goes on with another version."""
+        target = self._rollouts[service].order.target
+        known = self.sessions.version(service, facts.session, now_s)
+        return bool(facts.session and known) and known != target
 
     def _apply_status(self, service: str) -> None:
         rollout = self._rollouts.get(service)
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/peers.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/peers.py
@@ -29,6 +29,7 @@
             notice.reading_ms,
             notice.model,
             [[part.part_id, part.tokens] for part in notice.prompt],
+            *([notice.session] if notice.session else []),
         ]
         if notice.kind is LoadKind.STARTED
         else [notice.kind.value, notice.attempt]
@@ -52,6 +53,7 @@
     reading_ms: int = 0,
     model: str = "",
     prompt: Any = (),
+    session: str = "",
 ) -> LoadNotice:
     return LoadNotice(
         kind=LoadKind(kind),
@@ -62,6 +64,7 @@
         prompt=tuple(
             PromptPart(part_id=part_id, tokens=tokens) for part_id, tokens in prompt
         ),
+        session=session,
     )
 
 
--- a/tests/core/relay/test_notices.py
+++ b/tests/core/relay/test_notices.py
@@ -152,6 +152,21 @@
     assert len(second.load._others) == 3
 
 
+def test_session_at_another_entry_keeps_its_version(nodes, make_facts):
+    """A session that one entry serves is not moved first by another one."""
+    first, second = nodes
+    sessions = (make_facts(session=f"session-{number}") for number in range(1_000))
+    facts = next(one for one in sessions if first.versions.moves_first(one))
+    placement = place(first, facts, 0.0)
+    first.load.note_sent(placement, facts, "m", "key", 0.0)
+    exchange(first, second, 0.0)
+    assert second.versions.sessions.version("drafts", facts.session, 1.0) == "v1"
+    first.load.note_ended(placement.state, "key", 2.0)
+    exchange(first, second, 2.0)
+    assert second.versions.sessions.version("drafts", facts.session, 6.9) == "v1"
+    assert second.versions.sessions.version("drafts", facts.session, 8.0) == ""
+
+
 def test_alone_tells_nobody(make_document, make_upstream, long_request):
     """Without other entries, nothing is gathered."""
     identity = RelayIdentity(name="entry-a", zone="zone-a", incarnation="1")
--- a/tests/core/relay/test_rollouts.py
+++ b/tests/core/relay/test_rollouts.py
@@ -124,6 +124,33 @@
         assert len(versions) == 1
 
 
+@pytest.fixture
+def first_moved(book, make_facts):
+    """Return facts of a session that a roll-out would move first."""
+    sessions = (make_facts(session=f"session-{number}") for number in range(1_000))
+    return next(facts for facts in sessions if book.moves_first(facts))
+
+
+def test_session_that_goes_on_is_not_moved_at_first(book, fleet, first_moved):
+    """A session stays with the old version until the second stage."""
+    session = first_moved.session
+    assert version_of(book, fleet, first_moved, 1.0) == "v2"
+    book.sessions.note_started("drafts", session, "v1", 0.5)
+    assert version_of(book, fleet, first_moved, 1.0) == "v1"
+    book.sessions.note_ended("drafts", session, "v1", 3.0)
+    assert version_of(book, fleet, first_moved, 7.9) == "v1"
+    assert version_of(book, fleet, first_moved, 8.6) == "v2"
+    book.sessions.note_started("drafts", session, "v1", 9.0)
+    assert version_of(book, fleet, first_moved, 13.0) == "v1"
+    assert version_of(book, fleet, first_moved, 0.6 * ORDER.duration_s) == "v2"
+
+
+def test_session_that_began_on_the_new_version_stays_there(book, fleet, first_moved):
+    """What began after the order goes on where it is."""
+    book.sessions.note_started("drafts", first_moved.session, "v2", 1.0)
+    assert version_of(book, fleet, first_moved, 2.0) == "v2"
+
+
 def test_begun_answer_goes_on_at_its_version(book, fleet, make_facts):
     """Whatever the share has become, a part of an answer binds its version."""
     for name in ("one", "two", "three"):
--- a/tests/entry/relay/test_peers.py
+++ b/tests/entry/relay/test_peers.py
@@ -24,6 +24,7 @@
         reading_ms=400,
         model="m",
         prompt=(PromptPart(part_id="5c1e", tokens=800),),
+        session="s-1",
     ),
     LoadNotice(kind=LoadKind.ANSWERED, attempt=7),
     LoadNotice(kind=LoadKind.ENDED, attempt=7),
