--- a/packages/cardamomnotch-core/src/cardamomnotch_core/quarantine/models.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/quarantine/models.py
@@ -27,9 +27,9 @@
 class SuspectRecord:
     """A request that was in flight at a crash, as an entry remembers it."""
 
-    crashed_vms: frozenset[str]
+    crashed_vms: frozenset[str] = frozenset()
     co_suspects: tuple[str, ...] = ()
-    forget_at_s: float
+    forget_at_s: float = float("-inf")
     # Another entry is about to find out whether the request is guilty.
     wait_until_s: float = float("-inf")
     # It was in a crash as a request of this entry.
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/quarantine/tracker.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/quarantine/tracker.py
@@ -160,15 +160,12 @@
     def _suspect(
         self, fingerprint: str, vm_id: str, co_suspects: tuple[str, ...], now_s: float
     ) -> None:
-        known = self._get(fingerprint, now_s)
-        self._suspects[fingerprint] = SuspectRecord(
-            crashed_vms=(known.crashed_vms if known else _NO_VMS) | {vm_id},
-            co_suspects=co_suspects or (known.co_suspects if known else ()),
+        known = self._get(fingerprint, now_s) or SuspectRecord()
+        self._suspects[fingerprint] = attrs.evolve(
+            known,
+            crashed_vms=known.crashed_vms | {vm_id},
+            co_suspects=co_suspects or known.co_suspects,
             forget_at_s=now_s + SUSPECT_RETENTION_S,
-            wait_until_s=known.wait_until_s if known else float("-inf"),
-            judged_here=known.judged_here if known else False,
-            rerun_id=known.rerun_id if known else "",
-            rerun_avoids=known.rerun_avoids if known else _NO_VMS,
         )
 
     def _take_over(self, fingerprint: str) -> None:
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/load.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/load.py
@@ -70,12 +70,8 @@
         rollout = self._versions.get(state.upstream.service)
         if rollout is not None:
             rollout.side(state.upstream.version).in_flight += 1
-        upstream = state.upstream
         session = facts.session if self._versions.moves_first(facts) else ""
-        if session:
-            self._versions.sessions.note_started(
-                upstream.service, session, upstream.version, now_s
-            )
+        self._versions.sessions.note_started(state.upstream, session, now_s)
         self._numbers[key] = next(self._next_number), session
         self._tell(
             LoadNotice(
@@ -118,7 +114,7 @@
             side = rollout.side(state.upstream.version)
             side.in_flight = max(0, side.in_flight - 1)
         number, session = self._numbers.pop(key)
-        self._note_session_ended(state, session, now_s)
+        self._versions.sessions.note_ended(state.upstream, session, now_s)
         notice = LoadNotice(kind=LoadKind.ENDED, attempt=number)
         self._tell(notice, now_s + ENDED_NOTICE_DELAY_S)
 
@@ -139,6 +135,7 @@
         """Take over what another entry has sent to upstreams."""
         self._heard_at_s = now_s
         self._forget_lost(now_s)
+        sessions = self._versions.sessions
         for notice in notices:
             key = (entry, notice.attempt)
             if notice.kind is LoadKind.STARTED:
@@ -154,17 +151,13 @@
                 state.queue.start(key, notice.reading_ms, now_s)
                 state.others_in_flight[key] = now_s
                 self._placer.note_sent(state, notice.prompt, notice.model)
-                if session:
-                    upstream = state.upstream
-                    self._versions.sessions.note_started(
-                        upstream.service, session, upstream.version, now_s
-                    )
+                sessions.note_started(state.upstream, session, now_s)
             elif notice.kind is LoadKind.ANSWERED:
                 state.queue.finish(key, now_s, answered=True)
             else:
                 state.queue.finish(key, now_s, answered=False)
                 state.others_in_flight.pop(key, None)
-                self._note_session_ended(state, session, now_s)
+                sessions.note_ended(state.upstream, session, now_s)
 
     def stale_retry_s(self, now_s: float) -> float:
         """Return when a caller should come back while the store is away.
@@ -181,15 +174,6 @@
             self._notices.append(notice)
             self._due_at_s = min(self._due_at_s, due_at_s)
 
-    def _note_session_ended(
-        self, state: UpstreamState, session: str, now_s: float
-    ) -> None:
-        if session:
-            upstream = state.upstream
-            self._versions.sessions.note_ended(
-                upstream.service, session, upstream.version, now_s
-            )
-
     def _forget_lost(self, now_s: float) -> None:
         """Forget other entries' attempts of which no end was heard."""
         while self._others:
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/placing.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/placing.py
@@ -1,9 +1,7 @@
 """Choice of the upstream that answers a request first and cheapest."""
 
-import operator
 from collections import OrderedDict, deque
 from collections.abc import Iterable, Sequence
-from typing import NamedTuple
 
 import attrs
 
@@ -67,15 +65,18 @@
         yield key, part.tokens
 
 
-@attrs.frozen(kw_only=True)
+# Not frozen: one is made for each candidate, and a frozen one takes longer.
+@attrs.define
 class Placement:
-    """A chosen upstream, with what decided, for the log."""
+    """What a candidate would cost; the chosen one's is kept for the log."""
 
     state: UpstreamState
     # Expected time to the first token without other work on the upstream.
     reading_ms: float
     # Expected wait for other work, own and others'.
     waiting_ms: float
+    # What the way between availability zones counts as.
+    way_ms: float
     cached_tokens: int
     unread_tokens: int
 
@@ -84,29 +85,10 @@
         """Return the expected time to the first token."""
         return self.reading_ms + self.waiting_ms
 
-
-class _Estimate(NamedTuple):
-    """What a candidate would cost; made for each of them, so it is light."""
-
-    cost_ms: float
-    state: UpstreamState
-    reading_ms: float
-    waiting_ms: float
-    cached_tokens: int
-    unread_tokens: int
-
-    def placement(self) -> Placement:
-        """Return the estimate as what was decided."""
-        return Placement(
-            state=self.state,
-            reading_ms=self.reading_ms,
-            waiting_ms=self.waiting_ms,
-            cached_tokens=self.cached_tokens,
-            unread_tokens=self.unread_tokens,
-        )
-
-
-_cost_ms = operator.attrgetter("cost_ms")
+    @property
+    def cost_ms(self) -> float:
+        """Return what placements are compared by."""
+        return self.reading_ms + self.waiting_ms + self.way_ms
 
 
 class Placer:
@@ -140,16 +122,20 @@
         considered = self._shortlist(candidates, facts, model)
         usable = [state for state in considered if not state.is_penalized(now_s)]
         beginnings = tuple(list_beginnings(facts.prompt))
-        estimates = [
-            self._estimate(state, facts, model, beginnings, body_bytes, now_s)
+        placements = [
+            self._placement(state, facts, model, beginnings, body_bytes, now_s)
             for state in usable or candidates
         ]
-        least_ms = min(estimates, key=_cost_ms).cost_ms
-        best = [estimate for estimate in estimates if estimate.cost_ms == least_ms]
+        costs_ms = [placement.cost_ms for placement in placements]
+        least_ms = min(costs_ms)
+        best = [
+            placement
+            for placement, cost_ms in zip(placements, costs_ms, strict=True)
+            if cost_ms == least_ms
+        ]
         if len(best) == 1:
-            return best[0].placement()
-        chosen = max(best, key=lambda one: _affinity(facts, model, one.state))
-        return chosen.placement()
+            return best[0]
+        return max(best, key=lambda placement: _affinity(facts, model, placement.state))
 
     def note_sent(
         self, state: UpstreamState, prompt: Sequence[PromptPart], model: str
@@ -208,7 +194,7 @@
     def _memory(self, state: UpstreamState) -> PromptMemory:
         return self._memories.setdefault(state.upstream_id, PromptMemory())
 
-    def _estimate(
+    def _placement(
         self,
         state: UpstreamState,
         facts: RequestFacts,
@@ -216,7 +202,7 @@
         beginnings: Sequence[tuple[str, int]],
         body_bytes: int,
         now_s: float,
-    ) -> "_Estimate":
+    ) -> Placement:
         memory = self._memories.get(state.upstream_id)
         cached = memory.cached_tokens(model, beginnings) if memory else 0
         unread = max(0, facts.prompt_tokens - cached)
@@ -224,14 +210,7 @@
         waiting_ms += state.running(now_s) * RUNNING_REQUEST_MS
         reading_ms = self.first_tokens.expected_ms(model, unread)
         way_ms = self._transfer_ms(state, body_bytes)
-        return _Estimate(
-            reading_ms + waiting_ms + way_ms,
-            state,
-            reading_ms,
-            waiting_ms,
-            cached,
-            unread,
-        )
+        return Placement(state, reading_ms, waiting_ms, way_ms, cached, unread)
 
     def _transfer_ms(self, state: UpstreamState, body_bytes: int) -> float:
         if state.upstream.zone == self._zone:
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/sessions.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/sessions.py
@@ -3,6 +3,7 @@
 from collections import OrderedDict
 
 from .const import MAX_RUN_S, MAX_SESSIONS, SESSION_END_MARGIN_S
+from .models import Upstream
 
 
 class SessionBook:
@@ -20,27 +21,24 @@
         """Change how long a session goes on after a request."""
         self._ttl_s = ttl_s
 
-    def note_started(
-        self, service: str, session: str, version: str, now_s: float
-    ) -> None:
-        """Note that a request of the session runs on ``version``."""
-        self._note(service, session, version, now_s + MAX_RUN_S)
+    def note_started(self, upstream: Upstream, session: str, now_s: float) -> None:
+        """Note that a request of the session, if it has one, runs at ``upstream``."""
+        self._note(upstream, session, now_s + MAX_RUN_S)
 
-    def note_ended(
-        self, service: str, session: str, version: str, now_s: float
-    ) -> None:
-        """Note that the session's last request has ended."""
-        until_s = now_s + self._ttl_s + SESSION_END_MARGIN_S
-        self._note(service, session, version, until_s)
+    def note_ended(self, upstream: Upstream, session: str, now_s: float) -> None:
+        """Note that the session's last request has ended at ``upstream``."""
+        self._note(upstream, session, now_s + self._ttl_s + SESSION_END_MARGIN_S)
 
     def version(self, service: str, session: str, now_s: float) -> str:
         """Return the version that the session goes on with; empty if none."""
         version, until_s = self._sessions.get((service, session), ("", 0.0))
         return version if now_s < until_s else ""
 
-    def _note(self, service: str, session: str, version: str, until_s: float) -> None:
-        key = (service, session)
-        self._sessions[key] = (version, until_s)
+    def _note(self, upstream: Upstream, session: str, until_s: float) -> None:
+        if not session:
+            return
+        key = (upstream.service, session)
+        self._sessions[key] = (upstream.version, until_s)
         self._sessions.move_to_end(key)
         while len(self._sessions) > MAX_SESSIONS:
             self._sessions.popitem(last=False)
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/forwarder.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/forwarder.py
@@ -60,7 +60,6 @@
         self._service: Service | None = None
         self._workspace: Workspace | None = None
         self._deadline_s = arrived_at_s
-        self._allowed_s = 0.0
         self._model = ""
         # The version that the caller has a part of an answer of.
         self._version = ""
@@ -83,7 +82,7 @@
     @property
     def allowed_ms(self) -> int:
         """Return the time that route and caller allow; 0 until it is known."""
-        return int(self._allowed_s * 1000)
+        return round((self._deadline_s - self._arrived_at_s) * 1000)
 
     @property
     def workspace(self) -> Workspace | None:
@@ -114,7 +113,6 @@
         waits_s = route.timeout_s
         if request.deadline_s is not None:
             waits_s = min(waits_s, request.deadline_s)
-        self._allowed_s = waits_s
         self._deadline_s = self._arrived_at_s + waits_s
         if request.facts.chooses_model and route.models:
             self._model = node.cascade.first_model(route)
--- a/packages/cardamomnotch-platform/src/cardamomnotch_platform/store/client.py
+++ b/packages/cardamomnotch-platform/src/cardamomnotch_platform/store/client.py
@@ -62,6 +62,15 @@
     )
 
 
+def _entries_of(answer: dict[str, Any]) -> tuple[StoreEntry, ...]:
+    return tuple(_entry_from_json(item) for item in answer.get("kvs", []))
+
+
+def _entry_of(key: str, answer: dict[str, Any]) -> StoreEntry:
+    entries = _entries_of(answer)
+    return entries[0] if entries else StoreEntry(key=key)
+
+
 class StoreClient:
     """A KeyValueStore that also lists by parts and keeps watches open.
 
@@ -95,8 +104,7 @@
     async def async_get(self, key: str) -> StoreEntry:
         """Return the entry of ``key``; absent keys have ``mod_revision`` 0."""
         answer = await self._async_call("kv/range", {"key": _key_to_base64(key)})
-        items = answer.get("kvs", [])
-        return _entry_from_json(items[0]) if items else StoreEntry(key=key)
+        return _entry_of(key, answer)
 
     async def async_list(
         self, prefix: str, *, start: str = "", limit: int = 0
@@ -108,13 +116,13 @@
             "limit": str(limit),
         }
         answer = await self._async_call("kv/range", body)
-        return tuple(_entry_from_json(item) for item in answer.get("kvs", []))
+        return _entries_of(answer)
 
     async def async_read(self, prefix: str) -> StoreView:
         """Return all entries under ``prefix``, and the revision to go on from."""
         answer = await self._async_call("kv/range", _range_of(prefix))
         return StoreView(
-            entries=tuple(_entry_from_json(item) for item in answer.get("kvs", [])),
+            entries=_entries_of(answer),
             revision=int(answer["header"]["revision"]),
         )
 
@@ -227,8 +235,7 @@
         revision = int(answer["header"]["revision"])
         if answer.get("succeeded", False):
             return WriteResult(succeeded=True, revision=revision)
-        items = answer["responses"][0]["response_range"].get("kvs", [])
-        current = _entry_from_json(items[0]) if items else StoreEntry(key=key)
+        current = _entry_of(key, answer["responses"][0]["response_range"])
         return WriteResult(succeeded=False, revision=revision, current=current)
 
     async def _async_call(self, path: str, body: dict[str, Any]) -> dict[str, Any]:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -8,6 +8,7 @@
 from aiohttp.test_utils import TestServer
 from hypothesis import settings
 
+from tests.fixtures.key_value_stores import STORES, StoreKit
 from tests.known_red import load_known_red
 
 settings.register_profile("fixed", derandomize=True, deadline=None, max_examples=60)
@@ -61,3 +62,13 @@
     connector = aiohttp.TCPConnector(force_close=True)
     async with aiohttp.ClientSession(connector=connector) as session:
         yield session
+
+
+@pytest.fixture(params=STORES)
+async def kit(
+    request: pytest.FixtureRequest,
+    serve_app: ServeApp,
+    http_session: aiohttp.ClientSession,
+) -> StoreKit:
+    """Return a client of each store that can be used, with its stand-in."""
+    return await STORES[request.param](serve_app, http_session)
--- a/tests/core/relay/test_rollouts.py
+++ b/tests/core/relay/test_rollouts.py
@@ -134,20 +134,22 @@
 def test_session_that_goes_on_is_not_moved_at_first(book, fleet, first_moved):
     """A session stays with the old version until the second stage."""
     session = first_moved.session
+    old = fleet.get("old-0").upstream
     assert version_of(book, fleet, first_moved, 1.0) == "v2"
-    book.sessions.note_started("drafts", session, "v1", 0.5)
+    book.sessions.note_started(old, session, 0.5)
     assert version_of(book, fleet, first_moved, 1.0) == "v1"
-    book.sessions.note_ended("drafts", session, "v1", 3.0)
+    book.sessions.note_ended(old, session, 3.0)
     assert version_of(book, fleet, first_moved, 7.9) == "v1"
     assert version_of(book, fleet, first_moved, 8.6) == "v2"
-    book.sessions.note_started("drafts", session, "v1", 9.0)
+    book.sessions.note_started(old, session, 9.0)
     assert version_of(book, fleet, first_moved, 13.0) == "v1"
     assert version_of(book, fleet, first_moved, 0.6 * ORDER.duration_s) == "v2"
 
 
 def test_session_that_began_on_the_new_version_stays_there(book, fleet, first_moved):
     """What began after the order goes on where it is."""
-    book.sessions.note_started("drafts", first_moved.session, "v2", 1.0)
+    new = fleet.get("new-0").upstream
+    book.sessions.note_started(new, first_moved.session, 1.0)
     assert version_of(book, fleet, first_moved, 2.0) == "v2"
 
 
--- a/tests/entry/relay/test_feed.py
+++ b/tests/entry/relay/test_feed.py
@@ -15,19 +15,11 @@
     StoreError,
 )
 
-from tests.fixtures.key_value_stores import STORES
-
 RECORD = changes.EntryRecord(entry="entry-a", incarnation="1")
 ORDER = RolloutOrder(service="drafts", target="v2", duration_s=20.0)
 STATUS = "status/rollout/drafts"
 
 
-@pytest.fixture(params=STORES)
-async def kit(request, serve_app, http_session):
-    """Return a client of a store, with the stand-in behind it."""
-    return await STORES[request.param](serve_app, http_session)
-
-
 @pytest.fixture
 def feed(kit):
     """Return the relay's view of the store."""
--- a/tests/platform/test_key_value_store.py
+++ b/tests/platform/test_key_value_store.py
@@ -10,14 +10,6 @@
     StoreError,
 )
 
-from tests.fixtures.key_value_stores import STORES
-
-
-@pytest.fixture(params=STORES)
-async def kit(request, serve_app, http_session):
-    """Return a client of a store, with the stand-in behind it."""
-    return await STORES[request.param](serve_app, http_session)
-
 
 async def test_absent_key(kit):
     """A key that is not there has revision 0."""
