Log and count upstream crashes by request fingerprint

`request ended` now carries the request's fingerprint, each attempt whether its upstream was up after the answer was lost, and `upstream crash counted` the fingerprint with the number of crashes known. The state dump lists the counts, two metrics give lost answers and suspects. No decision has changed.

--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/quarantine.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/quarantine.py
@@ -1,5 +1,7 @@
 """Quarantine of requests that crash upstreams."""
 
+from collections import Counter
+
 from .const import MAX_CRASHES, QUARANTINE_S
 
 
@@ -19,6 +21,14 @@
             fingerprint: count for fingerprint, (count, _) in self._local_counts.items()
         }
 
+    @property
+    def totals(self) -> dict[str, int]:
+        """Return the counts of all entries by fingerprint."""
+        totals = Counter(self.own_counts)
+        for counts in self._remote_counts.values():
+            totals.update(counts)
+        return dict(totals)
+
     def record_crash(self, fingerprint: str, now_s: float) -> None:
         """Count an upstream that crashed while it ran the request."""
         count, _ = self._local_counts.get(fingerprint, (0, 0.0))
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/diagnostics.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/diagnostics.py
@@ -34,6 +34,7 @@
             }
             for state in node.fleet
         ],
+        "crashes": node.crashes.totals,
         "rollouts": [
             {
                 "service": rollout.order.service,
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/forwarder.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/forwarder.py
@@ -1,6 +1,7 @@
 """Forwarding of one request, from its admission to its response."""
 
 import asyncio
+import logging
 from collections.abc import Callable
 
 from aiohttp import web
@@ -9,6 +10,7 @@
 from cardamomnotch_core.relay.models import Route, Service, Workspace
 from cardamomnotch_core.relay.node import RelayNode
 from cardamomnotch_protocol.result_codes import ResultCode
+from cardamomnotch_runtime.structured_log import log_event
 
 from .attempts import Attempt
 from .const import (
@@ -34,6 +36,7 @@
 )
 from .upstream_client import UpstreamClient
 
+_LOGGER = logging.getLogger(__name__)
 # Unreachable upstreams after which a request is refused.
 _MAX_UNREACHABLE_UPSTREAMS = 4
 # Retry-After if no upstream accepted the request, in seconds.
@@ -238,10 +241,10 @@
         self._has_failed_attempt = True
         self._tried_upstreams.add(attempt.upstream_id)
         attempt.log.outcome += f": {error.detail}"
-        if not await self._client.async_is_up(attempt.address):
-            self._node.crashes.record_crash(
-                self._request.facts.fingerprint, self._clock()
-            )
+        is_up = await self._client.async_is_up(attempt.address)
+        attempt.log.upstream_up = is_up
+        if not is_up:
+            self._record_crash(attempt)
         if not self._route.repeat.is_repeatable:
             self._raise_no_attempts_left()
         if self._node.crashes.is_quarantined(
@@ -252,6 +255,17 @@
                 "the request has crashed several upstreams",
             )
 
+    def _record_crash(self, attempt: Attempt) -> None:
+        fingerprint, now_s = self._request.facts.fingerprint, self._clock()
+        self._node.crashes.record_crash(fingerprint, now_s)
+        log_event(
+            _LOGGER,
+            "upstream crash counted",
+            fingerprint=fingerprint,
+            upstream=attempt.upstream_id,
+            crashes=self._node.crashes.crashes(fingerprint, now_s),
+        )
+
     async def _async_stream(self, attempt: Attempt) -> web.StreamResponse:
         head = attempt.head
         response = web.StreamResponse(status=head.status, headers=head.headers)
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/metrics.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/metrics.py
@@ -39,6 +39,12 @@
             ["route", "version", "model", "outcome"],
             registry=self.registry,
         )
+        self._lost_answers = Counter(
+            "cardamomnotch_relay_lost_answers",
+            "Attempts whose answer was lost, by whether the upstream was up.",
+            ["upstream_up"],
+            registry=self.registry,
+        )
         self._first_byte_seconds = Histogram(
             "cardamomnotch_relay_first_byte_seconds",
             "Time from sending an attempt to the head of its answer.",
@@ -59,6 +65,13 @@
         )
         upstreams.set_function(lambda: len(node.fleet))
 
+        suspects = Gauge(
+            "cardamomnotch_relay_suspects",
+            "Request fingerprints with upstream crashes, at all entries.",
+            registry=self.registry,
+        )
+        suspects.set_function(lambda: len(node.crashes.totals))
+
     def count_request(self, code: ResultCode, seconds: float) -> None:
         """Count a request that has ended."""
         self._requests_ended.labels(result=code.name.lower()).inc()
@@ -70,6 +83,8 @@
         self._attempts.labels(
             route=route, version=log.version, model=log.model, outcome=outcome
         ).inc()
+        if log.upstream_up is not None:
+            self._lost_answers.labels(upstream_up=str(log.upstream_up).lower()).inc()
         if log.first_byte_ms >= 0:
             first_byte = self._first_byte_seconds.labels(
                 version=log.version, model=log.model
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/models.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/models.py
@@ -90,6 +90,9 @@
     status: int = 0
     first_byte_ms: int = -1
     confidence: int = -1
+    # Whether the upstream accepted a connection after the answer was lost;
+    # None if that was not tested.
+    upstream_up: bool | None = None
 
     def as_dict(self) -> dict[str, object]:
         """Return the fields for the log line."""
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/server.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/server.py
@@ -210,6 +210,7 @@
             if self._node.routes.version
             else -1,
             session=request.facts.session if request else "",
+            fingerprint=request.facts.fingerprint if request else "",
             attempts=[log.as_dict() for log in forwarder.attempts] if forwarder else [],
             **_refused_request_fields(code, request),
         )
--- a/tests/entry/relay/test_request_log.py
+++ b/tests/entry/relay/test_request_log.py
@@ -4,7 +4,7 @@
 
 from cardamomnotch_runtime.structured_log import secret_digest
 
-from tests.stand_ins.platform_upstream import HoldOpen
+from tests.stand_ins.platform_upstream import HoldOpen, Reset
 
 _BAD_KEY = "removed-api-key"
 
@@ -50,3 +50,34 @@
     assert fields["allowed_ms"] == 300
     assert "key" not in fields
     assert "host" not in fields
+
+
+@pytest.mark.parametrize("crashes", [True, False], ids=["crashed", "still up"])
+async def test_lost_answer_logs_whether_its_upstream_is_up(
+    relay, request_log_fields, caplog, crashes
+):
+    """A lost answer is logged with the state of its upstream and its request."""
+
+    def lose_answer(request):
+        if crashes:
+            upstream.stop()
+        return [Reset()]
+
+    upstream = await relay.async_add_upstream("up", lose_answer, service="bookings")
+    assert (await relay.async_call("/book/x")).status == 502
+    fields = request_log_fields()
+    assert fields["attempts"][0]["upstream_up"] is not crashes
+    counted = [
+        record.fields
+        for record in caplog.records
+        if record.message == "upstream crash counted"
+    ]
+    expected = {
+        "fingerprint": fields["fingerprint"],
+        "upstream": "up",
+        "crashes": 1,
+    }
+    assert counted == ([expected] if crashes else [])
+    async with relay.session.get(f"http://{relay.admin_address}/state") as response:
+        state = await response.json()
+    assert state["crashes"] == ({fields["fingerprint"]: 1} if crashes else {})
