--- a/tests/adapter/test_message_codec.py
+++ b/tests/adapter/test_message_codec.py
@@ -125,6 +125,16 @@
         assert decode(headers, body, target).facts.fingerprint != fingerprint
 
 
+@pytest.mark.parametrize("name", ["X-Model", "X-Prefix-Hash"])
+def test_crashing_request_is_recognized_with_other_model_or_prompt(name):
+    """Other headers than the caller's key do not change the fingerprint."""
+    fingerprints = {
+        decode({"Authorization": "Token a", name: value}, b"x").facts.fingerprint
+        for value in ("one:5", "two:7")
+    }
+    assert len(fingerprints) == 1
+
+
 @pytest.mark.parametrize("value", ["soon", "1e", "--1"])
 def test_deadline_must_be_a_number(value):
     """A request with a malformed deadline is refused."""
--- a/tests/core/relay/test_node.py
+++ b/tests/core/relay/test_node.py
@@ -1,5 +1,7 @@
 """Tests of one entry's decisions, without a network."""
 
+import contextlib
+
 import pytest
 
 from cardamomnotch_core.relay import changes
@@ -97,6 +99,19 @@
     assert node.admit(make_route(), make_facts(fingerprint="other"), 1.0)
 
 
+def test_crashing_request_that_keeps_coming_crashes_few_upstreams(
+    node, make_route, make_facts
+):
+    """Of the upstreams after the third, at most three crash in ten minutes."""
+    crashes = 0
+    for now_s in range(600):
+        with contextlib.suppress(RefusalError):
+            node.admit(make_route(), make_facts(), float(now_s))
+            node.crashes.record_crash("print", float(now_s))
+            crashes += 1
+    assert crashes <= 3 + 3
+
+
 def test_route_shares(node, make_route, make_facts):
     """Requests are split by weight, and a session gets one service."""
     route = make_route(
--- /dev/null
+++ b/tests/entry/relay/test_quarantine.py
@@ -0,0 +1,157 @@
+"""Requests that crash each upstream that runs them."""
+
+import asyncio
+import itertools
+from collections.abc import AsyncIterator
+
+import pytest
+
+from tests.fixtures.relay_system import RelaySystem
+from tests.stand_ins.platform_upstream import HoldOpen, Reset, stream
+
+# Crashes after which a request must not be sent again.
+MAX_CRASHES = 2
+# Time for a record to reach the other entries, in seconds.
+SPREAD_S = 1.5
+
+
+class CrashingUpstreams:
+    """Upstreams that crash with each request that they run.
+
+    ``behavior`` tells how a crash looks to the entry.
+    """
+
+    def __init__(self, relay, service, behavior=lambda upstream: [Reset()]):
+        self._relay = relay
+        self._service = service
+        self._behavior = behavior
+        self._numbers = itertools.count()
+
+    @property
+    def crashes(self):
+        """Return how many upstreams have run a request."""
+        return sum(bool(upstream.seen) for upstream in self._relay.upstreams.values())
+
+    async def async_start(self, count):
+        """Start new upstreams."""
+        for _ in range(count):
+            name = f"up-{next(self._numbers)}"
+            await self._relay.async_add_upstream(
+                name, self._crash, service=self._service
+            )
+
+    def _crash(self, request):
+        upstream = self._relay.upstreams[request.headers["x-expect-instance"]]
+        steps = self._behavior(upstream)
+        upstream.stop()
+        return steps
+
+
+@pytest.fixture
+async def other(relay) -> AsyncIterator[RelaySystem]:
+    """Yield a second entry on the store of the first."""
+    system = await relay.async_add_entry("entry-b-1")
+    yield system
+    await system.async_leave()
+
+
+async def test_restarted_entry_does_not_repeat_a_crashing_request(relay):
+    """A quarantine survives the restart of the only entry."""
+    upstreams = CrashingUpstreams(relay, "drafts")
+    await upstreams.async_start(MAX_CRASHES)
+    assert (await relay.async_call("/draft/x", X_Model="small")).status == 502
+    assert upstreams.crashes == MAX_CRASHES
+    await asyncio.sleep(SPREAD_S)
+    await relay.async_restart_entry()
+    await upstreams.async_start(MAX_CRASHES)
+    assert (await relay.async_call("/draft/x", X_Model="small")).status == 502
+    assert upstreams.crashes == MAX_CRASHES
+
+
+@pytest.mark.parametrize("end", ["stopped", "killed"])
+async def test_crashes_of_an_entry_that_left_are_not_forgotten(relay, other, end):
+    """An entry refuses a request that crashed upstreams of an entry that left."""
+    upstreams = CrashingUpstreams(relay, "drafts")
+    await upstreams.async_start(MAX_CRASHES)
+    assert (await relay.async_call("/draft/x", X_Model="small")).status == 502
+    await asyncio.sleep(SPREAD_S)
+    if end == "stopped":
+        await relay.async_stop_entry()
+    else:
+        await relay.async_kill_entry()
+        relay.store.expire_leases()
+    await other.async_wait_for(lambda: other.entry.node.entries == ("entry-b-1",))
+    upstreams_of_other = CrashingUpstreams(other, "drafts")
+    await upstreams_of_other.async_start(MAX_CRASHES)
+    assert (await other.async_call("/draft/x", X_Model="small")).status == 502
+    assert upstreams_of_other.crashes == 0
+
+
+async def test_crash_within_a_stream_that_cannot_resume_is_counted(relay):
+    """A crash counts after a part of a non-resumable stream was sent."""
+    upstreams = CrashingUpstreams(
+        relay, "drafts", lambda upstream: stream(1, 2, then=[Reset()])(_last(upstream))
+    )
+    await upstreams.async_start(MAX_CRASHES + 2)
+    for _ in range(MAX_CRASHES + 2):
+        await relay.async_call("/answer/x", X_Model="small")
+    assert upstreams.crashes == MAX_CRASHES
+
+
+async def test_crash_is_counted_after_the_deadline(relay):
+    """A silent crash counts although the request's deadline ended its task."""
+    upstreams = CrashingUpstreams(relay, "bookings", lambda upstream: [HoldOpen()])
+    await upstreams.async_start(MAX_CRASHES)
+    for _ in range(MAX_CRASHES):
+        answer = await relay.async_call("/book/x", X_Deadline_Ms="200")
+        assert answer.status == 504
+    await _async_expire_registrations(relay)
+    await upstreams.async_start(MAX_CRASHES)
+    assert (await relay.async_call("/book/x", X_Deadline_Ms="200")).status == 502
+    assert upstreams.crashes == MAX_CRASHES
+
+
+async def test_crash_is_counted_after_the_caller_has_left(relay):
+    """A silent crash counts although the caller has disconnected."""
+    upstreams = CrashingUpstreams(relay, "bookings", lambda upstream: [HoldOpen()])
+    await upstreams.async_start(MAX_CRASHES)
+    for _ in range(MAX_CRASHES):
+        with pytest.raises(TimeoutError):
+            async with asyncio.timeout(0.2):
+                await relay.async_call("/book/x")
+    await _async_expire_registrations(relay)
+    await upstreams.async_start(MAX_CRASHES)
+    assert (await relay.async_call("/book/x")).status == 502
+    assert upstreams.crashes == MAX_CRASHES
+
+
+async def test_crash_is_counted_though_the_upstream_is_back(relay):
+    """A crash counts if the upstream has restarted before it is tested."""
+    started = []
+
+    def reset_and_stay(request):
+        upstream = relay.upstreams[request.headers["x-expect-instance"]]
+        born = upstream.entry()["born"] + 1
+        started.append(upstream.upstream_id)
+        relay.register(upstream, service="bookings", born=born)
+        return [Reset()]
+
+    for number in range(MAX_CRASHES + 2):
+        await relay.async_add_upstream(
+            f"up-{number}", reset_and_stay, service="bookings"
+        )
+    for _ in range(MAX_CRASHES + 2):
+        assert (await relay.async_call("/book/x")).status == 502
+        await asyncio.sleep(SPREAD_S / 2)
+    assert len(started) == MAX_CRASHES
+
+
+def _last(upstream):
+    return upstream.seen[-1]
+
+
+async def _async_expire_registrations(relay):
+    """Delete the registrations of all upstreams, as after missing heartbeats."""
+    for upstream_id in relay.upstreams:
+        relay.store.delete(f"servers/{upstream_id}")
+    await relay.async_wait_for(lambda: not len(relay.entry.node.fleet))
