Keep a request's crashes when the entry that saw them leaves

Cause: crash counts were part of the record of the entry that saw the crash. The record has the lease of the entry's process, the other entries dropped the counts with it, and a restarted entry began at zero and replaced its record. Knowledge about a request had the lifetime of a process.

Fix: a crash is stored as a report with a lease of its own, as long as the quarantine. Every entry that reads it keeps it for that time, whether the reporting entry lives or not; a new entry finds it in its first read. Crashes are named by upstream process, so one that several entries see counts once. An entry that stops stores what it has not reported yet.

--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/changes.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/changes.py
@@ -3,6 +3,7 @@
 import attrs
 
 from .models import RolloutOrder, RouteDocument, Upstream
+from .quarantine import Crash
 from .rollout import RolloutReport, RolloutState
 
 
@@ -76,8 +77,6 @@
     # Address for the other entries' notices, "ip:port"; empty if none.
     address: str = ""
     rollouts: dict[str, RolloutReport] = attrs.field(factory=dict)
-    # Number of upstreams that a request has crashed, by request fingerprint.
-    crashes: dict[str, int] = attrs.field(factory=dict)
 
     def is_urgent_after(self, earlier: "EntryRecord") -> bool:
         """Return whether the changes since ``earlier`` affect other entries.
@@ -86,8 +85,8 @@
         """
         return self._decision_inputs() != earlier._decision_inputs()
 
-    def _decision_inputs(self) -> tuple[object, ...]:
-        rollouts = {
+    def _decision_inputs(self) -> dict[str, tuple[object, ...]]:
+        return {
             service: (
                 report.order_id,
                 report.share,
@@ -96,7 +95,6 @@
             )
             for service, report in self.rollouts.items()
         }
-        return rollouts, self.crashes
 
 
 @attrs.frozen(kw_only=True)
@@ -113,6 +111,16 @@
     entry: str
 
 
+@attrs.frozen(kw_only=True)
+class CrashesReported:
+    """An entry has stored upstream crashes that requests have caused.
+
+    The report outlives the entry.
+    """
+
+    crashes: tuple[Crash, ...]
+
+
 Change = (
     DocumentWritten
     | UpstreamListed
@@ -124,4 +132,5 @@
     | RolloutReported
     | EntryReported
     | EntryExpired
+    | CrashesReported
 )
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/const.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/const.py
@@ -39,6 +39,8 @@
 MAX_CRASHES: Final = 2
 # Time for which a quarantined request is refused, in seconds.
 QUARANTINE_S: Final = 60.0
+# Requests whose crashes are counted; the one with the oldest crash is evicted.
+MAX_SUSPECTS: Final = 10_000
 
 # Prefill time per prompt token for a model without samples, in milliseconds.
 DEFAULT_PREFILL_MS_PER_TOKEN: Final = 0.02
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/models.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/models.py
@@ -113,6 +113,11 @@
     # Unix time of the process start in milliseconds; 0 if not registered.
     started_ms: int = 0
 
+    @property
+    def process(self) -> str:
+        """Return a name of this run of the upstream."""
+        return f"{self.upstream_id}@{self.started_ms}"
+
 
 @attrs.frozen(kw_only=True)
 class RolloutOrder:
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/node.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/node.py
@@ -150,7 +150,6 @@
         self._retry_budget.set_entries(len(self._entries))
         for service, report in record.rollouts.items():
             self.versions.set_report(record.entry, service, report, now_s)
-        self.crashes.set_counts(record.entry, record.crashes)
 
     @apply.register
     def _(self, change: changes.EntryExpired, now_s: float) -> None:
@@ -162,7 +161,10 @@
         self.versions.forget_entry(change.entry)
         for state in self.fleet:
             state.forget_entry(change.entry)
-        self.crashes.forget_entry(change.entry)
+
+    @apply.register
+    def _(self, change: changes.CrashesReported, now_s: float) -> None:
+        self.crashes.add_reported(change.crashes, now_s)
 
     def apply_listing(self, listing: Iterable[changes.Change], now_s: float) -> None:
         """Apply the full content of the store, and remove what it lacks."""
@@ -211,7 +213,6 @@
             incarnation=self._identity.incarnation,
             address=self._identity.address,
             rollouts=rollouts,
-            crashes=self.crashes.own_counts,
         )
 
     def admit(self, route: Route, facts: RequestFacts, now_s: float) -> Service:
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/quarantine.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/quarantine.py
@@ -1,60 +1,93 @@
 """Quarantine of requests that crash upstreams."""
 
-from collections import Counter
+from collections.abc import Iterable
 
-from .const import MAX_CRASHES, QUARANTINE_S
+import attrs
+
+from .const import MAX_CRASHES, MAX_SUSPECTS, QUARANTINE_S
+
+
+@attrs.frozen(kw_only=True)
+class Crash:
+    """An upstream process that ended while it ran a request."""
+
+    # Fingerprint of the request.
+    fingerprint: str
+    # Identifies one run of an upstream.
+    process: str
 
 
 class CrashCounts:
-    """Counts the confirmed crashes of all entries by request fingerprint."""
+    """Counts the upstream processes that each request has crashed.
+
+    Knows the crashes that this entry has seen and those that other entries
+    have reported in the store. A crash seen by several entries counts once.
+    """
 
     def __init__(self) -> None:
-        # Count and expiry time by fingerprint.
-        self._local_counts: dict[str, tuple[int, float]] = {}
-        # Counts by fingerprint of the other entries, by entry name.
-        self._remote_counts: dict[str, dict[str, int]] = {}
+        # Crashed processes by fingerprint, and the time of the last crash; in
+        # the order of these times.
+        self._processes: dict[str, set[str]] = {}
+        self._last_crash_s: dict[str, float] = {}
+        self._unreported: list[Crash] = []
 
     @property
-    def own_counts(self) -> dict[str, int]:
-        """Return this entry's counts, which it shares with the others."""
-        return {
-            fingerprint: count for fingerprint, (count, _) in self._local_counts.items()
-        }
+    def unreported(self) -> tuple[Crash, ...]:
+        """Return the crashes seen by this entry that are not stored yet."""
+        return tuple(self._unreported)
 
     @property
     def totals(self) -> dict[str, int]:
-        """Return the counts of all entries by fingerprint."""
-        totals = Counter(self.own_counts)
-        for counts in self._remote_counts.values():
-            totals.update(counts)
-        return dict(totals)
+        """Return the number of crashes by fingerprint."""
+        return {
+            fingerprint: len(processes)
+            for fingerprint, processes in self._processes.items()
+        }
 
-    def record_crash(self, fingerprint: str, now_s: float) -> None:
-        """Count an upstream that crashed while it ran the request."""
-        count, _ = self._local_counts.get(fingerprint, (0, 0.0))
-        self._local_counts[fingerprint] = (count + 1, now_s + QUARANTINE_S)
+    def record_crash(self, crash: Crash, now_s: float) -> None:
+        """Count a crash that this entry has seen."""
+        if self._add(crash, now_s):
+            self._unreported.append(crash)
 
-    def set_counts(self, entry: str, counts: dict[str, int]) -> None:
-        """Replace the counts of another entry."""
-        self._remote_counts[entry] = counts
+    def add_reported(self, crashes: Iterable[Crash], now_s: float) -> None:
+        """Count crashes that an entry has stored."""
+        for crash in crashes:
+            self._add(crash, now_s)
 
-    def forget_entry(self, entry: str) -> None:
-        """Delete the counts of an entry that is gone."""
-        self._remote_counts.pop(entry, None)
+    def mark_reported(self, crashes: Iterable[Crash]) -> None:
+        """Record that ``crashes`` are stored."""
+        stored = set(crashes)
+        self._unreported = [crash for crash in self._unreported if crash not in stored]
 
     def is_quarantined(self, fingerprint: str, now_s: float) -> bool:
         """Return whether the request must be refused."""
         return self.crashes(fingerprint, now_s) >= MAX_CRASHES
 
     def crashes(self, fingerprint: str, now_s: float) -> int:
-        """Return how many upstreams the request has crashed."""
+        """Return how many upstream processes the request has crashed."""
         self._expire(now_s)
-        own, _ = self._local_counts.get(fingerprint, (0, 0.0))
-        return own + sum(
-            counts.get(fingerprint, 0) for counts in self._remote_counts.values()
-        )
+        return len(self._processes.get(fingerprint, ()))
+
+    def _add(self, crash: Crash, now_s: float) -> bool:
+        """Add a crash; return False if it is known."""
+        self._expire(now_s)
+        processes = self._processes.setdefault(crash.fingerprint, set())
+        if crash.process in processes:
+            return False
+        processes.add(crash.process)
+        self._last_crash_s.pop(crash.fingerprint, None)
+        self._last_crash_s[crash.fingerprint] = now_s
+        if len(self._last_crash_s) > MAX_SUSPECTS:
+            self._forget(next(iter(self._last_crash_s)))
+        return True
 
     def _expire(self, now_s: float) -> None:
-        for fingerprint, (_, expires_at_s) in tuple(self._local_counts.items()):
-            if now_s >= expires_at_s:
-                del self._local_counts[fingerprint]
+        while self._last_crash_s:
+            fingerprint, last_crash_s = next(iter(self._last_crash_s.items()))
+            if now_s < last_crash_s + QUARANTINE_S:
+                return
+            self._forget(fingerprint)
+
+    def _forget(self, fingerprint: str) -> None:
+        del self._last_crash_s[fingerprint]
+        del self._processes[fingerprint]
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/attempts.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/attempts.py
@@ -84,6 +84,11 @@
         """Return the id of the upstream."""
         return self._state.upstream_id
 
+    @property
+    def process(self) -> str:
+        """Return the name of the upstream's process."""
+        return self._state.upstream.process
+
     @property
     def address(self) -> str:
         """Return the address of the upstream."""
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/coordinator.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/coordinator.py
@@ -12,6 +12,7 @@
     EntryRecord,
     EntryReported,
 )
+from cardamomnotch_core.relay.const import QUARANTINE_S
 from cardamomnotch_core.relay.models import RouteDocument
 from cardamomnotch_core.relay.node import RelayNode
 from cardamomnotch_core.relay.rollout import Rollout, RolloutState
@@ -23,6 +24,7 @@
 from cardamomnotch_runtime.structured_log import log_event
 
 from .const import (
+    CRASH_REPORT_INTERVAL_S,
     MAX_WATCH_PAUSE_S,
     MIN_STORE_OUTAGE_S,
     MIN_WATCH_PAUSE_S,
@@ -58,6 +60,8 @@
         self._record: EntryRecord | None = None
         self._record_written_at_s = -math.inf
         self._record_renewed_at_s = -math.inf
+        self._crashes_written_at_s = -math.inf
+        self._crash_reports = 0
         self._publish_after_s = -math.inf
         self._has_write_failed = False
         self._reported_states: dict[str, tuple[int, RolloutState]] = {}
@@ -131,6 +135,7 @@
         if now_s < self._publish_after_s:
             return
         try:
+            await self._async_publish_crashes()
             await self._async_publish_record()
             for rollout in self._node.versions.rollouts:
                 await self._async_report(rollout)
@@ -145,11 +150,16 @@
             log_event(_LOGGER, "entry record and reports are written again")
 
     async def async_unload(self) -> None:
-        """Delete this entry's record from the store."""
+        """Store the last crashes, and delete this entry's record."""
         try:
+            await self._async_write_crashes()
             await self._relay_store.async_delete_record()
         except StoreError as error:
-            log_event(_LOGGER, "entry record could not be deleted", detail=error.detail)
+            log_event(
+                _LOGGER,
+                "last crashes not stored or entry record not deleted",
+                detail=error.detail,
+            )
 
     def _log_full_read(self, store_changes: list[Change], cursor: int) -> None:
         kinds = Counter(type(change).__name__ for change in store_changes)
@@ -211,6 +221,23 @@
                 detail=error.detail,
             )
 
+    async def _async_publish_crashes(self) -> None:
+        now_s = self._clock()
+        if now_s - self._crashes_written_at_s >= CRASH_REPORT_INTERVAL_S:
+            await self._async_write_crashes()
+
+    async def _async_write_crashes(self) -> None:
+        """Store the crashes that are not stored yet, if there are any."""
+        crashes = self._node.crashes.unreported
+        if not crashes:
+            return
+        identity = self._node.identity
+        name = f"{identity.name}-{identity.incarnation}-{self._crash_reports}"
+        await self._relay_store.async_write_crashes(name, crashes, QUARANTINE_S)
+        self._node.crashes.mark_reported(crashes)
+        self._crash_reports += 1
+        self._crashes_written_at_s = self._clock()
+
     async def _async_publish_record(self) -> None:
         now_s = self._clock()
         record = self._node.entry_record(now_s)
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/forwarder.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/forwarder.py
@@ -9,6 +9,7 @@
 from cardamomnotch_core.relay.exceptions import RefusalError
 from cardamomnotch_core.relay.models import Route, Service, Workspace
 from cardamomnotch_core.relay.node import RelayNode
+from cardamomnotch_core.relay.quarantine import Crash
 from cardamomnotch_protocol.result_codes import ResultCode
 from cardamomnotch_runtime.structured_log import log_event
 
@@ -257,7 +258,8 @@
 
     def _record_crash(self, attempt: Attempt) -> None:
         fingerprint, now_s = self._request.facts.fingerprint, self._clock()
-        self._node.crashes.record_crash(fingerprint, now_s)
+        crash = Crash(fingerprint=fingerprint, process=attempt.process)
+        self._node.crashes.record_crash(crash, now_s)
         log_event(
             _LOGGER,
             "upstream crash counted",
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/interfaces.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/interfaces.py
@@ -1,10 +1,12 @@
 """Interfaces that an installation's platform implements for the relay."""
 
+from collections.abc import Sequence
 from typing import Protocol
 
 from multidict import CIMultiDict, CIMultiDictProxy
 
 from cardamomnotch_core.relay.changes import Change, EntryRecord
+from cardamomnotch_core.relay.quarantine import Crash
 from cardamomnotch_core.relay.rollout import RolloutState
 from cardamomnotch_platform.store.models import StoreEntry
 
@@ -45,6 +47,12 @@
     def encode_record(self, record: EntryRecord) -> bytes:
         """Return the stored form of ``record``."""
 
+    def crashes_key(self, name: str) -> str:
+        """Return the store key of a report of crashes."""
+
+    def encode_crashes(self, crashes: Sequence[Crash]) -> bytes:
+        """Return the stored form of a report of crashes."""
+
     def status_key(self, service: str) -> str:
         """Return the store key of the report on a service's rollout."""
 
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/relay_store.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/relay_store.py
@@ -1,6 +1,9 @@
 """The relay's data in a key-value store."""
 
+from collections.abc import Sequence
+
 from cardamomnotch_core.relay.changes import Change, EntryRecord, RolloutReported
+from cardamomnotch_core.relay.quarantine import Crash
 from cardamomnotch_core.relay.rollout import Rollout, RolloutState
 from cardamomnotch_platform.exceptions import LeaseExpiredError, StoreConflictError
 from cardamomnotch_platform.store.interface import KeyValueStore
@@ -64,6 +67,20 @@
         if self._lease_id:
             await self._store.async_revoke_lease(self._lease_id)
 
+    async def async_write_crashes(
+        self, name: str, crashes: Sequence[Crash], ttl_s: float
+    ) -> None:
+        """Write a report of crashes, which is deleted after ``ttl_s`` seconds.
+
+        The report has a lease of its own, so it outlives this entry.
+        """
+        lease = await self._store.async_grant_lease(ttl_s)
+        await self._store.async_put(
+            self._store_codec.crashes_key(name),
+            self._store_codec.encode_crashes(crashes),
+            lease_id=lease.lease_id,
+        )
+
     async def async_report_rollout(self, rollout: Rollout, state: RolloutState) -> None:
         """Write the state of a rollout unless it is already stored.
 
--- a/tests/adapter/test_store_codec.py
+++ b/tests/adapter/test_store_codec.py
@@ -6,6 +6,7 @@
 from cardamomnotch_adapter.store_codec import PlatformStoreCodec, decode_record
 from cardamomnotch_core.relay import changes
 from cardamomnotch_core.relay.models import RepeatRule
+from cardamomnotch_core.relay.quarantine import Crash
 from cardamomnotch_core.relay.rollout import AnswerStats, RolloutReport, RolloutState
 from cardamomnotch_platform.store.models import StoreEntry
 
@@ -160,6 +161,22 @@
                 old=AnswerStats(),
             )
         },
-        crashes={"print": 1},
     )
     assert decode_record(orjson.loads(CODEC.encode_record(record))) == record
+
+
+def test_crash_report_round_trip():
+    """A decoded report of crashes equals the one that was encoded."""
+    crashes = (
+        Crash(fingerprint="print", process="up@1"),
+        Crash(fingerprint="other", process="up@1"),
+    )
+    entry = store_entry(CODEC.crashes_key("entry-a-1-0"), CODEC.encode_crashes(crashes))
+    assert CODEC.decode(entry) == changes.CrashesReported(crashes=crashes)
+
+
+@pytest.mark.parametrize("value", [b"{}", b"[1]", b"[[1, 2, 3]]", b"["])
+def test_unreadable_crash_report_is_ignored(value):
+    """A report that another writer has spoiled reports nothing."""
+    change = CODEC.decode(store_entry(CODEC.crashes_key("entry-a-1-0"), value))
+    assert change is None or not change.crashes
--- a/tests/core/relay/test_node.py
+++ b/tests/core/relay/test_node.py
@@ -9,6 +9,7 @@
 from cardamomnotch_core.relay.limits import RelayLimits
 from cardamomnotch_core.relay.models import PromptPart, RolloutOrder, Share
 from cardamomnotch_core.relay.node import RelayIdentity, RelayNode
+from cardamomnotch_core.relay.quarantine import Crash
 from cardamomnotch_protocol.result_codes import ResultCode
 
 
@@ -89,16 +90,24 @@
 
 def test_crashes_of_all_entries_count(node, make_route, make_facts):
     """A request that crashed an upstream at each of two entries is refused."""
-    node.crashes.record_crash("print", 0.0)
+    node.crashes.record_crash(Crash(fingerprint="print", process="up-0@1"), 0.0)
     assert node.admit(make_route(), make_facts(), 1.0)
-    record = changes.EntryRecord(entry="entry-b", incarnation="1", crashes={"print": 1})
-    node.apply(changes.EntryReported(record=record), 1.0)
+    reported = (Crash(fingerprint="print", process="up-1@1"),)
+    node.apply(changes.CrashesReported(crashes=reported), 1.0)
     with pytest.raises(RefusalError) as error:
         node.admit(make_route(), make_facts(), 1.0)
     assert error.value.code is ResultCode.REQUEST_QUARANTINED
     assert node.admit(make_route(), make_facts(fingerprint="other"), 1.0)
 
 
+def test_crash_seen_by_two_entries_counts_once(node, make_route, make_facts):
+    """One crash that two entries report is not counted as two."""
+    crash = Crash(fingerprint="print", process="up-0@1")
+    node.crashes.record_crash(crash, 0.0)
+    node.apply(changes.CrashesReported(crashes=(crash,)), 1.0)
+    assert node.admit(make_route(), make_facts(), 1.0)
+
+
 def test_crashing_request_that_keeps_coming_crashes_few_upstreams(
     node, make_route, make_facts
 ):
@@ -107,7 +116,8 @@
     for now_s in range(600):
         with contextlib.suppress(RefusalError):
             node.admit(make_route(), make_facts(), float(now_s))
-            node.crashes.record_crash("print", float(now_s))
+            crash = Crash(fingerprint="print", process=f"up@{now_s}")
+            node.crashes.record_crash(crash, float(now_s))
             crashes += 1
     assert crashes <= 3 + 3
 
--- a/tests/entry/relay/test_coordinator.py
+++ b/tests/entry/relay/test_coordinator.py
@@ -6,6 +6,7 @@
 from cardamomnotch_core.relay.limits import RelayLimits
 from cardamomnotch_core.relay.models import RolloutOrder
 from cardamomnotch_core.relay.node import RelayIdentity, RelayNode
+from cardamomnotch_core.relay.quarantine import Crash
 from cardamomnotch_core.relay.rollout import RolloutState
 from cardamomnotch_entry.relay import coordinator as module
 from cardamomnotch_entry.relay.coordinator import StoreCoordinator
@@ -21,6 +22,7 @@
         self.failure: Exception | None = None
         self.calls: list[str] = []
         self.reports: list[RolloutState] = []
+        self.crash_reports: list[tuple[str, tuple[Crash, ...]]] = []
         self.waits_s: list[float] = []
         self.found: list[changes.Change] = []
 
@@ -48,6 +50,11 @@
         self._record_call("keep")
         return True
 
+    async def async_write_crashes(self, name, crashes, ttl_s):
+        """Record a report of crashes."""
+        self._record_call("crashes")
+        self.crash_reports.append((name, crashes))
+
     async def async_report_rollout(self, rollout, state):
         """Record a roll-out report."""
         self._record_call("report")
@@ -132,6 +139,23 @@
     ]
 
 
+async def test_crashes_are_stored_until_the_store_accepts_them(
+    coordinator, clock, relay_store, node
+):
+    """Crashes seen in a store outage are reported together after it, once."""
+    first, second = (
+        Crash(fingerprint="print", process=f"up-{number}@1") for number in range(2)
+    )
+    relay_store.failure = StoreError("status 503")
+    node.crashes.record_crash(first, clock())
+    await run_coordinator(coordinator, clock, 3)
+    node.crashes.record_crash(second, clock())
+    relay_store.crash_reports.clear()
+    relay_store.failure = None
+    await run_coordinator(coordinator, clock, 3)
+    assert relay_store.crash_reports == [("entry-b-1-0", (first, second))]
+
+
 async def test_report_is_delayed_on_the_second_entry(
     coordinator, clock, relay_store, node
 ):
--- a/tests/entry/relay/test_relay_store.py
+++ b/tests/entry/relay/test_relay_store.py
@@ -7,6 +7,7 @@
 from cardamomnotch_adapter.store_codec import PlatformStoreCodec
 from cardamomnotch_core.relay import changes
 from cardamomnotch_core.relay.models import RolloutOrder
+from cardamomnotch_core.relay.quarantine import Crash
 from cardamomnotch_core.relay.rollout import Rollout, RolloutState
 from cardamomnotch_entry.relay.relay_store import RelayStore
 from cardamomnotch_platform.exceptions import (
@@ -81,6 +82,16 @@
     assert (await store_harness.store.async_get("entries/entry-a")).value
 
 
+async def test_crash_report_outlives_the_entry_record(relay_store, store_harness):
+    """A report of crashes has a lease of its own."""
+    crashes = (Crash(fingerprint="print", process="up@1"),)
+    await relay_store.async_write_record(RECORD, 6.0)
+    await relay_store.async_write_crashes("entry-a-1-0", crashes, 60.0)
+    await relay_store.async_delete_record()
+    found, _ = await relay_store.async_read_all()
+    assert found == [changes.CrashesReported(crashes=crashes)]
+
+
 async def test_report_is_written_once(relay_store, store_harness):
     """Reporting the same state twice writes it once."""
     rollout = await _async_write_order(store_harness)
