Count a crash whichever way the request's attempt ended

Cause: evidence of a crash was gathered by the task that serves the request, by one test connection. A non-resumable stream ended before that place, a task that was cancelled (deadline, caller gone) never reached it, and an upstream that was back already passed the test.

Fix: every attempt that ends without a complete answer is recorded with the process that it was sent to. If the store lists the end of that process within eight seconds, or has already, it counts as a crash, other than after draining. A crash in a non-resumable stream is tested like any other. The line 'upstream crash counted' is written wherever it is found.

--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/const.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/const.py
@@ -39,6 +39,10 @@
 MAX_CRASHES: Final = 2
 # Time for which a quarantined request is refused, in seconds.
 QUARANTINE_S: Final = 60.0
+# Time within which an upstream's end in the store is attributed to requests
+# that it has left unanswered, in seconds: the store lists a process that sends
+# no heartbeats for a while.
+CRASH_NOTICE_S: Final = 8.0
 # Requests whose crashes are counted; the one with the oldest crash is evicted.
 MAX_SUSPECTS: Final = 10_000
 
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/fleet.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/fleet.py
@@ -71,18 +71,20 @@
         self.penalty_until_s = 0.0
 
 
-def _ignore_ended(upstream_id: str) -> None:
+def _ignore_ended(upstream: Upstream, now_s: float) -> None:
     """Ignore the end of an upstream process."""
 
 
 class Fleet:
     """Upstreams by id, and the availability zones that are out of service.
 
-    ``on_ended`` is called with the id of each upstream whose process has
-    ended, also if a new process has registered under the same id.
+    ``on_ended`` is called with each upstream whose process has ended and the
+    time, also if a new process has registered under the same id.
     """
 
-    def __init__(self, on_ended: Callable[[str], None] = _ignore_ended) -> None:
+    def __init__(
+        self, on_ended: Callable[[Upstream, float], None] = _ignore_ended
+    ) -> None:
         self._on_ended = on_ended
         self._states: dict[str, UpstreamState] = {}
         self._zones_out: set[str] = set()
@@ -123,7 +125,7 @@
         cold_until_s = now_s + upstream.cold_left_s
         state = self._states.get(upstream.upstream_id)
         if state is not None and state.upstream.started_ms != upstream.started_ms:
-            self._on_ended(upstream.upstream_id)
+            self._on_ended(state.upstream, now_s)
             state = None
         if state is None:
             state = UpstreamState(upstream)
@@ -148,7 +150,7 @@
             state.remove_at_s = until_s
             self._next_removal_at_s = min(self._next_removal_at_s, until_s)
             return
-        self._remove_state(upstream_id)
+        self._remove_state(upstream_id, now_s)
 
     def set_zone_disabled(self, zone: str, disabled: bool) -> None:
         """Take an availability zone out of service or back into service."""
@@ -185,13 +187,13 @@
             if state.remove_at_s is None:
                 continue
             if now_s >= state.remove_at_s:
-                self._remove_state(state.upstream_id)
+                self._remove_state(state.upstream_id, now_s)
             else:
                 self._next_removal_at_s = min(
                     self._next_removal_at_s, state.remove_at_s
                 )
 
-    def _remove_state(self, upstream_id: str) -> None:
-        del self._states[upstream_id]
+    def _remove_state(self, upstream_id: str, now_s: float) -> None:
+        state = self._states.pop(upstream_id)
         self._candidates.clear()
-        self._on_ended(upstream_id)
+        self._on_ended(state.upstream, now_s)
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/node.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/node.py
@@ -16,9 +16,9 @@
 from .exceptions import RefusalError
 from .fleet import Fleet, UpstreamState
 from .limits import RelayLimits
-from .models import RequestFacts, Route, Service
+from .models import RequestFacts, Route, Service, Upstream
 from .placement import Placement, Placer
-from .quarantine import CrashCounts
+from .quarantine import Crash, CrashCounts, UnansweredAttempts
 from .retries import RetryBudget
 from .routes import RouteTable
 from .versions import VersionSelector
@@ -47,9 +47,10 @@
         self._identity = identity
         self._limits = limits
         self.routes = RouteTable(limits.document_max_age_s)
-        self.fleet = Fleet(self._forget_upstream)
+        self.fleet = Fleet(self._handle_upstream_end)
         self.versions = VersionSelector(limits.exposure_share, limits.session_ttl_s)
         self.crashes = CrashCounts()
+        self._unanswered = UnansweredAttempts()
         self.cascade = Cascade()
         self._cold_limiter = ColdLimiter(limits.cold_overshoot, limits.cold_slack)
         self._retry_budget = RetryBudget(
@@ -302,8 +303,28 @@
         expected_s = elapsed_s + placement.expected_ms / 1000
         return expected_s <= route.target_latency_s * ESCALATION_LATENCY_FRACTION
 
-    def _forget_upstream(self, upstream_id: str) -> None:
-        """Delete the state kept for an upstream process that has ended."""
+    def record_unanswered(
+        self, upstream: Upstream, fingerprint: str, now_s: float
+    ) -> None:
+        """Record an attempt that ended without a complete answer.
+
+        It counts as a crash if the upstream's process has ended, or ends soon,
+        other than after draining.
+        """
+        crash = Crash(fingerprint=fingerprint, process=upstream.process)
+        current = self.fleet.get(upstream.upstream_id)
+        if current is not None and current.upstream.process == upstream.process:
+            self._unanswered.add(crash, now_s)
+        elif not upstream.is_draining:
+            self.crashes.record_crash(crash, now_s)
+
+    def _handle_upstream_end(self, upstream: Upstream, now_s: float) -> None:
+        """Attribute the end of a process, and delete the state kept for it."""
+        upstream_id = upstream.upstream_id
+        unanswered = self._unanswered.take(upstream.process, now_s)
+        if not upstream.is_draining:
+            for crash in unanswered:
+                self.crashes.record_crash(crash, now_s)
         self._placer.forget(upstream_id)
         # Requests of the last second may still reach a new process with the
         # same id, so they continue to count against its cold rate limit.
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/quarantine.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/quarantine.py
@@ -1,10 +1,11 @@
 """Quarantine of requests that crash upstreams."""
 
-from collections.abc import Iterable
+from collections import deque
+from collections.abc import Callable, Iterable
 
 import attrs
 
-from .const import MAX_CRASHES, MAX_SUSPECTS, QUARANTINE_S
+from .const import CRASH_NOTICE_S, MAX_CRASHES, MAX_SUSPECTS, QUARANTINE_S
 
 
 @attrs.frozen(kw_only=True)
@@ -17,6 +18,39 @@
     process: str
 
 
+# Called with each crash that this entry has seen, and the number of crashes
+# counted for its request.
+CrashListener = Callable[[Crash, int], None]
+
+
+class UnansweredAttempts:
+    """Attempts that ended without an answer while their upstream seemed alive.
+
+    If the upstream's process ends soon after, it may have crashed with them.
+    """
+
+    def __init__(self) -> None:
+        # Fingerprint and end time of each attempt, by process and in the order
+        # of these times.
+        self._attempts: dict[str, deque[tuple[str, float]]] = {}
+
+    def add(self, crash: Crash, now_s: float) -> None:
+        """Record that an attempt has ended without an answer."""
+        attempts = self._attempts.setdefault(crash.process, deque())
+        attempts.append((crash.fingerprint, now_s))
+        while attempts[0][1] < now_s - CRASH_NOTICE_S:
+            attempts.popleft()
+
+    def take(self, process: str, now_s: float) -> tuple[Crash, ...]:
+        """Return what the end of ``process`` is attributed to, and forget it."""
+        attempts = self._attempts.pop(process, ())
+        return tuple(
+            Crash(fingerprint=fingerprint, process=process)
+            for fingerprint, ended_at_s in attempts
+            if ended_at_s >= now_s - CRASH_NOTICE_S
+        )
+
+
 class CrashCounts:
     """Counts the upstream processes that each request has crashed.
 
@@ -30,6 +64,7 @@
         self._processes: dict[str, set[str]] = {}
         self._last_crash_s: dict[str, float] = {}
         self._unreported: list[Crash] = []
+        self._listeners: list[CrashListener] = []
 
     @property
     def unreported(self) -> tuple[Crash, ...]:
@@ -46,8 +81,16 @@
 
     def record_crash(self, crash: Crash, now_s: float) -> None:
         """Count a crash that this entry has seen."""
-        if self._add(crash, now_s):
-            self._unreported.append(crash)
+        if not self._add(crash, now_s):
+            return
+        self._unreported.append(crash)
+        for listener in self._listeners:
+            listener(crash, len(self._processes[crash.fingerprint]))
+
+    def subscribe(self, listener: CrashListener) -> Callable[[], None]:
+        """Call ``listener`` for each crash; return how to unsubscribe it."""
+        self._listeners.append(listener)
+        return lambda: self._listeners.remove(listener)
 
     def add_reported(self, crashes: Iterable[Crash], now_s: float) -> None:
         """Count crashes that an entry has stored."""
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/attempts.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/attempts.py
@@ -23,6 +23,10 @@
 _NEUTRAL_OUTCOMES = frozenset(
     {AttemptOutcome.NOT_RUN, AttemptOutcome.UNREACHABLE, AttemptOutcome.CANCELLED}
 )
+# Outcomes after which the upstream may prove to have crashed.
+_UNANSWERED_OUTCOMES = frozenset(
+    {AttemptOutcome.LOST, AttemptOutcome.BROKEN, AttemptOutcome.CANCELLED}
+)
 # Outcomes that count against the upstream's version in a rollout.
 _BAD_OUTCOMES = frozenset(
     {AttemptOutcome.FAILED, AttemptOutcome.LOST, AttemptOutcome.BROKEN}
@@ -55,6 +59,7 @@
         self._response: ClientResponse | None = None
         self._head: ResponseHead | None = None
         self._sent_at_s = 0.0
+        self._fingerprint = ""
         self._is_closed = False
         self._time_to_first_byte_s: float | None = None
         upstream = self._state.upstream
@@ -109,6 +114,7 @@
         ResponseLostError if it may have run but gave no valid response.
         """
         self._is_load_recorded = True
+        self._fingerprint = request.facts.fingerprint
         self._sent_at_s = self._clock()
         self._node.attempts.record_sent(
             self._placement, request.facts, self._model, self, self._sent_at_s
@@ -169,6 +175,10 @@
             self._node.attempts.record_ended(self._state, self, self._clock())
         if self._response is not None:
             self._response.close()
+        if outcome in _UNANSWERED_OUTCOMES and self._is_load_recorded:
+            self._node.record_unanswered(
+                self._state.upstream, self._fingerprint, self._clock()
+            )
         if outcome not in _NEUTRAL_OUTCOMES:
             self._record_rollout_answer(outcome)
 
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/composition.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/composition.py
@@ -9,6 +9,7 @@
 from aiohttp import web
 
 from cardamomnotch_core.relay.node import RelayIdentity, RelayNode
+from cardamomnotch_core.relay.quarantine import Crash
 from cardamomnotch_platform.store.interface import KeyValueStore
 from cardamomnotch_runtime.admin import create_admin_app, create_metrics_app
 from cardamomnotch_runtime.server import HttpServer, bind
@@ -55,6 +56,17 @@
 _REFUSED_BODY_READ_TIMEOUT_S = 1.0
 
 
+def _log_crash(crash: Crash, crashes: int) -> None:
+    """Log a crash that this entry has counted."""
+    log_event(
+        _LOGGER,
+        "upstream crash counted",
+        fingerprint=crash.fingerprint,
+        process=crash.process,
+        crashes=crashes,
+    )
+
+
 def boot_clock() -> float:
     """Return the time since boot, including suspension, in seconds."""
     return time.clock_gettime(time.CLOCK_BOOTTIME)
@@ -85,6 +97,7 @@
             settings.limits,
         )
         self._metrics = RelayMetrics(self._node)
+        self._node.crashes.subscribe(_log_crash)
         self._metrics_server: HttpServer | None = None
         self._is_draining = False
         self._unready_since_s: float | None = None
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/forwarder.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/forwarder.py
@@ -1,7 +1,6 @@
 """Forwarding of one request, from its admission to its response."""
 
 import asyncio
-import logging
 from collections.abc import Callable
 
 from aiohttp import web
@@ -11,7 +10,6 @@
 from cardamomnotch_core.relay.node import RelayNode
 from cardamomnotch_core.relay.quarantine import Crash
 from cardamomnotch_protocol.result_codes import ResultCode
-from cardamomnotch_runtime.structured_log import log_event
 
 from .attempts import Attempt
 from .const import (
@@ -37,7 +35,6 @@
 )
 from .upstream_client import UpstreamClient
 
-_LOGGER = logging.getLogger(__name__)
 # Unreachable upstreams after which a request is refused.
 _MAX_UNREACHABLE_UPSTREAMS = 4
 # Retry-After if no upstream accepted the request, in seconds.
@@ -242,10 +239,7 @@
         self._has_failed_attempt = True
         self._tried_upstreams.add(attempt.upstream_id)
         attempt.log.outcome += f": {error.detail}"
-        is_up = await self._client.async_is_up(attempt.address)
-        attempt.log.upstream_up = is_up
-        if not is_up:
-            self._record_crash(attempt)
+        await self._async_check_crash(attempt)
         if not self._route.repeat.is_repeatable:
             self._raise_no_attempts_left()
         if self._node.crashes.is_quarantined(
@@ -256,17 +250,15 @@
                 "the request has crashed several upstreams",
             )
 
-    def _record_crash(self, attempt: Attempt) -> None:
-        fingerprint, now_s = self._request.facts.fingerprint, self._clock()
-        crash = Crash(fingerprint=fingerprint, process=attempt.process)
-        self._node.crashes.record_crash(crash, now_s)
-        log_event(
-            _LOGGER,
-            "upstream crash counted",
-            fingerprint=fingerprint,
-            upstream=attempt.upstream_id,
-            crashes=self._node.crashes.crashes(fingerprint, now_s),
-        )
+    async def _async_check_crash(self, attempt: Attempt) -> None:
+        """Count a crash if the upstream accepts no connection."""
+        is_up = await self._client.async_is_up(attempt.address)
+        attempt.log.upstream_up = is_up
+        if not is_up:
+            crash = Crash(
+                fingerprint=self._request.facts.fingerprint, process=attempt.process
+            )
+            self._node.crashes.record_crash(crash, self._clock())
 
     async def _async_stream(self, attempt: Attempt) -> web.StreamResponse:
         head = attempt.head
@@ -293,6 +285,7 @@
         self, attempt: Attempt, events: EventSplitter, error: ResponseLostError
     ) -> Attempt:
         if not self._route.repeat.is_repeatable:
+            await self._async_check_crash(attempt)
             raise ResponseTruncatedError(error.detail) from error
         self._model, self._version = attempt.model, attempt.version
         try:
--- a/tests/core/relay/test_fleet.py
+++ b/tests/core/relay/test_fleet.py
@@ -38,21 +38,21 @@
 
 def test_end_of_a_process_is_reported_once(make_upstream):
     """The end is reported once after a restart, an outage or a removal."""
-    ended_ids = []
-    fleet = Fleet(ended_ids.append)
+    ended = []
+    fleet = Fleet(lambda upstream, now_s: ended.append((upstream.process, now_s)))
     fleet.put(make_upstream("up-1"), 0.0)
     fleet.put(make_upstream("up-1", is_draining=True), 0.5)
-    assert ended_ids == []
+    assert ended == []
     fleet.put(make_upstream("up-1", started_ms=2), 1.0)
-    assert ended_ids == ["up-1"]
+    assert ended == [("up-1@1", 1.0)]
     fleet.record_store_returned(10.0)
     fleet.remove("up-1", 10.1)
-    assert ended_ids == ["up-1"]
+    assert ended == [("up-1@1", 1.0)]
     candidate_ids(fleet, 12.6)
-    assert ended_ids == ["up-1", "up-1"]
+    assert ended[1:] == [("up-1@2", 12.6)]
     fleet.put(make_upstream("up-2"), 20.0)
     fleet.remove("up-2", 21.0)
-    assert ended_ids[2:] == ["up-2"]
+    assert ended[2:] == [("up-2@1", 21.0)]
 
 
 def test_draining_upstream_is_not_kept_after_an_outage(fleet, make_upstream):
--- a/tests/core/relay/test_node.py
+++ b/tests/core/relay/test_node.py
@@ -108,6 +108,32 @@
     assert node.admit(make_route(), make_facts(), 1.0)
 
 
+@pytest.mark.parametrize(
+    ("draining", "ended_s", "expected"),
+    [(False, 7.9, 1), (False, 8.1, 0), (True, 1.0, 0)],
+    ids=["soon after", "long after", "after draining"],
+)
+def test_end_of_an_upstream_counts_for_its_unanswered_requests(
+    node, make_upstream, draining, ended_s, expected
+):
+    """The end of a process counts as a crash soon after an unanswered request."""
+    upstream = make_upstream("up-0", is_draining=draining)
+    register_upstream(node, upstream)
+    node.record_unanswered(upstream, "print", 0.0)
+    node.apply(changes.UpstreamUnlisted(upstream_id="up-0"), ended_s)
+    assert node.crashes.crashes("print", ended_s) == expected
+
+
+def test_unanswered_request_counts_if_its_upstream_has_ended(node, make_upstream):
+    """A process that ended before its request did counts as a crash at once."""
+    register_upstream(node, make_upstream("up-0"))
+    register_upstream(node, make_upstream("up-0", started_ms=5))
+    node.record_unanswered(make_upstream("up-0"), "print", 1.0)
+    assert node.crashes.crashes("print", 1.0) == 1
+    node.record_unanswered(make_upstream("up-0", started_ms=5), "print", 1.0)
+    assert node.crashes.crashes("print", 1.0) == 1
+
+
 def test_crashing_request_that_keeps_coming_crashes_few_upstreams(
     node, make_route, make_facts
 ):
--- a/tests/entry/relay/test_quarantine.py
+++ b/tests/entry/relay/test_quarantine.py
@@ -131,8 +131,8 @@
 
     def reset_and_stay(request):
         upstream = relay.upstreams[request.headers["x-expect-instance"]]
-        born = upstream.entry()["born"] + 1
         started.append(upstream.upstream_id)
+        born = upstream.entry()["born"] + len(started)
         relay.register(upstream, service="bookings", born=born)
         return [Reset()]
 
--- a/tests/entry/relay/test_request_log.py
+++ b/tests/entry/relay/test_request_log.py
@@ -74,7 +74,7 @@
     ]
     expected = {
         "fingerprint": fields["fingerprint"],
-        "upstream": "up",
+        "process": f"up@{upstream.entry()['born']}",
         "crashes": 1,
     }
     assert counted == ([expected] if crashes else [])
