Lengthen the quarantine with each further crash

Cause: the quarantine ended by deleting the crash counts, so the request was as trusted as one that had never crashed anything.

Fix: crashes are counted for ten minutes after the last one; the quarantine ends after a minute and is doubled with each further crash, and a request that returns from it may crash one upstream, not two.

--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/const.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/const.py
@@ -37,8 +37,12 @@
 
 # Upstream crashes caused by a request after which it is quarantined.
 MAX_CRASHES: Final = 2
-# Time for which a quarantined request is refused, in seconds.
+# Time for which a quarantined request is refused, in seconds; doubled with
+# each further crash.
 QUARANTINE_S: Final = 60.0
+# Time after its last crash for which a request's crashes are counted, in
+# seconds.
+CRASH_RETENTION_S: Final = 600.0
 # Time within which an upstream's end in the store is attributed to requests
 # that it has left unanswered, in seconds: the store lists a process that sends
 # no heartbeats for a while.
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/quarantine.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/quarantine.py
@@ -5,7 +5,13 @@
 
 import attrs
 
-from .const import CRASH_NOTICE_S, MAX_CRASHES, MAX_SUSPECTS, QUARANTINE_S
+from .const import (
+    CRASH_NOTICE_S,
+    CRASH_RETENTION_S,
+    MAX_CRASHES,
+    MAX_SUSPECTS,
+    QUARANTINE_S,
+)
 
 
 @attrs.frozen(kw_only=True)
@@ -104,7 +110,11 @@
 
     def is_quarantined(self, fingerprint: str, now_s: float) -> bool:
         """Return whether the request must be refused."""
-        return self.crashes(fingerprint, now_s) >= MAX_CRASHES
+        further_crashes = self.crashes(fingerprint, now_s) - MAX_CRASHES
+        if further_crashes < 0:
+            return False
+        quarantine_s = QUARANTINE_S * 2**further_crashes
+        return now_s < self._last_crash_s[fingerprint] + quarantine_s
 
     def crashes(self, fingerprint: str, now_s: float) -> int:
         """Return how many upstream processes the request has crashed."""
@@ -127,7 +137,7 @@
     def _expire(self, now_s: float) -> None:
         while self._last_crash_s:
             fingerprint, last_crash_s = next(iter(self._last_crash_s.items()))
-            if now_s < last_crash_s + QUARANTINE_S:
+            if now_s < last_crash_s + CRASH_RETENTION_S:
                 return
             self._forget(fingerprint)
 
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/coordinator.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/coordinator.py
@@ -12,7 +12,7 @@
     EntryRecord,
     EntryReported,
 )
-from cardamomnotch_core.relay.const import QUARANTINE_S
+from cardamomnotch_core.relay.const import CRASH_RETENTION_S
 from cardamomnotch_core.relay.models import RouteDocument
 from cardamomnotch_core.relay.node import RelayNode
 from cardamomnotch_core.relay.rollout import Rollout, RolloutState
@@ -233,7 +233,7 @@
             return
         identity = self._node.identity
         name = f"{identity.name}-{identity.incarnation}-{self._crash_reports}"
-        await self._relay_store.async_write_crashes(name, crashes, QUARANTINE_S)
+        await self._relay_store.async_write_crashes(name, crashes, CRASH_RETENTION_S)
         self._node.crashes.mark_reported(crashes)
         self._crash_reports += 1
         self._crashes_written_at_s = self._clock()
