--- a/tests/core/relay/test_rollouts.py
+++ b/tests/core/relay/test_rollouts.py
@@ -1,5 +1,6 @@
 """Tests of rollouts: exposure, bad versions, sessions and reports."""
 
+import heapq
 import random
 
 import attrs
@@ -67,13 +68,7 @@
         rollout.record_answer("v2" if new else "v1", bad, first_byte_s)
         rollout.evaluate()
         if step % RATE_PER_S == 0:
-            reports = [rollout.report(now_s) for rollout in rollouts]
-            for number, rollout in enumerate(rollouts):
-                rollout.reports = {
-                    str(other): report
-                    for other, report in enumerate(reports)
-                    if other != number
-                }
+            _exchange_reports(rollouts, now_s)
             states = {rollout.next_state(now_s) for rollout in rollouts}
             if states - {RolloutState.IN_PROGRESS}:
                 state = (states - {RolloutState.IN_PROGRESS}).pop()
@@ -101,6 +96,83 @@
     assert exposed <= EXPOSURE_SHARE * total + EXPOSURE_SLACK
 
 
+@attrs.define(order=True)
+class PendingAnswer:
+    """An answer that arrives at ``due_s``; ``ratio`` of the expected time."""
+
+    due_s: float
+    rollout: Rollout = attrs.field(order=False)
+    version: str = attrs.field(order=False)
+    ratio: float = attrs.field(order=False)
+
+
+def simulate_answer_times(
+    slow_share, slowdown, *, seed, rate_per_s=20.0, duration_s=15.0, entries=5
+):
+    """Simulate a rollout whose new version answers some requests slowly.
+
+    An answer is known when it arrives: expected times are 0.1 to 0.9 s. The
+    entries exchange reports each second. Returns the number of requests to the
+    new version, the number of all requests and the final state.
+    """
+    source = random.Random(seed)
+    order = attrs.evolve(ORDER, duration_s=duration_s)
+    rollouts = [Rollout(order, 10, 0.0) for _ in range(entries)]
+    pending = []
+    exposed = total = 0
+    for step in range(int(duration_s * rate_per_s)):
+        now_s = step / rate_per_s
+        while pending and pending[0].due_s <= now_s:
+            answer = heapq.heappop(pending)
+            answer.rollout.record_answer(answer.version, False, answer.ratio)
+        rollout = rollouts[source.randrange(entries)]
+        is_new = source.random() < rollout.share(now_s)
+        total += 1
+        exposed += is_new
+        ratio = source.lognormvariate(-0.5, 0.35)
+        if is_new and source.random() < slow_share:
+            ratio *= slowdown
+        version = "v2" if is_new else "v1"
+        due_s = now_s + ratio * source.uniform(0.1, 0.9)
+        heapq.heappush(pending, PendingAnswer(due_s, rollout, version, ratio))
+        if step % rate_per_s == 0:
+            _exchange_reports(rollouts, now_s)
+        for rollout in rollouts:
+            state = rollout.next_state(now_s)
+            if state is not RolloutState.IN_PROGRESS:
+                return exposed, total, state
+    return exposed, total, RolloutState.IN_PROGRESS
+
+
+def _exchange_reports(rollouts, now_s):
+    reports = [rollout.report(now_s) for rollout in rollouts]
+    for number, rollout in enumerate(rollouts):
+        rollout.reports = {
+            str(other): report
+            for other, report in enumerate(reports)
+            if other != number
+        }
+
+
+@pytest.mark.parametrize(
+    ("slow_share", "slowdown"),
+    [(0.5, 8.0), (0.5, 4.0), (0.5, 3.0), (0.3, 8.0), (1.0, 3.0)],
+)
+def test_version_with_some_slow_answers_is_not_kept(slow_share, slowdown):
+    """A version that answers some requests slowly is reverted in time."""
+    for seed in range(20):
+        exposed, total, state = simulate_answer_times(slow_share, slowdown, seed=seed)
+        assert state is RolloutState.REVERTED, seed
+        assert exposed <= EXPOSURE_SHARE * total + EXPOSURE_SLACK, seed
+
+
+def test_version_with_usual_answer_times_is_kept():
+    """A version whose answers take as long as the old one's is completed."""
+    for seed in range(100):
+        _, _, state = simulate_answer_times(0.0, 1.0, seed=seed)
+        assert state is RolloutState.COMPLETED, seed
+
+
 @pytest.mark.parametrize("seed", range(5))
 def test_good_version_is_completed(seed):
     """The rollout of a version as good as the old one is completed in time."""
