Compare versions by their share of slow answers

Cause: a version counted as slow if the geometric mean of its relative times was three times the old version's, a figure that half of the answers at eight times raise by 2.8 only. A roll-out ran on whatever the evidence until a limit was reached.

Fix: both versions keep a histogram of relative times to the first byte. The shares of slow answers (twice the old median and more) are compared by Fisher's exact test. A time counts at the first byte; an attempt that has waited longer than expected, or ended so, counts with its time. A version that is likely slow but not surely gets the share of the stage before, and is reverted if it still is at the end. The statistics are evaluated while the store cannot be written, too. The end of an attempt that began before the order no longer lowers the number in flight.

--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/attempt_tracker.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/attempt_tracker.py
@@ -71,7 +71,9 @@
         self._placer.record_sent(state, facts.prompt, model)
         rollout = self._versions.get(state.upstream.service)
         if rollout is not None:
-            rollout.stats_for(state.upstream.version).in_flight += 1
+            rollout.record_sent(
+                key, state.upstream.version, placement.expected_ms / 1000, now_s
+            )
         session = facts.session if self._versions.is_in_first_stage(facts) else ""
         self._versions.sessions.record_started(state.upstream, session, now_s)
         self._local_attempts[key] = next(self._next_attempt_number), session
@@ -99,6 +101,9 @@
         """Record that an attempt's answer began after ``first_byte_s``."""
         state = placement.state
         state.queue.finish(key, now_s, answered=True)
+        rollout = self._versions.get(state.upstream.service)
+        if rollout is not None:
+            rollout.record_first_byte(key, now_s)
         if placement.waiting_ms <= MAX_IDLE_WAIT_MS:
             self._placer.first_tokens.update(
                 model, placement.unread_tokens, first_byte_s * 1000
@@ -113,8 +118,7 @@
         state.queue.finish(key, now_s, answered=False)
         rollout = self._versions.get(state.upstream.service)
         if rollout is not None:
-            stats = rollout.stats_for(state.upstream.version)
-            stats.in_flight = max(0, stats.in_flight - 1)
+            rollout.record_ended(key, now_s)
         number, session = self._local_attempts.pop(key)
         self._versions.sessions.record_ended(state.upstream, session, now_s)
         notice = LoadNotice(kind=LoadKind.ENDED, attempt=number)
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/changes.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/changes.py
@@ -91,6 +91,7 @@
                 report.order_id,
                 report.share,
                 report.new.bad,
+                report.new.times.slow_answers(),
                 report.share >= 1.0 and report.old.in_flight == 0,
             )
             for service, report in self.rollouts.items()
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/rollout.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/rollout.py
@@ -1,10 +1,12 @@
 """Rollout of a new version of a service, reverted if the version is bad."""
 
-import math
+import bisect
+from collections.abc import Hashable
 from enum import StrEnum
 
 import attrs
 
+from .answer_times import AnswerTimes, chance_of_slowness
 from .const import ROLLOUT_FIRST_STAGE_FACTOR, ROLLOUT_SECOND_STAGE_FACTOR
 from .limits import RelayLimits
 from .models import RolloutOrder
@@ -12,6 +14,7 @@
 # Fractions of the rollout's duration at which the new version's share grows.
 _SECOND_STAGE_START = 0.55
 _LAST_STAGE_START = 0.75
+_STAGE_STARTS = (0.0, _SECOND_STAGE_START, _LAST_STAGE_START)
 # Fraction of the rollout's duration before which it is not completed, so that
 # the new version is observed under full load for a while.
 _COMPLETION_START = 0.85
@@ -23,10 +26,13 @@
 # A version is bad if its share of bad answers exceeds the old version's by
 # more than this.
 _MAX_BAD_SHARE_EXCESS = 0.08
-# A version is bad if its mean time to the first byte exceeds the old version's
-# by more than this factor; both need a minimum number of timed answers.
-_MAX_SLOWDOWN_RATIO = 3.0
-_MIN_TIMED_ANSWERS = 8
+# A version is bad, or suspect, if chance makes a version look as slow at most
+# this often.
+_MAX_CHANCE_OF_BAD = 1e-4
+_MAX_CHANCE_OF_SUSPECT = 1e-2
+# Added to the expected time to the first byte, in seconds, before a time is
+# divided by it.
+_EXPECTED_TIME_MARGIN_S = 0.05
 
 
 class RolloutState(StrEnum):
@@ -37,6 +43,11 @@
     REVERTED = "reverted"
 
 
+# State reported at the completion deadline, by whether the new version is
+# suspect.
+_STATE_AT_DEADLINE = {False: RolloutState.COMPLETED, True: RolloutState.REVERTED}
+
+
 @attrs.define
 class AnswerStats:
     """Statistics of the answers of one version during a rollout.
@@ -46,30 +57,27 @@
 
     answers: int = 0
     bad: int = 0
-    # Sum of the logarithms of the times to the first byte in seconds, and the
-    # number of these times.
-    log_time_sum: float = 0.0
-    timed: int = 0
     in_flight: int = 0
+    times: AnswerTimes = attrs.field(factory=AnswerTimes)
 
     def add(self, other: "AnswerStats") -> None:
         """Add the statistics of another entry or process."""
         self.answers += other.answers
         self.bad += other.bad
-        self.log_time_sum += other.log_time_sum
-        self.timed += other.timed
         self.in_flight += other.in_flight
+        self.times.add(other.times)
+
+    def copy(self) -> "AnswerStats":
+        """Return a copy that does not change with this object."""
+        copied = AnswerStats()
+        copied.add(self)
+        return copied
 
     @property
     def bad_share(self) -> float:
         """Return the share of bad answers, with one good answer added."""
         return self.bad / (self.answers + 1)
 
-    @property
-    def mean_log_time(self) -> float:
-        """Return the mean logarithm of the times to the first byte."""
-        return self.log_time_sum / self.timed if self.timed else 0.0
-
 
 @attrs.frozen(kw_only=True)
 class RolloutReport:
@@ -87,6 +95,19 @@
     old: AnswerStats
 
 
+@attrs.define
+class _WaitingAttempt:
+    """An attempt that waits for the first byte of its answer."""
+
+    version: str
+    sent_at_s: float
+    expected_s: float
+
+    def time_ratio(self, now_s: float) -> float:
+        """Return the time since the attempt was sent by the expected time."""
+        return (now_s - self.sent_at_s) / (self.expected_s + _EXPECTED_TIME_MARGIN_S)
+
+
 @attrs.define
 class Rollout:
     """One rollout, with the answer statistics of all entries."""
@@ -102,12 +123,28 @@
     # True once the statistics show that the new version is bad, whether or not
     # the rollout has been reported as reverted.
     is_bad: bool = False
+    # True while the answer times make it likely that the new version is bad:
+    # it gets the share of the previous stage and is not completed.
+    is_suspect: bool = False
     # Statistics of this entry for the new and the old version.
     new: AnswerStats = attrs.field(factory=AnswerStats)
     old: AnswerStats = attrs.field(factory=AnswerStats)
+    # This entry's attempts in flight: the version by key, and those without a
+    # first byte.
+    _versions_in_flight: dict[Hashable, str] = attrs.field(factory=dict)
+    _waiting: dict[Hashable, _WaitingAttempt] = attrs.field(factory=dict)
     # Latest reports of the other entries, by entry name.
     reports: dict[str, RolloutReport] = attrs.field(factory=dict)
 
+    @property
+    def _stage_shares(self) -> tuple[float, float, float]:
+        """Return the new version's share of the requests in each stage."""
+        return (
+            ROLLOUT_FIRST_STAGE_FACTOR * self.exposure_share,
+            min(1.0, ROLLOUT_SECOND_STAGE_FACTOR * self.exposure_share),
+            1.0,
+        )
+
     def stats_for(self, version: str) -> AnswerStats:
         """Return this entry's statistics for ``version``."""
         return self.new if version == self.order.target else self.old
@@ -118,12 +155,10 @@
             return 1.0
         if self.state is RolloutState.REVERTED or self.is_bad:
             return 0.0
-        elapsed_fraction = self._elapsed_fraction(now_s)
-        if elapsed_fraction >= _LAST_STAGE_START:
-            return 1.0
-        if elapsed_fraction >= _SECOND_STAGE_START:
-            return min(1.0, ROLLOUT_SECOND_STAGE_FACTOR * self.exposure_share)
-        return ROLLOUT_FIRST_STAGE_FACTOR * self.exposure_share
+        stage = bisect.bisect_right(_STAGE_STARTS, self._elapsed_fraction(now_s)) - 1
+        if self.is_suspect:
+            stage -= 1
+        return self._stage_shares[max(0, stage)]
 
     def pins_sessions(self, now_s: float) -> bool:
         """Return whether active sessions must keep their version."""
@@ -135,37 +170,59 @@
             return self.is_bad or self.state is RolloutState.REVERTED
         return self.state is RolloutState.COMPLETED
 
-    def record_answer(
-        self, version: str, bad: bool, first_byte_s: float | None
+    def record_sent(
+        self, key: Hashable, version: str, expected_s: float, now_s: float
     ) -> None:
-        """Count an answer; ``first_byte_s`` is None if not measured."""
+        """Record an attempt; its first byte is expected after ``expected_s``."""
+        self.stats_for(version).in_flight += 1
+        self._versions_in_flight[key] = version
+        self._waiting[key] = _WaitingAttempt(version, now_s, expected_s)
+
+    def record_first_byte(self, key: Hashable, now_s: float) -> None:
+        """Count the time to an attempt's first byte."""
+        attempt = self._waiting.pop(key, None)
+        if attempt is not None:
+            times = self.stats_for(attempt.version).times
+            times.record(attempt.time_ratio(now_s))
+
+    def record_ended(self, key: Hashable, now_s: float) -> None:
+        """Record the end of an attempt.
+
+        If it got no first byte within the expected time, its time until now
+        is counted.
+        """
+        version = self._versions_in_flight.pop(key, None)
+        if version is None:
+            return
+        stats = self.stats_for(version)
+        stats.in_flight -= 1
+        attempt = self._waiting.pop(key, None)
+        if attempt is not None and attempt.time_ratio(now_s) > 1.0:
+            stats.times.record(attempt.time_ratio(now_s))
+
+    def record_answer(self, version: str, bad: bool) -> None:
+        """Count an answer."""
         stats = self.stats_for(version)
         stats.answers += 1
         stats.bad += bad
-        if first_byte_s is not None and not bad:
-            stats.log_time_sum += math.log(max(first_byte_s, 1e-3))
-            stats.timed += 1
 
-    def evaluate(self) -> bool:
+    def evaluate(self, now_s: float) -> bool:
         """Return whether the statistics of all entries show a bad version."""
         if self.is_bad or self.state is not RolloutState.IN_PROGRESS:
             return self.is_bad
-        new, old = self.combined_stats()
+        new, old = self.combined_stats(now_s)
         fails_more = (
             new.bad >= _MIN_BAD_ANSWERS
             and new.bad_share > old.bad_share + _MAX_BAD_SHARE_EXCESS
         )
-        is_slower = min(
-            new.timed, old.timed
-        ) >= _MIN_TIMED_ANSWERS and new.mean_log_time - old.mean_log_time > math.log(
-            _MAX_SLOWDOWN_RATIO
-        )
-        self.is_bad = fails_more or is_slower
+        chance = chance_of_slowness(new.times, old.times)
+        self.is_bad = fails_more or chance <= _MAX_CHANCE_OF_BAD
+        self.is_suspect = chance <= _MAX_CHANCE_OF_SUSPECT
         return self.is_bad
 
-    def combined_stats(self) -> tuple[AnswerStats, AnswerStats]:
+    def combined_stats(self, now_s: float) -> tuple[AnswerStats, AnswerStats]:
         """Return the statistics of all entries for the new and old version."""
-        new, old = attrs.evolve(self.new), attrs.evolve(self.old)
+        new, old = self._current_stats(now_s)
         for report in self.reports.values():
             new.add(report.new)
             old.add(report.old)
@@ -175,14 +232,16 @@
         """Return the state that should be reported now."""
         if self.state is not RolloutState.IN_PROGRESS:
             return self.state
-        if self.evaluate():
+        if self.evaluate(now_s):
             return RolloutState.REVERTED
         if self._elapsed_fraction(now_s) < _COMPLETION_START:
             return RolloutState.IN_PROGRESS
         if self._elapsed_fraction(now_s) >= _COMPLETION_DEADLINE:
-            return RolloutState.COMPLETED
+            return _STATE_AT_DEADLINE[self.is_suspect]
+        if self.is_suspect:
+            return RolloutState.IN_PROGRESS
         all_moved = all(report.share >= 1.0 for report in self.reports.values())
-        _, old = self.combined_stats()
+        _, old = self.combined_stats(now_s)
         if all_moved and not old.in_flight and self.new.answers:
             return RolloutState.COMPLETED
         return RolloutState.IN_PROGRESS
@@ -196,13 +255,28 @@
 
     def report(self, now_s: float) -> RolloutReport:
         """Return this entry's report for the other entries."""
+        new, old = self._current_stats(now_s)
         return RolloutReport(
             order_id=self.order_id,
             share=self.share(now_s),
             passed_s=round(now_s - self.started_at_s, 1),
-            new=attrs.evolve(self.new),
-            old=attrs.evolve(self.old),
+            new=new,
+            old=old,
         )
 
+    def _current_stats(self, now_s: float) -> tuple[AnswerStats, AnswerStats]:
+        """Return copies of this entry's statistics, for the new and old version.
+
+        Attempts that have waited longer than expected for their first byte
+        are included with their time until now.
+        """
+        new, old = self.new.copy(), self.old.copy()
+        for attempt in self._waiting.values():
+            ratio = attempt.time_ratio(now_s)
+            if ratio > 1.0:
+                stats = new if attempt.version == self.order.target else old
+                stats.times.record(ratio)
+        return new, old
+
     def _elapsed_fraction(self, now_s: float) -> float:
         return (now_s - self.started_at_s) / self.order.duration_s
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/attempts.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/attempts.py
@@ -31,9 +31,6 @@
 _BAD_OUTCOMES = frozenset(
     {AttemptOutcome.FAILED, AttemptOutcome.LOST, AttemptOutcome.BROKEN}
 )
-# Added to the expected time to the first byte before the measured time is
-# divided by it, in milliseconds.
-_EXPECTED_TIME_MARGIN_MS = 50.0
 
 
 class Attempt:
@@ -212,13 +209,7 @@
         rollout = self._node.versions.get(self._state.upstream.service)
         if rollout is None:
             return
-        latency_ratio = None
-        if self._time_to_first_byte_s is not None:
-            expected_ms = self._placement.expected_ms + _EXPECTED_TIME_MARGIN_MS
-            latency_ratio = self._time_to_first_byte_s * 1000 / expected_ms
-        rollout.record_answer(
-            self._state.upstream.version, outcome in _BAD_OUTCOMES, latency_ratio
-        )
+        rollout.record_answer(self._state.upstream.version, outcome in _BAD_OUTCOMES)
 
 
 def _rejection_reason(head: ResponseHead, request: CallerRequest) -> str:
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/coordinator.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/coordinator.py
@@ -132,6 +132,8 @@
         Pauses after a failure, since the store also counts refused calls.
         """
         now_s = self._clock()
+        for rollout in self._node.versions.rollouts:
+            rollout.evaluate(now_s)
         if now_s < self._publish_after_s:
             return
         try:
@@ -274,7 +276,7 @@
         )
         if now_s < due_at_s:
             return
-        new, old = rollout.combined_stats()
+        new, old = rollout.combined_stats(now_s)
         await self._relay_store.async_report_rollout(rollout, state)
         self._reported_states[service] = (rollout.order_id, state)
         log_event(
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/diagnostics.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/diagnostics.py
@@ -42,6 +42,7 @@
                 "state": rollout.state.value,
                 "share": rollout.share(now_s),
                 "bad": rollout.is_bad,
+                "suspect": rollout.is_suspect,
             }
             for rollout in node.versions.rollouts
         ],
--- a/tests/adapter/test_store_codec.py
+++ b/tests/adapter/test_store_codec.py
@@ -5,6 +5,7 @@
 
 from cardamomnotch_adapter.store_codec import PlatformStoreCodec, decode_record
 from cardamomnotch_core.relay import changes
+from cardamomnotch_core.relay.answer_times import AnswerTimes
 from cardamomnotch_core.relay.models import RepeatRule
 from cardamomnotch_core.relay.quarantine import Crash
 from cardamomnotch_core.relay.rollout import AnswerStats, RolloutReport, RolloutState
@@ -156,7 +157,10 @@
                 order_id=3,
                 share=0.3,
                 new=AnswerStats(
-                    answers=4, bad=1, log_time_sum=0.5, timed=3, in_flight=2
+                    answers=4,
+                    bad=1,
+                    in_flight=2,
+                    times=AnswerTimes(counts=[0, 1, 2, *[0] * 9]),
                 ),
                 old=AnswerStats(),
             )
--- a/tests/core/relay/test_node.py
+++ b/tests/core/relay/test_node.py
@@ -190,9 +190,9 @@
     node.apply(order, 0.0)
     earlier = node.entry_record(1.0)
     rollout = node.versions.get("drafts")
-    rollout.record_answer("v2", False, 0.1)
+    rollout.record_answer("v2", False)
     assert not node.entry_record(1.0).is_urgent_after(earlier)
-    rollout.record_answer("v2", True, 0.1)
+    rollout.record_answer("v2", True)
     assert node.entry_record(1.0).is_urgent_after(earlier)
 
 
@@ -202,7 +202,7 @@
         order=RolloutOrder(service="drafts", target="v2", duration_s=20.0), order_id=5
     )
     node.apply(order, 0.0)
-    node.versions.get("drafts").record_answer("v2", True, None)
+    node.versions.get("drafts").record_answer("v2", True)
     record = node.entry_record(12.0)
     identity = RelayIdentity(name="entry-a", zone="zone-a", incarnation="2")
     restarted = RelayNode(identity, RelayLimits())
--- a/tests/core/relay/test_rollouts.py
+++ b/tests/core/relay/test_rollouts.py
@@ -19,6 +19,9 @@
 ORDER = RolloutOrder(service="drafts", target="v2", duration_s=24.0)
 EXPOSURE_SHARE, EXPOSURE_SLACK = 0.15, 30
 RATE_PER_S = 25
+# Expected time to the first byte; with the margin that is added to it, a
+# second.
+EXPECTED_S = 0.95
 
 
 @pytest.fixture
@@ -65,8 +68,13 @@
         exposed += new
         bad = new and now_s >= bad_from_s and source.random() < bad_share
         first_byte_s = source.lognormvariate(0.0, 0.5) * (slowdown if new else 1.0)
-        rollout.record_answer("v2" if new else "v1", bad, first_byte_s)
-        rollout.evaluate()
+        version = "v2" if new else "v1"
+        rollout.record_sent(step, version, EXPECTED_S, now_s)
+        if not bad:
+            rollout.record_first_byte(step, now_s + first_byte_s)
+        rollout.record_answer(version, bad)
+        rollout.record_ended(step, now_s)
+        rollout.evaluate(now_s)
         if step % RATE_PER_S == 0:
             _exchange_reports(rollouts, now_s)
             states = {rollout.next_state(now_s) for rollout in rollouts}
@@ -98,12 +106,12 @@
 
 @attrs.define(order=True)
 class PendingAnswer:
-    """An answer that arrives at ``due_s``; ``ratio`` of the expected time."""
+    """An answer to the attempt ``key`` that arrives at ``due_s``."""
 
     due_s: float
+    key: int
     rollout: Rollout = attrs.field(order=False)
     version: str = attrs.field(order=False)
-    ratio: float = attrs.field(order=False)
 
 
 def simulate_answer_times(
@@ -124,7 +132,9 @@
         now_s = step / rate_per_s
         while pending and pending[0].due_s <= now_s:
             answer = heapq.heappop(pending)
-            answer.rollout.record_answer(answer.version, False, answer.ratio)
+            answer.rollout.record_first_byte(answer.key, answer.due_s)
+            answer.rollout.record_answer(answer.version, False)
+            answer.rollout.record_ended(answer.key, answer.due_s)
         rollout = rollouts[source.randrange(entries)]
         is_new = source.random() < rollout.share(now_s)
         total += 1
@@ -133,8 +143,10 @@
         if is_new and source.random() < slow_share:
             ratio *= slowdown
         version = "v2" if is_new else "v1"
-        due_s = now_s + ratio * source.uniform(0.1, 0.9)
-        heapq.heappush(pending, PendingAnswer(due_s, rollout, version, ratio))
+        expected_s = source.uniform(0.05, 0.85)
+        rollout.record_sent(step, version, expected_s, now_s)
+        due_s = now_s + ratio * (expected_s + 0.05)
+        heapq.heappush(pending, PendingAnswer(due_s, step, rollout, version))
         if step % rate_per_s == 0:
             _exchange_reports(rollouts, now_s)
         for rollout in rollouts:
@@ -290,7 +302,7 @@
 def test_completion_waits_for_the_old_version(selector):
     """Completion waits until the old version is idle, or for a deadline."""
     rollout = selector.get("drafts")
-    rollout.record_answer("v2", False, 0.1)
+    rollout.record_answer("v2", False)
     busy_report = RolloutReport(
         order_id=10, share=1.0, new=AnswerStats(), old=AnswerStats(in_flight=1)
     )
@@ -308,3 +320,56 @@
     """A rollout in progress ends when its order is deleted."""
     selector.withdraw("drafts")
     assert selector.get("drafts") is None
+
+
+def _send_and_answer(rollout, version, ratios, now_s):
+    for number, ratio in enumerate(ratios):
+        key = (version, number)
+        rollout.record_sent(key, version, EXPECTED_S, now_s - ratio)
+        rollout.record_first_byte(key, now_s)
+        rollout.record_answer(version, False)
+        rollout.record_ended(key, now_s)
+
+
+def test_answers_that_are_overdue_show_a_slow_version(selector):
+    """Attempts without a first byte count with the time that they have waited."""
+    rollout = selector.get("drafts")
+    _send_and_answer(rollout, "v1", [0.6] * 100, 1.0)
+    for number in range(8):
+        rollout.record_sent(number, "v2", EXPECTED_S, 1.0)
+    assert not rollout.evaluate(1.9)
+    assert rollout.evaluate(4.0)
+
+
+def test_abandoned_attempts_show_a_slow_version(selector):
+    """Attempts that end overdue without a first byte count as slow."""
+    rollout = selector.get("drafts")
+    _send_and_answer(rollout, "v1", [0.6] * 100, 1.0)
+    for number in range(8):
+        rollout.record_sent(number, "v2", EXPECTED_S, 1.0)
+        rollout.record_ended(number, 4.0)
+    assert rollout.evaluate(4.0)
+    new, _ = rollout.combined_stats(4.0)
+    assert (new.in_flight, new.times.total) == (0, 8)
+
+
+def test_suspect_version_is_held_back_and_not_completed(selector):
+    """The share of a suspect version shrinks; it is reverted at the deadline."""
+    rollout = selector.get("drafts")
+    _send_and_answer(rollout, "v1", [0.6] * 100, 1.0)
+    _send_and_answer(rollout, "v2", [0.6] * 20 + [4.0] * 3, 1.0)
+    assert not rollout.evaluate(19.0)
+    assert rollout.is_suspect
+    assert rollout.share(19.0) == 2.0 * EXPOSURE_SHARE
+    assert rollout.share(14.0) < EXPOSURE_SHARE
+    assert rollout.next_state(21.0) is RolloutState.IN_PROGRESS
+    assert rollout.next_state(23.0) is RolloutState.REVERTED
+
+
+def test_attempts_from_before_the_order_are_not_counted(selector):
+    """The end of an attempt that began before the order changes no count."""
+    rollout = selector.get("drafts")
+    rollout.record_sent("later", "v1", EXPECTED_S, 1.0)
+    rollout.record_ended("earlier", 2.0)
+    _, old = rollout.combined_stats(2.0)
+    assert old.in_flight == 1
--- a/tests/entry/relay/test_coordinator.py
+++ b/tests/entry/relay/test_coordinator.py
@@ -196,7 +196,7 @@
     await run_coordinator(coordinator, clock, 5.0)
     written = relay_store.calls.count("write")
     for _ in range(5):
-        node.versions.get("drafts").record_answer("v2", False, 0.1)
+        node.versions.get("drafts").record_answer("v2", False)
         await run_coordinator(coordinator, clock, 5.0)
     assert relay_store.calls.count("write") == written
 
