Require eight answers before a version counts as slow

Cause: the exact test assumes independent answers; those of one upstream are delayed together.

Fix: no comparison below eight answers of the new version.

--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/answer_times.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/answer_times.py
@@ -15,7 +15,9 @@
 # answers reaches, and that are this many times its median.
 _MAX_OLD_SLOW_SHARE = 0.2
 _MIN_SLOWDOWN = 2.0
-# Minimum number of the old version's answers for a comparison.
+# Minimum numbers of answers for a comparison: one long prompt delays several
+# answers of an upstream.
+_MIN_NEW_ANSWERS = 8
 _MIN_OLD_ANSWERS = 20
 # Smallest difference between the shares of slow answers that matters.
 _MIN_SLOW_SHARE_EXCESS = 0.08
@@ -71,10 +73,10 @@
     The versions are compared by the share of slow answers instead of the mean
     time, so that a version of which only a part of the answers is slow is
     found as well. Returns 1.0 if the share is not larger by much, or if there
-    are too few answers of the old version.
+    are too few answers.
     """
     new_total, old_total = new.total, old.total
-    if not new_total or old_total < _MIN_OLD_ANSWERS:
+    if new_total < _MIN_NEW_ANSWERS or old_total < _MIN_OLD_ANSWERS:
         return 1.0
     chance = 1.0
     smallest_bound = _MIN_SLOWDOWN * old.median_bound
--- a/tests/core/relay/test_answer_times.py
+++ b/tests/core/relay/test_answer_times.py
@@ -48,6 +48,12 @@
     assert chance_of_slowness(times(*[8.0] * 20), times(*[0.6] * 20)) < 1e-4
 
 
+def test_a_few_answers_behind_one_long_prompt_accuse_nobody():
+    """A version is not compared before it has eight answers."""
+    assert chance_of_slowness(times(*[8.0] * 7), OLD) == 1.0
+    assert chance_of_slowness(times(*[8.0] * 8), OLD) < 1e-4
+
+
 def test_old_version_that_is_as_slow_hides_nothing_and_accuses_nobody():
     """Answers that are slow on both versions are no evidence."""
     slow = times(*[0.6] * 50, *[8.0] * 50)
