Limit what an upstream may send in a head, a body or an event

Callers: an upstream in trouble that sends bytes without end held a request until its deadline (seven of ten forms), and the entry kept all of the body or event in memory, up to its memory limit.

Cause: only single header lines and their number were limited, by the HTTP library. Interim responses, empty lines, chunk extensions, bodies and events were not.

Fix: a response's head with its framing has 64 KiB plus 16 bytes for each byte of body; a body that is kept in memory has limits.max_response_bytes (4 MiB), an event 1 MiB. Beyond them the connection is closed, a repeatable request goes to another upstream, and others end with code 320, upstream_response_too_large, status 502. What the library refuses as malformed keeps code 304.

Chunks of a single byte are still accepted.

--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/limits.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/limits.py
@@ -34,6 +34,9 @@
     exposure_share: float = _limit_field(0.15, _FRACTION)
     # Time for which a session keeps its version after its last request.
     session_ttl_s: float = _limit_field(5.0)
+    # Largest response body that is kept in memory until it is complete; bodies
+    # of event streams are not.
+    max_response_bytes: int = _limit_field(4_194_304, _POSITIVE)
     # Time limit for a process to shut down after SIGTERM.
     grace_s: float = _limit_field(8.0, _POSITIVE)
 
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/attempts.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/attempts.py
@@ -2,13 +2,17 @@
 
 from collections.abc import AsyncIterator, Callable
 
-from aiohttp import ClientError, ClientResponse
+from aiohttp import ClientResponse
 
 from cardamomnotch_core.relay.node import RelayNode
 from cardamomnotch_core.relay.placement import Placement
 
 from .const import MIN_SERVER_ERROR_STATUS
-from .exceptions import ResponseLostError, UpstreamUnreachableError
+from .exceptions import (
+    ResponseLostError,
+    ResponseTooLargeError,
+    UpstreamUnreachableError,
+)
 from .interfaces import MessageCodec
 from .models import (
     AttemptLog,
@@ -145,19 +149,35 @@
         """
         assert self._response is not None
         try:
-            async for data in self._response.content.iter_any():
+            async for data in self._client.async_iter_body(self._response):
                 yield data
-        except (ClientError, OSError) as error:
-            self._state.record_failure(self._clock())
-            self.close(AttemptOutcome.BROKEN)
-            raise ResponseLostError(f"{type(error).__name__}: {error}") from error
+        except ResponseLostError:
+            self.mark_broken()
+            raise
 
     async def async_read_body(self) -> bytes:
         """Return the complete response body.
 
-        Raises ResponseLostError if the connection fails within the body.
+        Raises ResponseLostError if the connection fails within the body, or
+        if the body exceeds its size limit.
         """
-        return b"".join([data async for data in self.async_iter_body()])
+        limit = self._node.limits.max_response_bytes
+        parts: list[bytes] = []
+        size = 0
+        async for data in self.async_iter_body():
+            size += len(data)
+            if size > limit:
+                self.mark_broken()
+                raise ResponseTooLargeError(
+                    f"the response body is larger than {limit} bytes"
+                )
+            parts.append(data)
+        return b"".join(parts)
+
+    def mark_broken(self) -> None:
+        """End the attempt, because its response cannot be completed."""
+        self._state.record_failure(self._clock())
+        self.close(AttemptOutcome.BROKEN)
 
     def close(self, outcome: AttemptOutcome) -> None:
         """End the attempt with ``outcome``; later calls have no effect.
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/const.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/const.py
@@ -61,6 +61,13 @@
 # Maximum size of a request line and of a single header line, in bytes.
 MAX_LINE_BYTES: Final = 16_384
 
+# Maximum size of a response's head, and of its framing for each byte of its
+# body: chunks of a single byte take six bytes.
+MAX_RESPONSE_HEAD_BYTES: Final = 65_536
+MAX_FRAMING_RATIO: Final = 16
+# Maximum size of one event of a stream, in bytes.
+MAX_EVENT_BYTES: Final = 1_048_576
+
 # Maximum number of characters that are logged of a path without a route.
 MAX_LOGGED_PATH_CHARS: Final = 80
 # Maximum number of names per list of changed keys or routes in a log line.
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/event_stream.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/event_stream.py
@@ -1,5 +1,8 @@
 """Splitting of server-sent event streams into complete events."""
 
+from .const import MAX_EVENT_BYTES
+from .exceptions import ResponseTooLargeError
+
 _EVENT_SEPARATOR = b"\n\n"
 _ID_FIELD = b"id:"
 
@@ -25,7 +28,14 @@
         return self._pending
 
     def feed(self, data: bytes) -> bytes:
-        """Buffer ``data`` and return the bytes of all complete events."""
+        """Buffer ``data`` and return the bytes of all complete events.
+
+        Raises ResponseTooLargeError if an event exceeds its size limit.
+        """
+        if len(self._pending) + len(data) > MAX_EVENT_BYTES:
+            raise ResponseTooLargeError(
+                f"an event of the stream is larger than {MAX_EVENT_BYTES} bytes"
+            )
         data = self._pending + data
         end = data.rfind(_EVENT_SEPARATOR)
         if end < 0:
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/exceptions.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/exceptions.py
@@ -22,6 +22,12 @@
     code = ResultCode.UPSTREAM_FAILED
 
 
+class ResponseTooLargeError(ResponseLostError):
+    """The response exceeds a size limit, and may have no end."""
+
+    code = ResultCode.UPSTREAM_RESPONSE_TOO_LARGE
+
+
 class ResponseTruncatedError(CardamomnotchError):
     """A response whose sending to the caller has begun cannot be completed."""
 
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/forwarder.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/forwarder.py
@@ -78,6 +78,7 @@
         self._run_count = 0
         self._unreachable_count = 0
         self._has_failed_attempt = False
+        self._failure_code = ResultCode.UPSTREAM_FAILED
         self._tried_upstreams: set[str] = set()
         self._failure_response: web.Response | None = None
         self._response: web.StreamResponse | None = None
@@ -237,6 +238,7 @@
         self, attempt: Attempt, error: ResponseLostError
     ) -> None:
         self._has_failed_attempt = True
+        self._failure_code = error.code
         self._tried_upstreams.add(attempt.upstream_id)
         attempt.log.outcome += f": {error.detail}"
         await self._async_check_crash(attempt)
@@ -278,6 +280,7 @@
                 await response.write_eof()
                 return response
             except ResponseLostError as error:
+                attempt.mark_broken()
                 events.discard_pending()
                 attempt = await self._async_resume(attempt, events, error)
 
@@ -370,7 +373,7 @@
             raise UpstreamFailureError(self._failure_response)
         if self._run_count:
             raise RefusalError(
-                ResultCode.UPSTREAM_FAILED,
+                self._failure_code,
                 "the upstream failed and no further attempt is allowed",
             )
         raise RefusalError(
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/upstream_client.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/upstream_client.py
@@ -3,6 +3,7 @@
 import asyncio
 import functools
 import socket
+from collections.abc import AsyncIterator
 from typing import Any
 
 import aiohttp
@@ -15,17 +16,50 @@
     KEEPALIVE_IDLE_S,
     KEEPALIVE_INTERVAL_S,
     KEEPALIVE_PROBES,
+    MAX_FRAMING_RATIO,
     MAX_LINE_BYTES,
+    MAX_RESPONSE_HEAD_BYTES,
     REACHABILITY_TIMEOUT_S,
     TCP_USER_TIMEOUT_MS,
 )
-from .exceptions import ResponseLostError, UpstreamUnreachableError
+from .exceptions import (
+    ResponseLostError,
+    ResponseTooLargeError,
+    UpstreamUnreachableError,
+)
 
 _DEFAULT_HEADERS = ("Accept", "Accept-Encoding", "Content-Type", "User-Agent")
 
 
+class _OversizeError(aiohttp.ClientPayloadError):
+    """A response whose head or framing exceeds its size limit."""
+
+
 class _StrictResponseHandler(ResponseHandler):
-    """Fails a body without a length if its connection was reset."""
+    """Fails a body without a length if its connection was reset.
+
+    Limits the size of a response's head and framing. The parser limits single
+    header lines only, not empty lines, interim responses or chunk extensions.
+    """
+
+    _received_bytes = 0
+
+    def data_received(self, data: bytes) -> None:
+        """Parse the data unless the response's framing is too large."""
+        self._received_bytes += len(data)
+        super().data_received(data)
+        body_bytes = self._payload.total_bytes if self._payload is not None else 0
+        limit = MAX_RESPONSE_HEAD_BYTES + MAX_FRAMING_RATIO * body_bytes
+        if self._received_bytes > limit:
+            self._fail(_OversizeError("the head or framing exceeds its size limit"))
+
+    def _fail(self, error: aiohttp.ClientPayloadError) -> None:
+        """Fail the response that is being received, and disconnect."""
+        if self._payload is not None and not self._payload.is_eof():
+            self._payload.set_exception(error)
+        self.set_exception(error)
+        if self.transport is not None:
+            self.transport.abort()
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Set an error on an unfinished body if the connection failed."""
@@ -98,9 +132,26 @@
             )
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             raise UpstreamUnreachableError(type(error).__name__) from error
+        except _OversizeError as error:
+            raise ResponseTooLargeError(str(error)) from error
         except (aiohttp.ClientError, OSError, ValueError) as error:
             raise ResponseLostError(f"{type(error).__name__}: {error}") from error
 
+    async def async_iter_body(
+        self, response: aiohttp.ClientResponse
+    ) -> AsyncIterator[bytes]:
+        """Yield a response's body as it arrives.
+
+        Raises ResponseLostError if the connection fails within the body.
+        """
+        try:
+            async for data in response.content.iter_any():
+                yield data
+        except _OversizeError as error:
+            raise ResponseTooLargeError(str(error)) from error
+        except (aiohttp.ClientError, OSError) as error:
+            raise ResponseLostError(f"{type(error).__name__}: {error}") from error
+
     async def async_is_up(self, address: str) -> bool:
         """Return whether the upstream still accepts TCP connections."""
         host, _, port = address.rpartition(":")
--- a/packages/cardamomnotch-protocol/src/cardamomnotch_protocol/result_codes.py
+++ b/packages/cardamomnotch-protocol/src/cardamomnotch_protocol/result_codes.py
@@ -55,6 +55,7 @@
     ATTEMPT_UNKNOWN = 317
     ATTEMPT_CANCELLED = 318
     SUSPECT_BUSY = 319
+    UPSTREAM_RESPONSE_TOO_LARGE = 320
     JOURNAL_UNAVAILABLE = 401
     KEY_EXPIRED = 402
     KEY_REUSED = 403
@@ -222,6 +223,12 @@
             "The request waits until an upstream crash has been attributed.",
             True,
         ),
+        (
+            ResultCode.UPSTREAM_RESPONSE_TOO_LARGE,
+            502,
+            "The upstream's response exceeds a size limit.",
+            False,
+        ),
         (ResultCode.JOURNAL_UNAVAILABLE, 503, "The journal is unavailable.", True),
         (ResultCode.KEY_EXPIRED, 410, "The idempotency key has expired.", False),
         (
--- a/tests/stand_ins/platform_upstream.py
+++ b/tests/stand_ins/platform_upstream.py
@@ -28,6 +28,13 @@
     data: bytes
 
 
+@attrs.frozen
+class SendWithoutEnd:
+    """Send bytes again and again until the client disconnects."""
+
+    data: bytes
+
+
 @attrs.frozen
 class Wait:
     """Wait for a number of seconds."""
@@ -47,7 +54,7 @@
     disconnected: asyncio.Event = attrs.field(factory=asyncio.Event)
 
 
-Step = Send | Wait | Reset | HoldOpen
+Step = Send | SendWithoutEnd | Wait | Reset | HoldOpen
 Behavior = Callable[[SeenRequest], Iterable[Step]]
 
 
@@ -119,6 +126,9 @@
         self.seen: list[SeenRequest] = []
         self.address = ""
         self.connections = 0
+        # Bytes sent without end, and connections that are still sending them.
+        self.endless_bytes = 0
+        self.endless_connections = 0
         self._server: asyncio.Server | None = None
 
     async def async_start(self) -> None:
@@ -165,31 +175,49 @@
                 self.upstream_id,
             ):
                 behavior = refusal(421)
-            await _async_perform(behavior(request), reader, writer)
+            await self._async_perform(behavior(request), reader, writer)
         except ConnectionError:
             return
         finally:
             writer.close()
 
-
-async def _async_perform(
-    steps: Iterable[Step], reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-) -> None:
-    for step in steps:
-        match step:
-            case Send(data=data):
+    async def _async_perform(
+        self,
+        steps: Iterable[Step],
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        for step in steps:
+            match step:
+                case Send(data=data):
+                    writer.write(data)
+                    await writer.drain()
+                case SendWithoutEnd(data=data):
+                    await self._async_send_without_end(data, writer)
+                case Wait(seconds=seconds):
+                    await asyncio.sleep(seconds)
+                case Reset():
+                    raw = writer.get_extra_info("socket")
+                    raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
+                    writer.transport.abort()
+                    return
+                case HoldOpen(disconnected=disconnected):
+                    await reader.read()
+                    disconnected.set()
+
+    async def _async_send_without_end(
+        self, data: bytes, writer: asyncio.StreamWriter
+    ) -> None:
+        self.endless_connections += 1
+        try:
+            while True:
                 writer.write(data)
                 await writer.drain()
-            case Wait(seconds=seconds):
-                await asyncio.sleep(seconds)
-            case Reset():
-                raw = writer.get_extra_info("socket")
-                raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
-                writer.transport.abort()
-                return
-            case HoldOpen(disconnected=disconnected):
-                await reader.read()
-                disconnected.set()
+                self.endless_bytes += len(data)
+                # drain() alone does not give way while the client reads.
+                await asyncio.sleep(0)
+        finally:
+            self.endless_connections -= 1
 
 
 async def _async_read_request(reader: asyncio.StreamReader) -> SeenRequest | None:
