Limit what the sidecar reads from an upstream

Cause: the sidecar read whole responses with no limit of size.

Fix: a response that is read completely has 4 MiB, an event of a stream 1 MiB; beyond them the call fails with code 320.

Evidence: test_endless_body_is_given_up failed in its four cases before (code 315 after the read timeout) and passes; tests/platform test_upstream_contract.py, tests/sidecar and tests/docs pass.

--- a/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/const.py
+++ b/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/const.py
@@ -15,6 +15,10 @@
 READER_ACK_TIMEOUT_MS: Final = 5000
 # Bytes of one answer that are kept for readers that reconnect.
 MAX_ANSWER_BUFFER_BYTES: Final = 2 * 1_048_576
+# Maximum size of an upstream's response that is read completely before it is
+# passed on, and of one event of a stream.
+MAX_RESPONSE_BYTES: Final = 4 * 1_048_576
+MAX_EVENT_BYTES: Final = 1_048_576
 # Time for which an answer is kept after its end.
 ANSWER_RETENTION_S: Final = 60.0
 # Interval at which the upstream's load report is fetched.
--- a/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/upstream/engine.py
+++ b/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/upstream/engine.py
@@ -14,7 +14,12 @@
 from ..const import HEADER_REQUEST_ID
 from .models import CallResult, UpstreamError, UpstreamReport
 from .sse import CompletionStream, usage_from_json
-from .transport import call_timeout, retry_after_s, translate_errors
+from .transport import (
+    async_read_body,
+    call_timeout,
+    retry_after_s,
+    translate_errors,
+)
 
 _COMPLETIONS_PATH = "/v1/chat/completions"
 _LOAD_PATH = "/load"
@@ -46,7 +51,7 @@
             async with self._session.get(
                 self._url + _LOAD_PATH, timeout=_REPORT_TIMEOUT
             ) as response:
-                return _parse_report(await response.read())
+                return _parse_report(await async_read_body(response))
 
     async def async_send_order(self, placement: EnginePlacement) -> None:
         """Order the engine to load exactly the versions of ``placement``.
@@ -61,7 +66,7 @@
                 headers={"Content-Type": "application/json"},
                 timeout=_ORDER_TIMEOUT,
             ) as response:
-                await response.read()
+                await async_read_body(response)
 
     async def async_call(
         self, request: AttemptRequest, body: bytes, buffer: AnswerBuffer
@@ -144,7 +149,7 @@
 async def _async_read_completion(
     response: aiohttp.ClientResponse, buffer: AnswerBuffer, started_at_s: float
 ) -> CallResult:
-    body = await response.read()
+    body = await async_read_body(response)
     try:
         usage = usage_from_json(orjson.loads(body))
     except (AttributeError, TypeError, ValueError) as error:
--- a/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/upstream/sse.py
+++ b/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/upstream/sse.py
@@ -8,6 +8,7 @@
 from cardamomnotch_protocol.models import Usage
 from cardamomnotch_protocol.result_codes import ResultCode
 
+from ..const import MAX_EVENT_BYTES
 from .models import UpstreamError
 
 _DATA_PREFIX = b"data:"
@@ -47,8 +48,8 @@
     def feed(self, data: bytes) -> Iterator[bytes]:
         """Yield complete events, without the final ``[DONE]`` marker.
 
-        Raises UpstreamError for an invalid event and for one that belongs to
-        another completion.
+        Raises UpstreamError for an invalid event, for one that belongs to
+        another completion, and for one that exceeds its size limit.
         """
         # A CR LF may be split between two reads, so the whole buffer is
         # searched.
@@ -58,6 +59,11 @@
             self._buffer = self._buffer[end + len(_SEPARATOR) :]
             if self._accept_event(event):
                 yield event
+        if len(self._buffer) > MAX_EVENT_BYTES:
+            raise UpstreamError(
+                f"stream event is larger than {MAX_EVENT_BYTES} bytes",
+                code=ResultCode.UPSTREAM_RESPONSE_TOO_LARGE,
+            )
 
     def _accept_event(self, event: bytes) -> bool:
         """Process ``event`` and return whether to forward it to the caller."""
--- a/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/upstream/transport.py
+++ b/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/upstream/transport.py
@@ -7,6 +7,7 @@
 
 from cardamomnotch_protocol.result_codes import ResultCode
 
+from ..const import MAX_RESPONSE_BYTES
 from .models import UpstreamError
 
 
@@ -42,6 +43,25 @@
         ) from error
 
 
+async def async_read_body(response: aiohttp.ClientResponse) -> bytes:
+    """Return the complete body of a response.
+
+    Raises UpstreamError if the body exceeds its size limit.
+    """
+    parts: list[bytes] = []
+    size = 0
+    async for data in response.content.iter_any():
+        size += len(data)
+        if size > MAX_RESPONSE_BYTES:
+            response.close()
+            raise UpstreamError(
+                f"response body is larger than {MAX_RESPONSE_BYTES} bytes",
+                code=ResultCode.UPSTREAM_RESPONSE_TOO_LARGE,
+            )
+        parts.append(data)
+    return b"".join(parts)
+
+
 def retry_after_s(response: aiohttp.ClientResponse) -> float:
     """Return the seconds in Retry-After; 0 if it is not a number."""
     value = response.headers.get("Retry-After", "")
--- a/tests/platform/test_upstream_contract.py
+++ b/tests/platform/test_upstream_contract.py
@@ -1,5 +1,7 @@
 """Tests of the engine and service clients against their stand-ins."""
 
+import contextlib
+
 import orjson
 import pytest
 from aiohttp import web
@@ -173,6 +175,42 @@
         await client.async_fetch_report()
 
 
+@pytest.fixture
+async def endless_url(serve_app):
+    """Return the URL of an upstream that sends every body without end."""
+
+    async def reply(request: web.Request) -> web.StreamResponse:
+        response = web.StreamResponse()
+        await response.prepare(request)
+        with contextlib.suppress(ConnectionError):
+            while True:
+                await response.write(b"x" * 65_536)
+        return response
+
+    app = web.Application()
+    app.router.add_route("*", "/{path:.*}", reply)
+    return await serve_app(app)
+
+
+@pytest.mark.parametrize("call", ["report", "completion", "stream", "service"])
+async def test_endless_body_is_given_up(endless_url, http_session, call):
+    """A body or event without end fails at its size limit."""
+    engine = EngineClient(http_session, endless_url, _READ_TIMEOUT_S)
+    service = PlainServiceClient(http_session, endless_url, _READ_TIMEOUT_S)
+    buffer = AnswerBuffer("r-1")
+    calls = {
+        "report": lambda: engine.async_fetch_report(),
+        "completion": lambda: engine.async_call(_attempt(), _BODY, buffer),
+        "stream": lambda: engine.async_call(
+            _attempt(stream=True), _STREAM_BODY, buffer
+        ),
+        "service": lambda: service.async_call(_reservation_attempt(), b"{}", buffer),
+    }
+    with pytest.raises(UpstreamError) as raised:
+        await calls[call]()
+    assert raised.value.code is ResultCode.UPSTREAM_RESPONSE_TOO_LARGE
+
+
 async def test_service_receives_attempt_id_and_request_key(service, service_stand_in):
     """A service receives the attempt's id and the request's key."""
     await service.async_call(
