--- a/tests/entry/relay/test_quarantine.py
+++ b/tests/entry/relay/test_quarantine.py
@@ -1,16 +1,17 @@
 """Requests that crash each upstream that runs them."""
 
 import asyncio
-import itertools
 from collections.abc import AsyncIterator
 
 import pytest
 
 from tests.fixtures.relay_system import RelaySystem
-from tests.stand_ins.platform_upstream import HoldOpen, Reset, stream
+from tests.stand_ins.platform_upstream import HoldOpen, Reset, Wait, stream
 
 # Crashes after which a request must not be sent again.
 MAX_CRASHES = 2
+# A crash closes the listening socket before the connections.
+CRASH = (Wait(0.05), Reset())
 # Time for a record to reach the other entries, in seconds.
 SPREAD_S = 1.5
 
@@ -21,21 +22,22 @@
     ``behavior`` tells how a crash looks to the entry.
     """
 
-    def __init__(self, relay, service, behavior=lambda upstream: [Reset()]):
+    def __init__(self, relay, service, behavior=lambda upstream: CRASH):
         self._relay = relay
         self._service = service
         self._behavior = behavior
-        self._numbers = itertools.count()
+        self._names = []
 
     @property
     def crashes(self):
         """Return how many upstreams have run a request."""
-        return sum(bool(upstream.seen) for upstream in self._relay.upstreams.values())
+        return sum(bool(self._relay.upstreams[name].seen) for name in self._names)
 
     async def async_start(self, count):
         """Start new upstreams."""
         for _ in range(count):
-            name = f"up-{next(self._numbers)}"
+            name = f"up-{len(self._names)}"
+            self._names.append(name)
             await self._relay.async_add_upstream(
                 name, self._crash, service=self._service
             )
@@ -146,6 +148,16 @@
     assert len(started) == MAX_CRASHES
 
 
+@pytest.mark.parametrize("method", ["GET", "PUT", "POST"])
+async def test_crashing_request_of_any_method_crashes_two_upstreams(relay, method):
+    """A lost answer is noticed whether or not its HTTP method is idempotent."""
+    upstreams = CrashingUpstreams(relay, "bookings")
+    await upstreams.async_start(2 * MAX_CRASHES)
+    for _ in range(3):
+        assert (await relay.async_call("/read/x", method=method)).status == 502
+    assert upstreams.crashes == MAX_CRASHES
+
+
 def _last(upstream):
     return upstream.seen[-1]
 
--- a/tests/entry/relay/test_upstream_responses.py
+++ b/tests/entry/relay/test_upstream_responses.py
@@ -103,6 +103,17 @@
     assert sum(len(upstream.seen) for upstream in upstreams) == 1
 
 
+@pytest.mark.parametrize("method", ["DELETE", "GET", "POST", "PUT"])
+async def test_request_without_a_response_is_sent_once(relay, method):
+    """A request is not sent again on a new connection unnoticed."""
+    upstream = await relay.async_add_upstream(
+        "up", closed_without_response, service="bookings"
+    )
+    answer = await relay.async_call("/book/x", method=method)
+    assert answer.status == 502
+    assert len(upstream.seen) == 1
+
+
 @pytest.mark.parametrize("path", ["/book/x", "/read/x"])
 async def test_refused_request_is_retried(relay, path):
     """Any request is retried after an upstream states that it did not run."""
