Send each attempt to an upstream once

Besides, a non-idempotent request with the method PUT or DELETE ran twice if its connection broke, and could be answered 503, not run.

Cause: aiohttp repeats a request with an idempotent method by itself when its connection breaks before the answer. The repeat was counted nowhere. After a crash its connection was refused, so the whole attempt looked as if it had never been sent: no crash, no run, and on to the next upstream.

Class: a library repeats what the product has to count. Elsewhere: the sidecar's calls to its upstream had the same fault, with services that use PUT or DELETE. Calls to the store and the VM list keep the library's repeat: they are reads on kept connections.

Fix: sessions for upstreams come from create_upstream_session, which turns the library's repeat off. The sidecar uses a new connection for each call, as the relay does, since a kept one may have been dropped.

--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/upstream_client.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/upstream_client.py
@@ -11,6 +11,8 @@
 from multidict import CIMultiDict
 from yarl import URL
 
+from cardamomnotch_runtime.upstream_session import create_upstream_session
+
 from .const import (
     CONNECT_TIMEOUT_S,
     KEEPALIVE_IDLE_S,
@@ -99,8 +101,8 @@
         connector._factory = functools.partial(
             _StrictResponseHandler, loop=asyncio.get_running_loop()
         )
-        self._session = aiohttp.ClientSession(
-            connector=connector,
+        self._session = create_upstream_session(
+            connector,
             skip_auto_headers=_DEFAULT_HEADERS,
             auto_decompress=False,
             timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
--- a/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/composition.py
+++ b/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/composition.py
@@ -19,6 +19,7 @@
 from cardamomnotch_runtime.runner import NodeRunner
 from cardamomnotch_runtime.server import HttpServer, bind
 from cardamomnotch_runtime.tasks import TaskGroup, async_wait_until
+from cardamomnotch_runtime.upstream_session import create_upstream_session
 
 from .attempt_runner import AttemptRunner
 from .const import REPORT_INTERVAL_S, UPSTREAM_KIND_ENGINE, UPSTREAM_KIND_SERVICE
@@ -67,7 +68,11 @@
 
     async def async_setup(self) -> None:
         """Start the servers and periodic tasks."""
-        upstream_session = self._open_session({})
+        # A connection used once cannot have been dropped while it was idle.
+        upstream_session = create_upstream_session(
+            aiohttp.TCPConnector(limit=0, force_close=True)
+        )
+        self._sessions.append(upstream_session)
         inner_session = self._open_session(
             inner_headers(self._settings.node.inner_keys)
         )
