Forget a request's crashes when one of its runs completes

Callers: a request that many send, such as a look-up without a body, could be refused for a minute although it crashes nothing: two upstreams that crashed for another reason within ten minutes while it was in flight were enough (worse since crashes count for ten minutes).

Cause: nothing but time ended the suspicion.

Fix: a run that completes clears the request at the entry that saw it, as in the product's own quarantine. A report holds at most 5,000 crashes, so that it fits into a value of the store.

Evidence: test_request_that_completes_is_not_quarantined failed before (502) and passes.

--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/const.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/const.py
@@ -47,6 +47,8 @@
 # that it has left unanswered, in seconds: the store lists a process that sends
 # no heartbeats for a while.
 CRASH_NOTICE_S: Final = 8.0
+# Crashes in one report, which must fit into one value of the store.
+MAX_REPORTED_CRASHES: Final = 5_000
 # Requests whose crashes are counted; the one with the oldest crash is evicted.
 MAX_SUSPECTS: Final = 10_000
 
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/quarantine.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/quarantine.py
@@ -9,6 +9,7 @@
     CRASH_NOTICE_S,
     CRASH_RETENTION_S,
     MAX_CRASHES,
+    MAX_REPORTED_CRASHES,
     MAX_SUSPECTS,
     QUARANTINE_S,
 )
@@ -74,8 +75,8 @@
 
     @property
     def unreported(self) -> tuple[Crash, ...]:
-        """Return the crashes seen by this entry that are not stored yet."""
-        return tuple(self._unreported)
+        """Return the oldest crashes seen by this entry that are not stored yet."""
+        return tuple(self._unreported[:MAX_REPORTED_CRASHES])
 
     @property
     def totals(self) -> dict[str, int]:
@@ -108,6 +109,11 @@
         stored = set(crashes)
         self._unreported = [crash for crash in self._unreported if crash not in stored]
 
+    def clear(self, fingerprint: str) -> None:
+        """Forget a request's crashes, because one of its runs completed."""
+        if fingerprint in self._processes:
+            self._forget(fingerprint)
+
     def is_quarantined(self, fingerprint: str, now_s: float) -> bool:
         """Return whether the request must be refused."""
         further_crashes = self.crashes(fingerprint, now_s) - MAX_CRASHES
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/attempts.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/attempts.py
@@ -192,6 +192,8 @@
             self._node.attempts.record_ended(self._state, self, self._clock())
         if self._response is not None:
             self._response.close()
+        if outcome is AttemptOutcome.ANSWERED:
+            self._node.crashes.clear(self._fingerprint)
         if outcome in _UNANSWERED_OUTCOMES and self._is_load_recorded:
             self._node.record_unanswered(
                 self._state.upstream, self._fingerprint, self._clock()
--- a/tests/entry/relay/test_quarantine.py
+++ b/tests/entry/relay/test_quarantine.py
@@ -6,7 +6,7 @@
 import pytest
 
 from tests.fixtures.relay_system import RelaySystem
-from tests.stand_ins.platform_upstream import HoldOpen, Reset, Wait, stream
+from tests.stand_ins.platform_upstream import HoldOpen, Reset, Wait, plain, stream
 
 # Crashes after which a request must not be sent again.
 MAX_CRASHES = 2
@@ -158,6 +158,21 @@
     assert upstreams.crashes == MAX_CRASHES
 
 
+async def test_request_that_completes_is_not_quarantined(relay):
+    """Crashes that a request was not the cause of do not add up."""
+    await relay.async_add_upstream(
+        "good", lambda request: [Wait(0.05), *plain()(request)], service="bookings"
+    )
+    upstreams = CrashingUpstreams(relay, "bookings")
+    for crashes in range(1, MAX_CRASHES + 2):
+        await upstreams.async_start(1)
+        while upstreams.crashes < crashes:
+            answers = await asyncio.gather(
+                *(relay.async_call("/read/x", method="GET") for _ in range(4))
+            )
+            assert {answer.status for answer in answers} == {200}
+
+
 def _last(upstream):
     return upstream.seen[-1]
 
