Penalize an upstream once for a broken stream

Callers: after a broken stream its upstream was a last resort for two seconds instead of one, and its next failure counted as the third.

Cause: since events have a size limit, the attempt was marked as broken by the reader of the body and by the reader of events, and each call recorded a failure of the upstream.

Fix: an attempt that has ended is not marked again.

Evidence: test_broken_stream_counts_as_one_failure failed before (2) and passes, with all of test_streams.py and test_endless_bytes.py.

--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/attempts.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/attempts.py
@@ -175,7 +175,9 @@
         return b"".join(parts)
 
     def mark_broken(self) -> None:
-        """End the attempt, because its response cannot be completed."""
+        """End the attempt, unless it has, since its response has no end."""
+        if self._is_closed:
+            return
         self._state.record_failure(self._clock())
         self.close(AttemptOutcome.BROKEN)
 
--- a/tests/entry/relay/test_streams.py
+++ b/tests/entry/relay/test_streams.py
@@ -71,6 +71,13 @@
     assert not any(other.seen for other in other_version)
 
 
+async def test_broken_stream_counts_as_one_failure(relay):
+    """A broken stream penalizes its upstream once."""
+    await relay.async_add_upstream("up", stream(1, 2, then=[Reset()]))
+    assert (await relay.async_call("/answer/x", X_Model="small")).broken
+    assert relay.entry.node.fleet.get("up").failures == 1
+
+
 @pytest.mark.parametrize("then", STREAM_BREAKS.values(), ids=STREAM_BREAKS)
 async def test_non_resumable_stream_is_truncated(relay, then):
     """A failed stream that may not be resumed does not look complete."""
