Log a response's framing and the unfinished event at its end

On-call engineers could not tell from logs why a stream counted as complete: an attempt's log named its outcome, but neither how the end of the body was recognized nor what was left of an event. Both are fields of the attempt now, and a metric counts streams that ended within an event.

--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/attempts.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/attempts.py
@@ -21,7 +21,7 @@
     CallerRequest,
     ResponseHead,
 )
-from .upstream_client import UpstreamClient
+from .upstream_client import UpstreamClient, response_framing
 
 # Outcomes that are no evidence for or against the upstream's version.
 _NEUTRAL_OUTCOMES = frozenset(
@@ -138,6 +138,7 @@
         head = self._codec.decode_response(response.status, response.headers)
         self._head = head
         self.log.status = head.status
+        self.log.framing = response_framing(response).value
         self.log.confidence = -1 if head.confidence is None else head.confidence
         self._validate_response(head, request)
         return head
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/forwarder.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/forwarder.py
@@ -274,12 +274,14 @@
                     complete_events = events.feed(data)
                     if complete_events:
                         await response.write(complete_events)
+                attempt.log.unfinished_bytes = len(events.pending)
                 if events.pending:
                     await response.write(events.pending)
                 attempt.close(AttemptOutcome.ANSWERED)
                 await response.write_eof()
                 return response
             except ResponseLostError as error:
+                attempt.log.unfinished_bytes = len(events.pending)
                 attempt.mark_broken()
                 events.discard_pending()
                 attempt = await self._async_resume(attempt, events, error)
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/metrics.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/metrics.py
@@ -45,6 +45,12 @@
             ["upstream_up"],
             registry=self.registry,
         )
+        self._unfinished_streams = Counter(
+            "cardamomnotch_relay_unfinished_streams",
+            "Attempts whose stream ended within an event, by framing and outcome.",
+            ["framing", "outcome"],
+            registry=self.registry,
+        )
         self._first_byte_seconds = Histogram(
             "cardamomnotch_relay_first_byte_seconds",
             "Time from sending an attempt to the head of its answer.",
@@ -85,6 +91,8 @@
         ).inc()
         if log.upstream_up is not None:
             self._lost_answers.labels(upstream_up=str(log.upstream_up).lower()).inc()
+        if log.unfinished_bytes:
+            self._unfinished_streams.labels(framing=log.framing, outcome=outcome).inc()
         if log.first_byte_ms >= 0:
             first_byte = self._first_byte_seconds.labels(
                 version=log.version, model=log.model
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/models.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/models.py
@@ -61,6 +61,14 @@
     is_plain: bool = True
 
 
+class ResponseFraming(StrEnum):
+    """How the end of a response's body is recognized."""
+
+    LENGTH = "length"
+    CHUNKED = "chunked"
+    CONNECTION_END = "connection_end"
+
+
 class AttemptOutcome(StrEnum):
     """How one attempt ended."""
 
@@ -90,6 +98,10 @@
     status: int = 0
     first_byte_ms: int = -1
     confidence: int = -1
+    # ResponseFraming of the response; empty if there was none.
+    framing: str = ""
+    # Bytes of an incomplete event at the end of a stream.
+    unfinished_bytes: int = 0
     # Whether the upstream accepted a connection after the answer was lost;
     # None if that was not tested.
     upstream_up: bool | None = None
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/upstream_client.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/upstream_client.py
@@ -29,6 +29,7 @@
     ResponseTooLargeError,
     UpstreamUnreachableError,
 )
+from .models import ResponseFraming
 
 _DEFAULT_HEADERS = ("Accept", "Accept-Encoding", "Content-Type", "User-Agent")
 
@@ -72,6 +73,15 @@
         super().connection_lost(exc)
 
 
+def response_framing(response: aiohttp.ClientResponse) -> ResponseFraming:
+    """Return how the end of the response's body is recognized."""
+    if "chunked" in response.headers.get("Transfer-Encoding", "").lower():
+        return ResponseFraming.CHUNKED
+    if "Content-Length" in response.headers:
+        return ResponseFraming.LENGTH
+    return ResponseFraming.CONNECTION_END
+
+
 def _create_socket(address: Any) -> socket.socket:
     family, kind, protocol, _, _ = address
     created = socket.socket(family, kind, protocol)
--- a/tests/entry/relay/test_request_log.py
+++ b/tests/entry/relay/test_request_log.py
@@ -4,7 +4,15 @@
 
 from cardamomnotch_runtime.structured_log import secret_digest
 
-from tests.stand_ins.platform_upstream import HoldOpen, Reset
+from tests.stand_ins.platform_upstream import (
+    HoldOpen,
+    Reset,
+    Send,
+    Wait,
+    event,
+    head,
+    stream,
+)
 
 _BAD_KEY = "removed-api-key"
 
@@ -81,3 +89,29 @@
     async with relay.session.get(f"http://{relay.admin_address}/state") as response:
         state = await response.json()
     assert state["crashes"] == ({fields["fingerprint"]: 1} if crashes else {})
+
+
+async def test_broken_stream_logs_its_framing_and_its_unfinished_event(
+    relay, request_log_fields
+):
+    """A stream that breaks within an event is logged and counted as such."""
+
+    def break_off(request):
+        return [Send(head(request) + event(1) + event(2)[:9]), Wait(0.05), Reset()]
+
+    await relay.async_add_upstream("up", break_off)
+    assert (await relay.async_call("/answer/x")).broken
+    (attempt,) = request_log_fields()["attempts"]
+    assert (attempt["framing"], attempt["unfinished_bytes"]) == ("connection_end", 9)
+    async with relay.session.get(f"http://{relay.admin_address}/metrics") as response:
+        metrics = await response.text()
+    labels = 'framing="connection_end",outcome="broken"'
+    assert f"cardamomnotch_relay_unfinished_streams_total{{{labels}}} 1.0" in metrics
+
+
+async def test_complete_stream_logs_its_framing(relay, request_log_fields):
+    """A complete stream is logged without unfinished bytes."""
+    await relay.async_add_upstream("up", stream(1, 2))
+    assert not (await relay.async_call("/answer/x")).broken
+    (attempt,) = request_log_fields()["attempts"]
+    assert (attempt["framing"], attempt["unfinished_bytes"]) == ("chunked", 0)
