Split event streams at every kind of line end

Callers got a stream whose lines end with CR LF or CR only at its end: no blank line was found in it, so all of it was held as one unfinished event. A break lost all of it, and a stream of over 1 MiB failed.

Cause: only LF LF counted as the end of an event; the standard for server-sent events has three kinds of line end. An event now ends with the byte that completes its blank line; CR LF CR waits for the LF, so that no event loses its last byte.

--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/event_stream.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/event_stream.py
@@ -3,14 +3,18 @@
 from .const import MAX_EVENT_BYTES
 from .exceptions import ResponseTooLargeError
 
-_EVENT_SEPARATOR = b"\n\n"
+# Line ends of which two in a row end an event. The combinations that begin with
+# CR LF end with one of these.
+_EVENT_SEPARATORS = (b"\n\n", b"\n\r\n", b"\r\r")
+_MAX_SEPARATOR_BYTES = max(map(len, _EVENT_SEPARATORS))
 _ID_FIELD = b"id:"
 
 
 class EventSplitter:
     """Buffers the bytes of an event stream and returns complete events.
 
-    ``last_event_id`` is the id of the last event that was returned.
+    Lines end with LF, CR LF or CR. ``last_event_id`` is the id of the last
+    event that was returned.
     """
 
     def __init__(self, last_event_id: str = "") -> None:
@@ -24,7 +28,7 @@
 
     @property
     def pending(self) -> bytes:
-        """Return the bytes of the last, still incomplete event."""
+        """Return the bytes after the last complete event."""
         return self._pending
 
     def feed(self, data: bytes) -> bytes:
@@ -36,16 +40,15 @@
             raise ResponseTooLargeError(
                 f"an event of the stream is larger than {MAX_EVENT_BYTES} bytes"
             )
-        data = self._pending + data
-        end = data.rfind(_EVENT_SEPARATOR)
-        if end < 0:
-            self._pending = data
-            return b""
-        end += len(_EVENT_SEPARATOR)
-        complete, self._pending = data[:end], data[end:]
-        for event in complete.split(_EVENT_SEPARATOR):
-            if event:
-                self._last_event_id = _event_id(event) or self._last_event_id
+        # A separator may begin at the end of the earlier bytes.
+        search_start = max(0, len(self._pending) - _MAX_SEPARATOR_BYTES + 1)
+        self._pending += data
+        end = _end_of_events(self._pending, search_start)
+        complete, self._pending = self._pending[:end], self._pending[end:]
+        for line in complete.splitlines():
+            if line.startswith(_ID_FIELD):
+                event_id = line[len(_ID_FIELD) :].strip().decode("latin-1")
+                self._last_event_id = event_id or self._last_event_id
         return complete
 
     def discard_pending(self) -> None:
@@ -53,8 +56,11 @@
         self._pending = b""
 
 
-def _event_id(event: bytes) -> str:
-    for line in event.split(b"\n"):
-        if line.startswith(_ID_FIELD):
-            return line[len(_ID_FIELD) :].strip().decode("latin-1")
-    return ""
+def _end_of_events(data: bytes, search_start: int) -> int:
+    """Return the position after the last separator; 0 if there is none."""
+    ends = (
+        position + len(separator)
+        for separator in _EVENT_SEPARATORS
+        if (position := data.rfind(separator, search_start)) >= 0
+    )
+    return max(ends, default=0)
--- /dev/null
+++ b/tests/entry/relay/test_event_stream.py
@@ -0,0 +1,65 @@
+"""Splitting of event streams whose lines end in different ways."""
+
+import pytest
+
+from cardamomnotch_entry.relay.event_stream import EventSplitter
+
+from tests.stand_ins.platform_upstream import (
+    HoldOpen,
+    Send,
+    chunk,
+    event,
+    head,
+)
+
+LINE_ENDS = {"LF": b"\n", "CR LF": b"\r\n", "CR": b"\r"}
+each_line_end = pytest.mark.parametrize(
+    "line_end", LINE_ENDS.values(), ids=[name.replace(" ", "") for name in LINE_ENDS]
+)
+
+
+def events_with(line_end, last):
+    """Return the events up to ``last`` with these line ends."""
+    return b"".join(event(number) for number in range(1, last + 1)).replace(
+        b"\n", line_end
+    )
+
+
+@each_line_end
+def test_event_is_returned_with_its_last_byte(line_end):
+    """Each event is returned, with its id, by the byte that completes it."""
+    splitter = EventSplitter()
+    first = events_with(line_end, 1)
+    for number in range(len(first) - 1):
+        assert splitter.feed(first[number : number + 1]) == b""
+        assert splitter.last_event_id == ""
+    assert splitter.feed(first[-1:]) == first
+    assert splitter.last_event_id == "1"
+    second = events_with(line_end, 2)[len(first) :]
+    assert splitter.feed(second + b"id: 3") == second
+    assert (splitter.last_event_id, splitter.pending) == ("2", b"id: 3")
+
+
+@pytest.mark.parametrize(
+    "separator", [b"\r\n\n", b"\n\r\n"], ids=["CRLF LF", "LF CRLF"]
+)
+def test_mixed_line_ends_separate_events(separator):
+    """A blank line ends an event although its line end differs."""
+    splitter = EventSplitter()
+    data = b"id: 1" + separator
+    assert splitter.feed(data + b"id: 2") == data
+
+
+@each_line_end
+async def test_events_are_forwarded_as_they_arrive(relay, line_end):
+    """An event does not wait for the end of its stream, whatever its line ends."""
+    events = events_with(line_end, 2)
+    hold = HoldOpen()
+
+    def respond(request):
+        response_head = head(request, Transfer_Encoding="chunked")
+        return [Send(response_head + chunk(events)), hold]
+
+    await relay.async_add_upstream("up", respond)
+    answer = await relay.async_call("/answer/x", X_Deadline_Ms="300")
+    assert (answer.body, answer.broken) == (events, True)
