Treat a stream that ends within an event as broken

Cause: the end of a body counted as the end of the stream. What was left of an event was forwarded, and the response to the caller ended properly. Where a response has neither a length nor chunks, a closed connection is the end of the body, also when the upstream has given up; a length or last chunk can be wrong as well.

Why it works: the format says where an event ends. A stream whose body ends elsewhere is resumed after its last complete event, or the caller's response is cut. Blank lines after an event begin none.

--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/event_stream.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/event_stream.py
@@ -31,6 +31,11 @@
         """Return the bytes after the last complete event."""
         return self._pending
 
+    @property
+    def is_within_event(self) -> bool:
+        """Return whether an event has begun and is not complete."""
+        return bool(self._pending.strip(b"\r\n"))
+
     def feed(self, data: bytes) -> bytes:
         """Buffer ``data`` and return the bytes of all complete events.
 
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/forwarder.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/forwarder.py
@@ -274,7 +274,8 @@
                     complete_events = events.feed(data)
                     if complete_events:
                         await response.write(complete_events)
-                attempt.log.unfinished_bytes = len(events.pending)
+                if events.is_within_event:
+                    raise ResponseLostError("the stream ended within an event")
                 if events.pending:
                     await response.write(events.pending)
                 attempt.close(AttemptOutcome.ANSWERED)
--- a/tests/entry/relay/test_event_stream.py
+++ b/tests/entry/relay/test_event_stream.py
@@ -32,8 +32,10 @@
     first = events_with(line_end, 1)
     for number in range(len(first) - 1):
         assert splitter.feed(first[number : number + 1]) == b""
+        assert splitter.is_within_event
         assert splitter.last_event_id == ""
     assert splitter.feed(first[-1:]) == first
+    assert not splitter.is_within_event
     assert splitter.last_event_id == "1"
     second = events_with(line_end, 2)[len(first) :]
     assert splitter.feed(second + b"id: 3") == second
@@ -63,3 +65,12 @@
     await relay.async_add_upstream("up", respond)
     answer = await relay.async_call("/answer/x", X_Deadline_Ms="300")
     assert (answer.body, answer.broken) == (events, True)
+
+
+@each_line_end
+async def test_blank_lines_after_the_last_event_are_forwarded(relay, line_end):
+    """Blank lines after an event begin no event, so the stream is complete."""
+    body = events_with(line_end, 2) + line_end
+    await relay.async_add_upstream("up", lambda request: [Send(head(request) + body)])
+    answer = await relay.async_call("/answer/x")
+    assert (answer.body, answer.broken) == (body, False)
