Fail an unframed answer of a plain service on a reset

In the product's own installations a caller got a part of a plain service's answer as the whole: the service sent neither a length nor chunks, and its connection was reset.

Cause: the HTTP library takes any end of the connection for the end of such a body. The relay's client had its own response handler against that, the sidecar's session did not.

The handler moves to create_upstream_session, which both use; the relay's adds its size limits.

--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/upstream_client.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/upstream_client.py
@@ -1,17 +1,18 @@
 """HTTP client for upstreams with one connection per attempt."""
 
 import asyncio
-import functools
 import socket
 from collections.abc import AsyncIterator
 from typing import Any
 
 import aiohttp
-from aiohttp.client_proto import ResponseHandler
 from multidict import CIMultiDict
 from yarl import URL
 
-from cardamomnotch_runtime.upstream_session import create_upstream_session
+from cardamomnotch_runtime.upstream_session import (
+    UpstreamResponseHandler,
+    create_upstream_session,
+)
 
 from .const import (
     CONNECT_TIMEOUT_S,
@@ -38,11 +39,11 @@
     """A response whose head or framing exceeds its size limit."""
 
 
-class _StrictResponseHandler(ResponseHandler):
-    """Fails a body without a length if its connection was reset.
+class _LimitingResponseHandler(UpstreamResponseHandler):
+    """Limits the size of a response's head and framing.
 
-    Limits the size of a response's head and framing. The parser limits single
-    header lines only, not empty lines, interim responses or chunk extensions.
+    The parser limits single header lines only, not empty lines, interim
+    responses or chunk extensions.
     """
 
     _received_bytes = 0
@@ -64,14 +65,6 @@
         if self.transport is not None:
             self.transport.abort()
 
-    def connection_lost(self, exc: BaseException | None) -> None:
-        """Set an error on an unfinished body if the connection failed."""
-        payload = self._payload
-        if exc is not None and payload is not None and not payload.is_eof():
-            error = aiohttp.ClientPayloadError(f"connection lost: {exc}")
-            payload.set_exception(error)
-        super().connection_lost(exc)
-
 
 def response_framing(response: aiohttp.ClientResponse) -> ResponseFraming:
     """Return how the end of the response's body is recognized."""
@@ -108,11 +101,9 @@
         connector = aiohttp.TCPConnector(
             limit=0, force_close=True, socket_factory=_create_socket
         )
-        connector._factory = functools.partial(
-            _StrictResponseHandler, loop=asyncio.get_running_loop()
-        )
         self._session = create_upstream_session(
             connector,
+            _LimitingResponseHandler,
             skip_auto_headers=_DEFAULT_HEADERS,
             auto_decompress=False,
             timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
--- a/tests/entry/relay/test_truncated_responses.py
+++ b/tests/entry/relay/test_truncated_responses.py
@@ -2,52 +2,20 @@
 
 import pytest
 
-from tests.stand_ins.platform_upstream import (
-    LAST_CHUNK,
-    Reset,
-    Send,
-    Wait,
-    chunk,
-    event,
-    head,
+from tests.fixtures.truncated_responses import (
+    COMPLETE_FRAMINGS,
+    END_OF_BODY,
+    ENDS,
+    FRAMINGS,
+    with_length,
 )
+from tests.stand_ins.platform_upstream import Send, event
 
 BODY = b"booking"
 EVENTS = event(1) + event(2)
 LAST_EVENT = event(3)
 
 
-def with_length(request, whole, sent):
-    """Return a response with a Content-Length, of which ``sent`` is sent."""
-    return head(request, Content_Length=str(len(whole))) + sent
-
-
-def with_chunks(request, whole, sent):
-    """Return a chunked response without its last chunk."""
-    return head(request, Transfer_Encoding="chunked") + (chunk(sent) if sent else b"")
-
-
-def without_framing(request, whole, sent):
-    """Return a response with neither a length nor chunks."""
-    return head(request) + sent
-
-
-def with_shorter_length(request, whole, sent):
-    """Return a response whose Content-Length covers only what is sent."""
-    return with_length(request, sent, sent)
-
-
-def with_last_chunk(request, whole, sent):
-    """Return a chunked response that ends properly after what is sent."""
-    return with_chunks(request, whole, sent) + LAST_CHUNK
-
-
-FRAMINGS = [with_length, with_chunks, without_framing]
-COMPLETE_FRAMINGS = [with_shorter_length, with_last_chunk]
-ENDS = {"closed": (), "reset": (Wait(0.02), Reset())}
-# Combinations in which the end of the connection is the end of the body.
-END_OF_BODY = (without_framing, ENDS["closed"])
-
 each_framing = pytest.mark.parametrize(
     "framing", FRAMINGS, ids=lambda framing: framing.__name__
 )
