Reset the connection of a truncated response without framing

A caller that uses HTTP/1.0 got a truncated stream that ended as a complete one does: such a response has neither a length nor chunks, and its connection was closed.

The connection is reset now; callers with HTTP/1.1 see the missing last chunk, as before.

--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/caller_connection.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/caller_connection.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import logging
+import socket
+import struct
 from collections.abc import Callable
 from typing import Any, Final
 
@@ -19,6 +21,17 @@
 ).encode()
 
 
+# Value of SO_LINGER with which closing a socket resets its connection.
+_NO_LINGER = struct.pack("ii", 1, 0)
+
+
+def reset_on_close(transport: asyncio.BaseTransport) -> None:
+    """Let closing ``transport`` reset its connection; unsent data is lost."""
+    transport.get_extra_info("socket").setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER
+    )
+
+
 class CallerConnection(web.RequestHandler):
     """HTTP connection that limits the time to the first byte and per head.
 
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/server.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/server.py
@@ -4,7 +4,7 @@
 import logging
 from collections.abc import Callable, Set
 
-from aiohttp import web
+from aiohttp import HttpVersion11, web
 
 from cardamomnotch_core.relay.exceptions import RefusalError
 from cardamomnotch_core.relay.node import RelayNode
@@ -13,7 +13,7 @@
 from cardamomnotch_runtime.responses import error_body, json_response
 from cardamomnotch_runtime.structured_log import log_event, secret_digest
 
-from .caller_connection import CallerConnection
+from .caller_connection import CallerConnection, reset_on_close
 from .const import MAX_LOGGED_PATH_CHARS, RETRY_AFTER_DECIMALS
 from .exceptions import ResponseTruncatedError, UpstreamFailureError
 from .forwarder import Forwarder
@@ -169,8 +169,11 @@
     def _abort_response(
         self, http_request: web.BaseRequest, forwarder: Forwarder
     ) -> web.StreamResponse:
-        """Close the connection, so that the response looks incomplete."""
+        """End the connection, so that the response looks incomplete."""
         if http_request.transport is not None:
+            if http_request.version < HttpVersion11:
+                # Such a response ends with its connection, unless it is reset.
+                reset_on_close(http_request.transport)
             http_request.transport.close()
         if forwarder is None or forwarder.response is None:
             return web.Response(status=_STATUS_CLIENT_CLOSED_REQUEST)
