Raise StoreError for a store's truncated reply

An entry followed no configuration, routes or upstreams any more until its restart: a reply of the store that ended early, without framing, raised an error that the background task did not expect, and the task ended.

--- a/packages/cardamomnotch-platform/src/cardamomnotch_platform/store/client.py
+++ b/packages/cardamomnotch-platform/src/cardamomnotch_platform/store/client.py
@@ -225,6 +225,8 @@
                         yield entries
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             raise StoreError(f"store watch failed: {type(error).__name__}") from error
+        except orjson.JSONDecodeError as error:
+            raise StoreError("store watch failed: an event is not JSON") from error
 
     async def _async_transaction(
         self, key: str, mod_revision: int, success: dict[str, Any]
