Log a request's prompt parts and when its attempts ended

Logs named the requests that were in flight at an upstream that ended, but not what their prompts share, nor for how long each had been answered by then.

--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/attempts.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/attempts.py
@@ -191,6 +191,9 @@
             return
         self._is_closed = True
         self.log.outcome = outcome.value
+        if self._is_load_recorded:
+            elapsed_ms = round((self._clock() - self._sent_at_s) * 1000)
+            self.log.ended_ms = self.log.started_ms + elapsed_ms
         if self._is_load_recorded:
             self._node.attempts.record_ended(self._state, self, self._clock())
         if self._response is not None:
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/models.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/models.py
@@ -94,6 +94,7 @@
     cached_tokens: int
     unread_tokens: int
     waiting_ms: int
+    ended_ms: int = -1
     outcome: str = ""
     status: int = 0
     first_byte_ms: int = -1
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/server.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/server.py
@@ -214,6 +214,7 @@
             else -1,
             session=request.facts.session if request else "",
             fingerprint=request.facts.fingerprint if request else "",
+            prompt=[part.part_id for part in request.facts.prompt] if request else [],
             attempts=[log.as_dict() for log in forwarder.attempts] if forwarder else [],
             **_refused_request_fields(code, request),
         )
--- a/tests/entry/relay/test_request_log.py
+++ b/tests/entry/relay/test_request_log.py
@@ -115,3 +115,17 @@
     assert not (await relay.async_call("/answer/x")).broken
     (attempt,) = request_log_fields()["attempts"]
     assert (attempt["framing"], attempt["unfinished_bytes"]) == ("chunked", 0)
+
+
+async def test_request_logs_its_prompt_and_the_end_of_its_attempts(
+    relay, request_log_fields
+):
+    """The log tells which parts a request had, and when its attempts ended."""
+    await relay.async_add_upstream(
+        "up", lambda request: [Wait(0.1), *stream(1, 2)(request)]
+    )
+    await relay.async_call("/answer/x", X_Prefix_Hash="aa:100,bb:20,cc:5")
+    fields = request_log_fields()
+    assert fields["prompt"] == ["aa", "bb", "cc"]
+    (attempt,) = fields["attempts"]
+    assert 100 <= attempt["ended_ms"] <= fields["ms"]
