--- a/tests/stand_ins/platform_upstream.py
+++ b/tests/stand_ins/platform_upstream.py
@@ -47,6 +47,11 @@
     """Reset the connection."""
 
 
+@attrs.frozen
+class Crash:
+    """End the upstream, with all of its connections."""
+
+
 @attrs.frozen
 class HoldOpen:
     """Send nothing until the client disconnects; then set ``disconnected``."""
@@ -54,7 +59,7 @@
     disconnected: asyncio.Event = attrs.field(factory=asyncio.Event)
 
 
-Step = Send | SendWithoutEnd | Wait | Reset | HoldOpen
+Step = Send | SendWithoutEnd | Wait | Reset | Crash | HoldOpen
 Behavior = Callable[[SeenRequest], Iterable[Step]]
 
 
@@ -130,6 +135,7 @@
         self.endless_bytes = 0
         self.endless_connections = 0
         self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
 
     async def async_start(self) -> None:
         """Start to listen on loopback."""
@@ -143,6 +149,12 @@
             self._server.close()
             self._server = None
 
+    def crash(self) -> None:
+        """Stop listening and reset all connections."""
+        self.stop()
+        for writer in tuple(self._writers):
+            _reset(writer)
+
     def entry(self, service: str = "drafts", **fields: Any) -> dict[str, Any]:
         """Return the registration that the upstream writes to the store."""
         return {
@@ -162,6 +174,7 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         self.connections += 1
+        self._writers.add(writer)
         try:
             request = await _async_read_request(reader)
             if request is None:
@@ -179,6 +192,7 @@
         except ConnectionError:
             return
         finally:
+            self._writers.discard(writer)
             writer.close()
 
     async def _async_perform(
@@ -197,9 +211,10 @@
                 case Wait(seconds=seconds):
                     await asyncio.sleep(seconds)
                 case Reset():
-                    raw = writer.get_extra_info("socket")
-                    raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
-                    writer.transport.abort()
+                    _reset(writer)
+                    return
+                case Crash():
+                    self.crash()
                     return
                 case HoldOpen(disconnected=disconnected):
                     await reader.read()
@@ -220,6 +235,13 @@
             self.endless_connections -= 1
 
 
+def _reset(writer: asyncio.StreamWriter) -> None:
+    raw = writer.get_extra_info("socket")
+    if raw.fileno() >= 0:
+        raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
+    writer.transport.abort()
+
+
 async def _async_read_request(reader: asyncio.StreamReader) -> SeenRequest | None:
     try:
         raw = await reader.readuntil(b"\r\n\r\n")
