--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/attempts.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/attempts.py
@@ -192,7 +192,7 @@
         self._is_closed = True
         self.log.outcome = outcome.value
         if self._is_load_recorded:
-            elapsed_ms = round((self._clock() - self._sent_at_s) * 1000)
+            elapsed_ms = int((self._clock() - self._sent_at_s) * 1000)
             self.log.ended_ms = self.log.started_ms + elapsed_ms
         if self._is_load_recorded:
             self._node.attempts.record_ended(self._state, self, self._clock())
