Refuse what explains upstream crashes best, not whole requests alone

Cause: crashes were counted by whole requests. No two of these requests are alike, so each began at zero, and the sound ones at the same upstreams were counted like the cause.

A request's suspects are now its fingerprint and the parts of its prompt but the last. It is refused if it contains every suspect that was at least as suspect at all crashes of one of them. The cause is at all of its crashes, so it is found after two or three, and nothing sound is refused for sharing them; an answer that arrives clears its suspects, at other entries too.

--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/attempt_tracker.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/attempt_tracker.py
@@ -12,10 +12,12 @@
     RETRY_OTHER_ENTRY_S,
     RETRY_STORE_OUTAGE_S,
 )
+from .crash_detection import AttemptEnd, CrashDetector
 from .fleet import Fleet, UpstreamState
 from .models import RequestFacts
 from .notices import LoadKind, LoadNotice
 from .placement import Placement, Placer, concurrent_starts
+from .quarantine import Quarantine
 from .versions import VersionSelector
 
 
@@ -23,8 +25,8 @@
     """Records attempts in all estimates and limits that depend on them.
 
     These are the upstream's queue, its cold rate limit, its prompt cache, the
-    rollout and the session. ``entries`` are the names of the live entries,
-    including this one.
+    rollout, the session, and the evidence of what crashes upstreams.
+    ``entries`` are the names of the live entries, including this one.
     """
 
     def __init__(
@@ -33,12 +35,16 @@
         placer: Placer,
         cold: ColdLimiter,
         versions: VersionSelector,
+        crash_detector: CrashDetector,
+        quarantine: Quarantine,
         entries: Set[str],
     ) -> None:
         self._fleet = fleet
         self._placer = placer
         self._cold_limiter = cold
         self._versions = versions
+        self._crash_detector = crash_detector
+        self._quarantine = quarantine
         self._entries = entries
         self._notices: list[LoadNotice] = []
         # When the queued notices have to be sent.
@@ -74,6 +80,7 @@
             rollout.record_sent(
                 key, state.upstream.version, placement.expected_ms / 1000, now_s
             )
+        self._crash_detector.record_sent(key, state.upstream.process, facts.suspects)
         session = facts.session if self._versions.is_in_first_stage(facts) else ""
         self._versions.sessions.record_started(state.upstream, session, now_s)
         self._local_attempts[key] = next(self._next_attempt_number), session
@@ -100,6 +107,7 @@
     ) -> None:
         """Record that an attempt's answer began after ``first_byte_s``."""
         state = placement.state
+        self._crash_detector.record_first_byte(key, now_s)
         state.queue.finish(key, now_s, answered=True)
         rollout = self._versions.get(state.upstream.service)
         if rollout is not None:
@@ -112,8 +120,20 @@
         notice = LoadNotice(kind=LoadKind.ANSWERED, attempt=number)
         self._queue_notice(notice, now_s)
 
-    def record_ended(self, state: UpstreamState, key: Hashable, now_s: float) -> None:
+    def record_outlasted_onset(self, key: Hashable, now_s: float) -> None:
+        """Record that an answer has been arriving longer than a crash takes."""
+        suspects = self._crash_detector.suspects(key)
+        self._quarantine.record_outlasted_onset(suspects, now_s)
+
+    def record_ended(
+        self, state: UpstreamState, key: Hashable, end: AttemptEnd, now_s: float
+    ) -> None:
         """Record the end of an attempt, whether it succeeded or not."""
+        if end is AttemptEnd.COMPLETED:
+            suspects = self._crash_detector.suspects(key)
+            self._quarantine.record_completed(suspects, now_s)
+        for crash in self._crash_detector.record_ended(key, end, now_s):
+            self._quarantine.record_crash(crash, now_s)
         state.in_flight -= 1
         state.queue.finish(key, now_s, answered=False)
         rollout = self._versions.get(state.upstream.service)
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/changes.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/changes.py
@@ -2,8 +2,9 @@
 
 import attrs
 
+from .crash_detection import Crash
+from .crash_evidence import Refutation
 from .models import RolloutOrder, RouteDocument, Upstream
-from .quarantine import Crash
 from .rollout import RolloutReport, RolloutState
 
 
@@ -114,12 +115,13 @@
 
 @attrs.frozen(kw_only=True)
 class CrashesReported:
-    """An entry has stored upstream crashes that requests have caused.
+    """An entry has stored upstream crashes with their possible causes.
 
-    The report outlives the entry.
+    It may also have refuted some. The report outlives the entry.
     """
 
-    crashes: tuple[Crash, ...]
+    crashes: tuple[Crash, ...] = ()
+    refutations: tuple[Refutation, ...] = ()
 
 
 Change = (
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/const.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/const.py
@@ -35,8 +35,15 @@
 # outage, in seconds: live upstreams register again within two seconds.
 REREGISTRATION_GRACE_S: Final = 2.5
 
-# Upstream crashes caused by a request after which it is quarantined.
+# Upstream crashes that a request or a prompt part may have caused before it is
+# quarantined.
 MAX_CRASHES: Final = 2
+# Time within which an upstream crashes after the answer to the request that
+# crashes it has begun, in seconds.
+CRASH_ONSET_S: Final = 1.0
+# Time for which a request waits for other entries' reports of a crash before
+# it is refused for that crash, in seconds.
+CRASH_REPORT_SPREAD_S: Final = 1.0
 # Time for which a quarantined request is refused, in seconds; doubled with
 # each further crash.
 QUARANTINE_S: Final = 60.0
--- /dev/null
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/crash_detection.py
@@ -0,0 +1,153 @@
+"""Attribution of an upstream's crash to the attempts that it ran."""
+
+from collections import deque
+from collections.abc import Hashable
+from enum import IntEnum, auto
+
+import attrs
+
+from .const import CRASH_NOTICE_S, CRASH_ONSET_S, MAX_ATTEMPT_S
+
+
+class Suspicion(IntEnum):
+    """How likely a request caused its upstream's crash, by its state then."""
+
+    # Its answer had been arriving for a while.
+    ANSWERING = 1
+    # No part of an answer had arrived.
+    WAITING = 2
+    # Its answer had just begun.
+    BEGINNING = 3
+
+
+class AttemptEnd(IntEnum):
+    """How an attempt ended."""
+
+    # With a complete answer.
+    COMPLETED = auto()
+    # Without a complete answer.
+    LOST = auto()
+    # By this entry, before its answer was complete.
+    ABANDONED = auto()
+    # In a way that says nothing about its upstream's process.
+    NEUTRAL = auto()
+
+
+@attrs.frozen(kw_only=True)
+class Crash:
+    """The end of an upstream's process, and a possible cause of it."""
+
+    # The cause: a request's fingerprint, or one part of its prompt.
+    suspect: str
+    # Identifies one run of an upstream.
+    process: str
+    suspicion: Suspicion = Suspicion.WAITING
+
+
+@attrs.define
+class _Run:
+    """An attempt at a process."""
+
+    process: str
+    suspects: frozenset[str]
+    began_at_s: float | None = None
+    ended_at_s: float = 0.0
+    is_lost: bool = False
+
+
+class CrashDetector:
+    """Tracks attempts, and names the suspects when a process ends.
+
+    An attempt that ended without a complete answer is a suspect if its
+    process ends within ``CRASH_NOTICE_S``, or had ended before.
+    """
+
+    def __init__(self) -> None:
+        self._runs: dict[Hashable, _Run] = {}
+        # Attempts without a complete answer, in the order of their ends.
+        self._unanswered: deque[_Run] = deque()
+        # When processes that have ended did so, in the order of detection.
+        self._ended_at_s: dict[str, float] = {}
+
+    def record_sent(
+        self, key: Hashable, process: str, suspects: frozenset[str]
+    ) -> None:
+        """Record an attempt that is sent to ``process``; ``key`` identifies it."""
+        self._runs[key] = _Run(process, suspects)
+
+    def record_first_byte(self, key: Hashable, now_s: float) -> None:
+        """Record that the answer of an attempt has begun."""
+        self._runs[key].began_at_s = now_s
+
+    def suspects(self, key: Hashable) -> frozenset[str]:
+        """Return the suspects of an attempt; none if it has ended."""
+        run = self._runs.get(key)
+        return run.suspects if run else frozenset()
+
+    def record_ended(
+        self, key: Hashable, end: AttemptEnd, now_s: float
+    ) -> tuple[Crash, ...]:
+        """Record the end of an attempt.
+
+        Returns the crashes that are attributed to it now, if its process has
+        ended before.
+        """
+        run = self._runs.pop(key, None)
+        if run is None or end in (AttemptEnd.COMPLETED, AttemptEnd.NEUTRAL):
+            return ()
+        run.ended_at_s = now_s
+        run.is_lost = end is AttemptEnd.LOST
+        crashed_at_s = self._ended_at_s.get(run.process)
+        if crashed_at_s is not None:
+            return _crashes(run, crashed_at_s)
+        self._unanswered.append(run)
+        self._expire(now_s)
+        return ()
+
+    def record_process_ended(self, process: str, now_s: float) -> tuple[Crash, ...]:
+        """Record that a process has ended, other than after draining.
+
+        Returns the crashes that are attributed to its last attempts.
+        """
+        self._expire(now_s)
+        runs = [run for run in self._unanswered if run.process == process]
+        for run in runs:
+            self._unanswered.remove(run)
+        lost_at_s = [run.ended_at_s for run in runs if run.is_lost]
+        # A crash breaks the connections at once, but may be noticed later.
+        crashed_at_s = max(lost_at_s) if lost_at_s else None
+        self._ended_at_s.setdefault(process, crashed_at_s or now_s)
+        return tuple(crash for run in runs for crash in _crashes(run, crashed_at_s))
+
+    def _expire(self, now_s: float) -> None:
+        while (
+            self._unanswered and self._unanswered[0].ended_at_s < now_s - CRASH_NOTICE_S
+        ):
+            self._unanswered.popleft()
+        while self._ended_at_s:
+            process, ended_at_s = next(iter(self._ended_at_s.items()))
+            if ended_at_s >= now_s - MAX_ATTEMPT_S:
+                return
+            del self._ended_at_s[process]
+
+
+def _crashes(run: _Run, crashed_at_s: float | None) -> tuple[Crash, ...]:
+    suspicion = _suspicion(run, crashed_at_s)
+    if suspicion is None:
+        return ()
+    return tuple(
+        Crash(suspect=suspect, process=run.process, suspicion=suspicion)
+        for suspect in sorted(run.suspects)
+    )
+
+
+def _suspicion(run: _Run, crashed_at_s: float | None) -> Suspicion | None:
+    """Return how suspect an attempt is; None if it had ended before the crash.
+
+    ``crashed_at_s`` is None if the time of the crash is unknown.
+    """
+    if run.began_at_s is None or crashed_at_s is None:
+        return Suspicion.WAITING
+    if crashed_at_s - run.began_at_s < CRASH_ONSET_S:
+        return Suspicion.BEGINNING
+    return Suspicion.ANSWERING if run.is_lost else None
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/models.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/models.py
@@ -136,6 +136,11 @@
     tokens: int
 
 
+# Prefix of the suspects that are parts of a prompt; a request's fingerprint has
+# none.
+_PART_SUSPECT_PREFIX = "part:"
+
+
 @attrs.frozen(kw_only=True)
 class RequestFacts:
     """Properties of a request that decide which upstream it is sent to."""
@@ -150,6 +155,15 @@
     # True if the relay chooses the model.
     chooses_model: bool = False
 
+    @property
+    def suspects(self) -> frozenset[str]:
+        """Return the possible causes of a crash: the request, and its parts.
+
+        The last part of a prompt belongs to the request or its session.
+        """
+        parts = (f"{_PART_SUSPECT_PREFIX}{part.part_id}" for part in self.prompt[:-1])
+        return frozenset((self.fingerprint, *parts))
+
     @property
     def prefix_key(self) -> str:
         """Return a key that is equal for requests with the same prompt prefix.
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/node.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/node.py
@@ -13,12 +13,13 @@
 from .cascade import Cascade
 from .cold import ColdLimiter
 from .const import ESCALATION_LATENCY_FRACTION
+from .crash_detection import CrashDetector
 from .exceptions import RefusalError
 from .fleet import Fleet, UpstreamState
 from .limits import RelayLimits
 from .models import RequestFacts, Route, Service, Upstream
 from .placement import Placement, Placer
-from .quarantine import Crash, CrashCounts, UnansweredAttempts
+from .quarantine import Quarantine
 from .retries import RetryBudget
 from .routes import RouteTable
 from .versions import VersionSelector
@@ -49,8 +50,8 @@
         self.routes = RouteTable(limits.document_max_age_s)
         self.fleet = Fleet(self._handle_upstream_end)
         self.versions = VersionSelector(limits.exposure_share, limits.session_ttl_s)
-        self.crashes = CrashCounts()
-        self._unanswered = UnansweredAttempts()
+        self.quarantine = Quarantine()
+        self._crash_detector = CrashDetector()
         self.cascade = Cascade()
         self._cold_limiter = ColdLimiter(limits.cold_overshoot, limits.cold_slack)
         self._retry_budget = RetryBudget(
@@ -63,7 +64,13 @@
         # Incarnation of the previous process whose record was restored.
         self._resumed_incarnation = ""
         self.attempts = AttemptTracker(
-            self.fleet, self._placer, self._cold_limiter, self.versions, self._entries
+            self.fleet,
+            self._placer,
+            self._cold_limiter,
+            self.versions,
+            self._crash_detector,
+            self.quarantine,
+            self._entries,
         )
 
     @property
@@ -165,7 +172,7 @@
 
     @apply.register
     def _(self, change: changes.CrashesReported, now_s: float) -> None:
-        self.crashes.add_reported(change.crashes, now_s)
+        self.quarantine.add_reported(change.crashes, change.refutations, now_s)
 
     def apply_listing(self, listing: Iterable[changes.Change], now_s: float) -> None:
         """Apply the full content of the store, and remove what it lacks."""
@@ -217,19 +224,29 @@
         )
 
     def admit(self, route: Route, facts: RequestFacts, now_s: float) -> Service:
-        """Count a request and return the service that it is sent to.
-
-        Raises RefusalError if the request is quarantined.
-        """
+        """Count a request and return the service that it is sent to."""
         service = self._service_of(route, facts)
         self._retry_budget.record_request(service.name, now_s)
-        if self.crashes.is_quarantined(facts.fingerprint, now_s):
-            raise RefusalError(
-                ResultCode.REQUEST_QUARANTINED,
-                "request refused: it has crashed upstreams before",
-            )
         return service
 
+    def quarantine_wait_s(
+        self, facts: RequestFacts, now_s: float, deadline_s: float
+    ) -> float:
+        """Return how long to wait, in seconds, before the request is sent.
+
+        Until then other entries' reports may clear it. Raises RefusalError if
+        it is quarantined, or would have to wait beyond its deadline.
+        """
+        blocked_from_s = self.quarantine.blocked_from_s(facts.suspects, now_s)
+        if blocked_from_s is None:
+            return 0.0
+        if now_s < blocked_from_s < deadline_s:
+            return blocked_from_s - now_s
+        raise RefusalError(
+            ResultCode.REQUEST_QUARANTINED,
+            "the request, or a part of its prompt, has crashed several upstreams",
+        )
+
     def allow_retry(self, service: str, now_s: float) -> bool:
         """Count a retry if the service's retry budget allows it.
 
@@ -303,28 +320,16 @@
         expected_s = elapsed_s + placement.expected_ms / 1000
         return expected_s <= route.target_latency_s * ESCALATION_LATENCY_FRACTION
 
-    def record_unanswered(
-        self, upstream: Upstream, fingerprint: str, now_s: float
-    ) -> None:
-        """Record an attempt that ended without a complete answer.
-
-        It counts as a crash if the upstream's process has ended, or ends soon,
-        other than after draining.
-        """
-        crash = Crash(fingerprint=fingerprint, process=upstream.process)
-        current = self.fleet.get(upstream.upstream_id)
-        if current is not None and current.upstream.process == upstream.process:
-            self._unanswered.add(crash, now_s)
-        elif not upstream.is_draining:
-            self.crashes.record_crash(crash, now_s)
+    def record_process_ended(self, process: str, now_s: float) -> None:
+        """Record that an upstream's process has ended, other than by draining."""
+        for crash in self._crash_detector.record_process_ended(process, now_s):
+            self.quarantine.record_crash(crash, now_s)
 
     def _handle_upstream_end(self, upstream: Upstream, now_s: float) -> None:
         """Attribute the end of a process, and delete the state kept for it."""
         upstream_id = upstream.upstream_id
-        unanswered = self._unanswered.take(upstream.process, now_s)
         if not upstream.is_draining:
-            for crash in unanswered:
-                self.crashes.record_crash(crash, now_s)
+            self.record_process_ended(upstream.process, now_s)
         self._placer.forget(upstream_id)
         # Requests of the last second may still reach a new process with the
         # same id, so they continue to count against its cold rate limit.
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/quarantine.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/quarantine.py
@@ -1,76 +1,42 @@
-"""Quarantine of requests that crash upstreams."""
+"""Quarantine of requests and prompt parts that crash upstreams."""
 
-from collections import deque
-from collections.abc import Callable, Iterable
-
-import attrs
+from collections.abc import Callable, Iterable, Set
 
 from .const import (
-    CRASH_NOTICE_S,
-    CRASH_RETENTION_S,
+    CRASH_REPORT_SPREAD_S,
     MAX_CRASHES,
     MAX_REPORTED_CRASHES,
     MAX_SUSPECTS,
     QUARANTINE_S,
 )
-
-
-@attrs.frozen(kw_only=True)
-class Crash:
-    """An upstream process that ended while it ran a request."""
-
-    # Fingerprint of the request.
-    fingerprint: str
-    # Identifies one run of an upstream.
-    process: str
-
+from .crash_detection import Crash, Suspicion
+from .crash_evidence import CrashEvidence, Refutation
 
 # Called with each crash that this entry has seen, and the number of crashes
-# counted for its request.
+# counted for its suspect.
 CrashListener = Callable[[Crash, int], None]
 
 
-class UnansweredAttempts:
-    """Attempts that ended without an answer while their upstream seemed alive.
-
-    If the upstream's process ends soon after, it may have crashed with them.
-    """
+class Quarantine:
+    """Decides which requests must not be sent to any upstream.
 
-    def __init__(self) -> None:
-        # Fingerprint and end time of each attempt, by process and in the order
-        # of these times.
-        self._attempts: dict[str, deque[tuple[str, float]]] = {}
-
-    def add(self, crash: Crash, now_s: float) -> None:
-        """Record that an attempt has ended without an answer."""
-        attempts = self._attempts.setdefault(crash.process, deque())
-        attempts.append((crash.fingerprint, now_s))
-        while attempts[0][1] < now_s - CRASH_NOTICE_S:
-            attempts.popleft()
-
-    def take(self, process: str, now_s: float) -> tuple[Crash, ...]:
-        """Return what the end of ``process`` is attributed to, and forget it."""
-        attempts = self._attempts.pop(process, ())
-        return tuple(
-            Crash(fingerprint=fingerprint, process=process)
-            for fingerprint, ended_at_s in attempts
-            if ended_at_s >= now_s - CRASH_NOTICE_S
-        )
-
-
-class CrashCounts:
-    """Counts the upstream processes that each request has crashed.
+    A suspect is a request, by its fingerprint, or a part of a prompt. A request
+    is blocked if one of its suspects has crashed ``MAX_CRASHES`` processes, and
+    it contains every suspect that explains these crashes as well. So a sound
+    request is not blocked for crashes that it shares with the cause, and a
+    sound part not for those that it shares with a crashing one.
 
     Knows the crashes that this entry has seen and those that other entries
-    have reported in the store. A crash seen by several entries counts once.
+    have reported in the store.
     """
 
     def __init__(self) -> None:
-        # Crashed processes by fingerprint, and the time of the last crash; in
-        # the order of these times.
-        self._processes: dict[str, set[str]] = {}
-        self._last_crash_s: dict[str, float] = {}
+        self._evidence = CrashEvidence()
         self._unreported: list[Crash] = []
+        # Refutations by this entry that matter to no other entry yet, and
+        # those that are to be stored.
+        self._own_refutations: dict[str, set[Refutation]] = {}
+        self._unreported_refutations: dict[Refutation, None] = {}
         self._listeners: list[CrashListener] = []
 
     @property
@@ -78,13 +44,20 @@
         """Return the oldest crashes seen by this entry that are not stored yet."""
         return tuple(self._unreported[:MAX_REPORTED_CRASHES])
 
+    @property
+    def unreported_refutations(self) -> tuple[Refutation, ...]:
+        """Return the oldest refutations by this entry to be stored."""
+        return tuple(self._unreported_refutations)[:MAX_REPORTED_CRASHES]
+
     @property
     def totals(self) -> dict[str, int]:
-        """Return the number of crashes by fingerprint."""
-        return {
-            fingerprint: len(processes)
-            for fingerprint, processes in self._processes.items()
-        }
+        """Return the number of crashes by suspect."""
+        return self._evidence.totals
+
+    def subscribe(self, listener: CrashListener) -> Callable[[], None]:
+        """Call ``listener`` for each crash; return how to unsubscribe it."""
+        self._listeners.append(listener)
+        return lambda: self._listeners.remove(listener)
 
     def record_crash(self, crash: Crash, now_s: float) -> None:
         """Count a crash that this entry has seen."""
@@ -92,61 +65,99 @@
             return
         self._unreported.append(crash)
         for listener in self._listeners:
-            listener(crash, len(self._processes[crash.fingerprint]))
-
-    def subscribe(self, listener: CrashListener) -> Callable[[], None]:
-        """Call ``listener`` for each crash; return how to unsubscribe it."""
-        self._listeners.append(listener)
-        return lambda: self._listeners.remove(listener)
-
-    def add_reported(self, crashes: Iterable[Crash], now_s: float) -> None:
-        """Count crashes that an entry has stored."""
+            listener(crash, self.crashes(crash.suspect, now_s))
+
+    def add_reported(
+        self,
+        crashes: Iterable[Crash],
+        refutations: Iterable[Refutation],
+        now_s: float,
+    ) -> None:
+        """Apply what an entry has stored."""
+        for refutation in refutations:
+            self._evidence.refute(refutation, now_s)
+            self._own_refutations.get(refutation.suspect, set()).discard(refutation)
+            self._unreported_refutations.pop(refutation, None)
         for crash in crashes:
             self._add(crash, now_s)
 
-    def mark_reported(self, crashes: Iterable[Crash]) -> None:
-        """Record that ``crashes`` are stored."""
+    def mark_reported(
+        self, crashes: Iterable[Crash], refutations: Iterable[Refutation]
+    ) -> None:
+        """Record that these are stored."""
         stored = set(crashes)
         self._unreported = [crash for crash in self._unreported if crash not in stored]
-
-    def clear(self, fingerprint: str) -> None:
-        """Forget a request's crashes, because one of its runs completed."""
-        if fingerprint in self._processes:
-            self._forget(fingerprint)
-
-    def is_quarantined(self, fingerprint: str, now_s: float) -> bool:
-        """Return whether the request must be refused."""
-        further_crashes = self.crashes(fingerprint, now_s) - MAX_CRASHES
-        if further_crashes < 0:
-            return False
-        quarantine_s = QUARANTINE_S * 2**further_crashes
-        return now_s < self._last_crash_s[fingerprint] + quarantine_s
-
-    def crashes(self, fingerprint: str, now_s: float) -> int:
-        """Return how many upstream processes the request has crashed."""
-        self._expire(now_s)
-        return len(self._processes.get(fingerprint, ()))
+        for refutation in refutations:
+            self._unreported_refutations.pop(refutation, None)
+
+    def record_outlasted_onset(self, suspects: Set[str], now_s: float) -> None:
+        """Record that an answer has been arriving longer than a crash takes."""
+        self._refute(suspects, Suspicion.WAITING, now_s)
+
+    def record_completed(self, suspects: Set[str], now_s: float) -> None:
+        """Record that a request with these suspects got its complete answer."""
+        self._refute(suspects, Suspicion.ANSWERING, now_s)
+
+    def crashes(self, suspect: str, now_s: float) -> int:
+        """Return how many processes the suspect may have crashed."""
+        self._evidence.expire(now_s)
+        return len(self._evidence.times_s(suspect))
+
+    def blocked_from_s(self, suspects: Set[str], now_s: float) -> float | None:
+        """Return from when on a request is refused; None if it may be sent.
+
+        Until then the reports of other entries may name another cause, and the
+        request should wait.
+        """
+        self._evidence.expire(now_s)
+        blocked_from_s = None
+        for suspect in suspects:
+            times_s = self._evidence.times_s(suspect)
+            if not _is_quarantined(times_s, now_s):
+                continue
+            if not self._evidence.explanations(suspect) <= suspects:
+                continue
+            from_s = times_s[MAX_CRASHES - 1] + CRASH_REPORT_SPREAD_S
+            blocked_from_s = min(from_s, blocked_from_s or from_s)
+        return blocked_from_s
+
+    def is_suspected(self, suspects: Set[str]) -> bool:
+        """Return whether a request may be the cause of any crash."""
+        return any(self._evidence.times_s(suspect) for suspect in suspects)
 
     def _add(self, crash: Crash, now_s: float) -> bool:
-        """Add a crash; return False if it is known."""
-        self._expire(now_s)
-        processes = self._processes.setdefault(crash.fingerprint, set())
-        if crash.process in processes:
+        if not self._evidence.add(crash, now_s):
             return False
-        processes.add(crash.process)
-        self._last_crash_s.pop(crash.fingerprint, None)
-        self._last_crash_s[crash.fingerprint] = now_s
-        if len(self._last_crash_s) > MAX_SUSPECTS:
-            self._forget(next(iter(self._last_crash_s)))
+        self._share_refutations(crash.suspect)
         return True
 
-    def _expire(self, now_s: float) -> None:
-        while self._last_crash_s:
-            fingerprint, last_crash_s = next(iter(self._last_crash_s.items()))
-            if now_s < last_crash_s + CRASH_RETENTION_S:
-                return
-            self._forget(fingerprint)
+    def _refute(self, suspects: Set[str], least: Suspicion, now_s: float) -> None:
+        """Refute the crashes of ``suspects`` with at least this suspicion."""
+        for suspect in suspects:
+            for process in self._evidence.processes(suspect, least):
+                refutation = Refutation(suspect, process)
+                self._evidence.refute(refutation, now_s)
+                self._own_refutations.setdefault(suspect, set()).add(refutation)
+            self._share_refutations(suspect)
+        while len(self._own_refutations) > MAX_SUSPECTS:
+            del self._own_refutations[next(iter(self._own_refutations))]
+
+    def _share_refutations(self, suspect: str) -> None:
+        """Store this entry's refutations if another entry may block a request.
+
+        It may if it counts ``MAX_CRASHES`` without them.
+        """
+        own = self._own_refutations.get(suspect, set())
+        if len(self._evidence.times_s(suspect)) + len(own) < MAX_CRASHES:
+            return
+        for refutation in sorted(own, key=lambda refutation: refutation.process):
+            self._unreported_refutations[refutation] = None
+        self._own_refutations.pop(suspect, None)
+
 
-    def _forget(self, fingerprint: str) -> None:
-        del self._last_crash_s[fingerprint]
-        del self._processes[fingerprint]
+def _is_quarantined(times_s: list[float], now_s: float) -> bool:
+    """Return whether crashes at these times block their suspect."""
+    further_crashes = len(times_s) - MAX_CRASHES
+    if further_crashes < 0:
+        return False
+    return now_s < times_s[-1] + QUARANTINE_S * 2**further_crashes
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/attempts.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/attempts.py
@@ -4,6 +4,8 @@
 
 from aiohttp import ClientResponse
 
+from cardamomnotch_core.relay.const import CRASH_ONSET_S
+from cardamomnotch_core.relay.crash_detection import AttemptEnd
 from cardamomnotch_core.relay.node import RelayNode
 from cardamomnotch_core.relay.placement import Placement
 
@@ -27,10 +29,17 @@
 _NEUTRAL_OUTCOMES = frozenset(
     {AttemptOutcome.NOT_RUN, AttemptOutcome.UNREACHABLE, AttemptOutcome.CANCELLED}
 )
-# Outcomes after which the upstream may prove to have crashed.
-_UNANSWERED_OUTCOMES = frozenset(
-    {AttemptOutcome.LOST, AttemptOutcome.BROKEN, AttemptOutcome.CANCELLED}
-)
+# What each outcome says about a crash of the upstream.
+_ATTEMPT_ENDS = {
+    AttemptOutcome.ANSWERED: AttemptEnd.COMPLETED,
+    AttemptOutcome.BROKEN: AttemptEnd.LOST,
+    AttemptOutcome.CANCELLED: AttemptEnd.ABANDONED,
+    AttemptOutcome.FAILED: AttemptEnd.NEUTRAL,
+    AttemptOutcome.LOST: AttemptEnd.LOST,
+    AttemptOutcome.NOT_RUN: AttemptEnd.NEUTRAL,
+    AttemptOutcome.UNREACHABLE: AttemptEnd.NEUTRAL,
+    AttemptOutcome.UNSURE: AttemptEnd.ABANDONED,
+}
 # Outcomes that count against the upstream's version in a rollout.
 _BAD_OUTCOMES = frozenset(
     {AttemptOutcome.FAILED, AttemptOutcome.LOST, AttemptOutcome.BROKEN}
@@ -60,7 +69,8 @@
         self._response: ClientResponse | None = None
         self._head: ResponseHead | None = None
         self._sent_at_s = 0.0
-        self._fingerprint = ""
+        self._began_at_s: float | None = None
+        self._has_outlasted_onset = False
         self._is_closed = False
         self._time_to_first_byte_s: float | None = None
         upstream = self._state.upstream
@@ -115,7 +125,6 @@
         ResponseLostError if it may have run but gave no valid response.
         """
         self._is_load_recorded = True
-        self._fingerprint = request.facts.fingerprint
         self._sent_at_s = self._clock()
         self._node.attempts.record_sent(
             self._placement, request.facts, self._model, self, self._sent_at_s
@@ -125,9 +134,11 @@
             response = await self._client.async_send(
                 self.address, request.method, request.target, headers, body
             )
-        except UpstreamUnreachableError:
+        except UpstreamUnreachableError as error:
             self._state.record_failure(self._clock())
             self.close(AttemptOutcome.UNREACHABLE)
+            if error.is_refused:
+                self._node.record_process_ended(self.process, self._clock())
             raise
         except ResponseLostError:
             self._state.record_failure(self._clock())
@@ -151,6 +162,7 @@
         assert self._response is not None
         try:
             async for data in self._client.async_iter_body(self._response):
+                self._record_progress()
                 yield data
         except ResponseLostError:
             self.mark_broken()
@@ -195,15 +207,11 @@
             elapsed_ms = int((self._clock() - self._sent_at_s) * 1000)
             self.log.ended_ms = self.log.started_ms + elapsed_ms
         if self._is_load_recorded:
-            self._node.attempts.record_ended(self._state, self, self._clock())
+            self._node.attempts.record_ended(
+                self._state, self, _ATTEMPT_ENDS[outcome], self._clock()
+            )
         if self._response is not None:
             self._response.close()
-        if outcome is AttemptOutcome.ANSWERED:
-            self._node.crashes.clear(self._fingerprint)
-        if outcome in _UNANSWERED_OUTCOMES and self._is_load_recorded:
-            self._node.record_unanswered(
-                self._state.upstream, self._fingerprint, self._clock()
-            )
         if outcome not in _NEUTRAL_OUTCOMES:
             self._record_rollout_answer(outcome)
 
@@ -219,6 +227,7 @@
         if head.status >= MIN_SERVER_ERROR_STATUS:
             return
         self._state.record_success()
+        self._began_at_s = self._clock()
         assert self._time_to_first_byte_s is not None
         self._node.attempts.record_first_byte(
             self._placement,
@@ -233,6 +242,15 @@
         self._time_to_first_byte_s = now_s - self._sent_at_s
         self.log.first_byte_ms = int(self._time_to_first_byte_s * 1000)
 
+    def _record_progress(self) -> None:
+        """Record once that the answer has outlasted its onset."""
+        if self._has_outlasted_onset or self._began_at_s is None:
+            return
+        now_s = self._clock()
+        if now_s - self._began_at_s >= CRASH_ONSET_S:
+            self._has_outlasted_onset = True
+            self._node.attempts.record_outlasted_onset(self, now_s)
+
     def _record_rollout_answer(self, outcome: AttemptOutcome) -> None:
         rollout = self._node.versions.get(self._state.upstream.service)
         if rollout is None:
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/composition.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/composition.py
@@ -8,8 +8,8 @@
 import attrs
 from aiohttp import web
 
+from cardamomnotch_core.relay.crash_detection import Crash
 from cardamomnotch_core.relay.node import RelayIdentity, RelayNode
-from cardamomnotch_core.relay.quarantine import Crash
 from cardamomnotch_platform.store.interface import KeyValueStore
 from cardamomnotch_runtime.admin import create_admin_app, create_metrics_app
 from cardamomnotch_runtime.server import HttpServer, bind
@@ -57,11 +57,12 @@
 
 
 def _log_crash(crash: Crash, crashes: int) -> None:
-    """Log a crash that this entry has counted."""
+    """Log a crash that this entry has counted for one of its suspects."""
     log_event(
         _LOGGER,
         "upstream crash counted",
-        fingerprint=crash.fingerprint,
+        suspect=crash.suspect,
+        suspicion=crash.suspicion.name.lower(),
         process=crash.process,
         crashes=crashes,
     )
@@ -97,7 +98,7 @@
             settings.limits,
         )
         self._metrics = RelayMetrics(self._node)
-        self._node.crashes.subscribe(_log_crash)
+        self._node.quarantine.subscribe(_log_crash)
         self._metrics_server: HttpServer | None = None
         self._is_draining = False
         self._unready_since_s: float | None = None
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/coordinator.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/coordinator.py
@@ -229,14 +229,18 @@
             await self._async_write_crashes()
 
     async def _async_write_crashes(self) -> None:
-        """Store the crashes that are not stored yet, if there are any."""
-        crashes = self._node.crashes.unreported
-        if not crashes:
+        """Store the crashes and refutations that are not stored yet, if any."""
+        quarantine = self._node.quarantine
+        crashes = quarantine.unreported
+        refutations = quarantine.unreported_refutations
+        if not crashes and not refutations:
             return
         identity = self._node.identity
         name = f"{identity.name}-{identity.incarnation}-{self._crash_reports}"
-        await self._relay_store.async_write_crashes(name, crashes, CRASH_RETENTION_S)
-        self._node.crashes.mark_reported(crashes)
+        await self._relay_store.async_write_crashes(
+            name, crashes, refutations, CRASH_RETENTION_S
+        )
+        quarantine.mark_reported(crashes, refutations)
         self._crash_reports += 1
         self._crashes_written_at_s = self._clock()
 
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/diagnostics.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/diagnostics.py
@@ -34,7 +34,7 @@
             }
             for state in node.fleet
         ],
-        "crashes": node.crashes.totals,
+        "crashes": node.quarantine.totals,
         "rollouts": [
             {
                 "service": rollout.order.service,
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/exceptions.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/exceptions.py
@@ -11,10 +11,17 @@
 
 
 class UpstreamUnreachableError(AttemptError):
-    """The connection to the upstream failed, so the request was not sent."""
+    """The connection to the upstream failed, so the request was not sent.
+
+    ``is_refused`` is whether nothing listens at the upstream's address.
+    """
 
     code = ResultCode.UPSTREAM_UNREACHABLE
 
+    def __init__(self, detail: str, *, is_refused: bool = False) -> None:
+        super().__init__(detail)
+        self.is_refused = is_refused
+
 
 class ResponseLostError(AttemptError):
     """The request may have been sent, but no valid response arrived."""
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/forwarder.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/forwarder.py
@@ -8,7 +8,6 @@
 from cardamomnotch_core.relay.exceptions import RefusalError
 from cardamomnotch_core.relay.models import Route, Service, Workspace
 from cardamomnotch_core.relay.node import RelayNode
-from cardamomnotch_core.relay.quarantine import Crash
 from cardamomnotch_protocol.result_codes import ResultCode
 
 from .attempts import Attempt
@@ -170,6 +169,7 @@
         allowed.
         """
         while True:
+            await self._async_wait_in_quarantine()
             attempt = await self._async_create_attempt()
             self._attempt = attempt
             self.attempts.append(attempt.log)
@@ -196,6 +196,20 @@
                 return attempt
             attempt.close(AttemptOutcome.NOT_RUN)
 
+    async def _async_wait_in_quarantine(self) -> None:
+        """Wait until other entries' reports may have cleared the request.
+
+        Raises RefusalError if it is quarantined, or if its deadline leaves no
+        time to wait.
+        """
+        facts = self._request.facts
+        while True:
+            now_s = self._clock()
+            wait_s = self._node.quarantine_wait_s(facts, now_s, self._deadline_s)
+            if not wait_s:
+                return
+            await asyncio.sleep(wait_s)
+
     async def _async_create_attempt(self) -> Attempt:
         if self._sent_count and not self._has_attempts_left():
             self._raise_no_attempts_left()
@@ -244,23 +258,13 @@
         await self._async_check_crash(attempt)
         if not self._route.repeat.is_repeatable:
             self._raise_no_attempts_left()
-        if self._node.crashes.is_quarantined(
-            self._request.facts.fingerprint, self._clock()
-        ):
-            raise RefusalError(
-                ResultCode.REQUEST_QUARANTINED,
-                "the request has crashed several upstreams",
-            )
 
     async def _async_check_crash(self, attempt: Attempt) -> None:
-        """Count a crash if the upstream accepts no connection."""
+        """Record the end of the process if the upstream accepts no connection."""
         is_up = await self._client.async_is_up(attempt.address)
         attempt.log.upstream_up = is_up
         if not is_up:
-            crash = Crash(
-                fingerprint=self._request.facts.fingerprint, process=attempt.process
-            )
-            self._node.crashes.record_crash(crash, self._clock())
+            self._node.record_process_ended(attempt.process, self._clock())
 
     async def _async_stream(self, attempt: Attempt) -> web.StreamResponse:
         head = attempt.head
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/interfaces.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/interfaces.py
@@ -6,7 +6,8 @@
 from multidict import CIMultiDict, CIMultiDictProxy
 
 from cardamomnotch_core.relay.changes import Change, EntryRecord
-from cardamomnotch_core.relay.quarantine import Crash
+from cardamomnotch_core.relay.crash_detection import Crash
+from cardamomnotch_core.relay.crash_evidence import Refutation
 from cardamomnotch_core.relay.rollout import RolloutState
 from cardamomnotch_platform.store.models import StoreEntry
 
@@ -50,8 +51,10 @@
     def crashes_key(self, name: str) -> str:
         """Return the store key of a report of crashes."""
 
-    def encode_crashes(self, crashes: Sequence[Crash]) -> bytes:
-        """Return the stored form of a report of crashes."""
+    def encode_crashes(
+        self, crashes: Sequence[Crash], refutations: Sequence[Refutation]
+    ) -> bytes:
+        """Return the stored form of a report of crashes and refutations."""
 
     def status_key(self, service: str) -> str:
         """Return the store key of the report on a service's rollout."""
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/metrics.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/metrics.py
@@ -73,10 +73,10 @@
 
         suspects = Gauge(
             "cardamomnotch_relay_suspects",
-            "Request fingerprints with upstream crashes, at all entries.",
+            "Requests and prompt parts that upstreams may have crashed with.",
             registry=self.registry,
         )
-        suspects.set_function(lambda: len(node.crashes.totals))
+        suspects.set_function(lambda: len(node.quarantine.totals))
 
     def count_request(self, code: ResultCode, seconds: float) -> None:
         """Count a request that has ended."""
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/relay_store.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/relay_store.py
@@ -3,7 +3,8 @@
 from collections.abc import Sequence
 
 from cardamomnotch_core.relay.changes import Change, EntryRecord, RolloutReported
-from cardamomnotch_core.relay.quarantine import Crash
+from cardamomnotch_core.relay.crash_detection import Crash
+from cardamomnotch_core.relay.crash_evidence import Refutation
 from cardamomnotch_core.relay.rollout import Rollout, RolloutState
 from cardamomnotch_platform.exceptions import LeaseExpiredError, StoreConflictError
 from cardamomnotch_platform.store.interface import KeyValueStore
@@ -68,7 +69,11 @@
             await self._store.async_revoke_lease(self._lease_id)
 
     async def async_write_crashes(
-        self, name: str, crashes: Sequence[Crash], ttl_s: float
+        self,
+        name: str,
+        crashes: Sequence[Crash],
+        refutations: Sequence[Refutation],
+        ttl_s: float,
     ) -> None:
         """Write a report of crashes, which is deleted after ``ttl_s`` seconds.
 
@@ -77,7 +82,7 @@
         lease = await self._store.async_grant_lease(ttl_s)
         await self._store.async_put(
             self._store_codec.crashes_key(name),
-            self._store_codec.encode_crashes(crashes),
+            self._store_codec.encode_crashes(crashes, refutations),
             lease_id=lease.lease_id,
         )
 
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/upstream_client.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/upstream_client.py
@@ -9,6 +9,7 @@
 from multidict import CIMultiDict
 from yarl import URL
 
+from cardamomnotch_runtime.frames import is_connection_refused
 from cardamomnotch_runtime.upstream_session import (
     UpstreamResponseHandler,
     create_upstream_session,
@@ -134,7 +135,9 @@
                 allow_redirects=False,
             )
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
-            raise UpstreamUnreachableError(type(error).__name__) from error
+            raise UpstreamUnreachableError(
+                type(error).__name__, is_refused=is_connection_refused(error)
+            ) from error
         except _OversizeError as error:
             raise ResponseTooLargeError(str(error)) from error
         except (aiohttp.ClientError, OSError, ValueError) as error:
--- /dev/null
+++ b/tests/core/relay/test_quarantine.py
@@ -0,0 +1,203 @@
+"""Which requests are blocked after crashes of several upstreams."""
+
+import pytest
+
+from cardamomnotch_core.relay.const import (
+    CRASH_REPORT_SPREAD_S,
+    CRASH_RETENTION_S,
+    MAX_SUSPECTS,
+    QUARANTINE_S,
+)
+from cardamomnotch_core.relay.crash_detection import Crash, Suspicion
+from cardamomnotch_core.relay.crash_evidence import Refutation
+from cardamomnotch_core.relay.quarantine import Quarantine
+
+# A time by which all reports have arrived.
+LATER_S = 10.0
+
+
+@pytest.fixture
+def quarantine():
+    """Return a quarantine without evidence."""
+    return Quarantine()
+
+
+@pytest.fixture
+def crash(quarantine):
+    """Return a function that records a crash with the suspects of a request."""
+
+    def record(process, *suspects, suspicion=Suspicion.BEGINNING, now_s=0.0):
+        for suspect in suspects:
+            quarantine.record_crash(
+                Crash(suspect=suspect, process=process, suspicion=suspicion), now_s
+            )
+
+    return record
+
+
+@pytest.fixture
+def is_blocked(quarantine):
+    """Return a function that tells whether a request is blocked."""
+
+    def check(*suspects, now_s=LATER_S):
+        blocked_from_s = quarantine.blocked_from_s(frozenset(suspects), now_s)
+        return blocked_from_s is not None and blocked_from_s <= now_s
+
+    return check
+
+
+def test_one_crash_blocks_nothing(crash, is_blocked):
+    """A request that has crashed one upstream may run again."""
+    crash("u1", "r1", "a", "bad")
+    assert not is_blocked("r1", "a", "bad")
+
+
+def test_second_crash_of_one_request_blocks_that_request(crash, is_blocked):
+    """While one request explains all crashes, others with its parts may run."""
+    crash("u1", "r1", "a", "bad")
+    crash("u2", "r1", "a", "bad")
+    assert is_blocked("r1", "a", "bad")
+    assert not is_blocked("r2", "a", "bad")
+
+
+def test_part_common_to_all_crashes_is_blocked(crash, is_blocked):
+    """A part that crashed upstreams in two requests is blocked in any other."""
+    crash("u1", "r1", "a", "bad")
+    crash("u2", "r2", "b", "bad")
+    assert is_blocked("r3", "c", "bad")
+    assert not is_blocked("r4", "a")
+    assert not is_blocked("r4", "b")
+
+
+def test_parts_that_always_come_together_are_blocked_together(crash, is_blocked):
+    """Requests with only one of two parts that explain all crashes may run."""
+    for number in range(3):
+        crash(f"u{number}", f"r{number}", "subject", "bad")
+    assert is_blocked("r9", "subject", "bad")
+    assert not is_blocked("r9", "subject")
+    assert not is_blocked("r9", "bad")
+
+
+def test_sound_request_at_the_same_upstreams_is_not_blocked(crash, is_blocked):
+    """A request that shared each crash with the cause is not blocked for them."""
+    crash("u1", "r1", "bad")
+    crash("u1", "sound", "a", suspicion=Suspicion.BEGINNING)
+    crash("u2", "r1", "bad")
+    crash("u2", "sound", "a", suspicion=Suspicion.BEGINNING)
+    assert not is_blocked("sound", "a")
+    crash("u3", "r2", "bad")
+    assert is_blocked("r3", "bad")
+    assert not is_blocked("sound", "a")
+
+
+def test_less_suspected_request_does_not_protect_the_cause(crash, is_blocked):
+    """A request that only waited at each crash explains none as well."""
+    crash("u1", "r1", "bad")
+    crash("u1", "sound", suspicion=Suspicion.WAITING)
+    crash("u2", "r1", "bad")
+    crash("u2", "sound", suspicion=Suspicion.ANSWERING)
+    assert is_blocked("r1", "bad")
+    assert not is_blocked("sound")
+
+
+def test_stronger_suspicion_replaces_a_weaker_one(crash, is_blocked):
+    """Of two reports of one crash the stronger one counts, in either order."""
+    for suspicions in ([1, 3], [3, 1]):
+        for suspicion in suspicions:
+            crash("u1", "r1", suspicion=Suspicion(suspicion))
+            crash("u2", "r1", suspicion=Suspicion(suspicion))
+    crash("u1", "sound", suspicion=Suspicion.WAITING)
+    crash("u2", "sound", suspicion=Suspicion.WAITING)
+    assert is_blocked("r1")
+    assert not is_blocked("sound")
+
+
+def test_request_waits_until_other_entries_have_reported(quarantine, crash):
+    """A request that another entry's report may clear is not refused yet."""
+    crash("u1", "sound", now_s=1.0)
+    crash("u2", "sound", now_s=2.0)
+    blocked_from_s = quarantine.blocked_from_s(frozenset({"sound"}), 2.0)
+    assert blocked_from_s == 2.0 + CRASH_REPORT_SPREAD_S
+    reports = [
+        Crash(suspect="r1", process=process, suspicion=Suspicion.BEGINNING)
+        for process in ("u1", "u2")
+    ]
+    quarantine.add_reported(reports, (), 2.5)
+    assert quarantine.blocked_from_s(frozenset({"sound"}), 2.5) is None
+
+
+@pytest.mark.parametrize("record", ["record_completed", "record_outlasted_onset"])
+def test_part_of_an_answered_request_is_not_blocked(
+    quarantine, crash, is_blocked, record
+):
+    """Crashes count for a part until a request with it is answered."""
+    crash("u1", "r1", "a")
+    crash("u2", "r2", "a", suspicion=Suspicion.WAITING)
+    assert is_blocked("r3", "a")
+    getattr(quarantine, record)({"r4", "a"}, 1.0)
+    assert not is_blocked("r3", "a")
+    crash("u1", "r1", "a")
+    assert not is_blocked("r3", "a")
+
+
+def test_only_a_complete_answer_refutes_a_late_crash(quarantine, crash, is_blocked):
+    """A request that crashes upstreams late in its answer is blocked."""
+    for number in range(2):
+        quarantine.record_outlasted_onset({"r1"}, float(number))
+        crash(f"u{number}", "r1", suspicion=Suspicion.ANSWERING)
+    assert is_blocked("r1")
+    quarantine.record_completed({"r1"}, 3.0)
+    assert not is_blocked("r1")
+
+
+def test_refutations_that_another_entry_needs_are_reported(quarantine):
+    """A refutation is reported once others may count enough crashes without it."""
+    first = Crash(suspect="a", process="u1")
+    second = Crash(suspect="a", process="u2")
+    quarantine.add_reported([first], (), 0.0)
+    quarantine.record_completed({"a"}, 1.0)
+    assert quarantine.unreported_refutations == ()
+    quarantine.add_reported([second], (), 2.0)
+    assert quarantine.unreported_refutations == (Refutation("a", "u1"),)
+    quarantine.mark_reported((), quarantine.unreported_refutations)
+    assert quarantine.unreported_refutations == ()
+
+
+def test_refutation_of_another_entry_counts(quarantine, crash, is_blocked):
+    """What an entry has refuted does not count at the others, in any order."""
+    crash("u1", "a")
+    quarantine.add_reported((), [Refutation("a", "u1"), Refutation("a", "u2")], 1.0)
+    crash("u2", "a", now_s=2.0)
+    crash("u3", "a", now_s=2.0)
+    assert not is_blocked("a")
+    assert quarantine.unreported_refutations == ()
+
+
+def test_block_ends_and_doubles(crash, is_blocked):
+    """The quarantine ends after a time that doubles with each further crash."""
+    crash("u1", "r1")
+    crash("u2", "r1")
+    assert is_blocked("r1", now_s=QUARANTINE_S - 0.1)
+    assert not is_blocked("r1", now_s=QUARANTINE_S + 0.1)
+    crash("u3", "r1", now_s=QUARANTINE_S + 1.0)
+    assert is_blocked("r1", now_s=3 * QUARANTINE_S)
+    assert not is_blocked("r1", now_s=3 * QUARANTINE_S + 2.0)
+
+
+def test_evidence_expires(quarantine, crash, is_blocked):
+    """Crashes and refutations are forgotten after their retention time."""
+    crash("u1", "r1")
+    quarantine.record_completed({"r1"}, 0.0)
+    crash("u1", "r1", now_s=CRASH_RETENTION_S + 1.0)
+    crash("u2", "r1", now_s=CRASH_RETENTION_S + 1.0)
+    assert is_blocked("r1", now_s=CRASH_RETENTION_S + LATER_S)
+    assert not quarantine.crashes("r1", 2 * CRASH_RETENTION_S + 1.0)
+    assert quarantine.totals == {}
+
+
+def test_number_of_suspects_is_bounded(quarantine, crash):
+    """The suspects with the oldest crashes are evicted."""
+    for number in range(MAX_SUSPECTS + 5):
+        crash(f"u{number}", f"r{number}", now_s=float(number) / MAX_SUSPECTS)
+    assert len(quarantine.totals) == MAX_SUSPECTS
+    assert "r4" not in quarantine.totals
