Do not count attempts whose upstream has ended

Callers' streams were cut after as many crashes of their upstreams as their route allows attempts, though another upstream could have gone on.

Cause: an attempt counted towards the route's limit whatever became of its upstream. The limit is about how often a request runs; up to three runs whose upstream's process has ended do not count now. What crashes upstreams itself is stopped by the quarantine.

--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/const.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/const.py
@@ -96,5 +96,8 @@
 
 # Largest priority value, the least urgent, that upstreams accept.
 LEAST_URGENT_PRIORITY: Final = 9
+# Largest number of attempts that do not count towards a route's limit because
+# their upstream's process has ended.
+MAX_ENDED_UPSTREAMS: Final = 3
 # Largest number of refusals by upstreams that still allows another attempt.
 MAX_REFUSALS_PER_REQUEST: Final = 3
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/forwarder.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/forwarder.py
@@ -14,6 +14,7 @@
 from .const import (
     CAPACITY_RETRY_INTERVAL_S,
     LEAST_URGENT_PRIORITY,
+    MAX_ENDED_UPSTREAMS,
     MAX_REFUSALS_PER_REQUEST,
     MIN_SERVER_ERROR_STATUS,
 )
@@ -71,10 +72,11 @@
         # Version that a resumed stream must keep, since the caller has a part
         # of its response; empty if any version may serve.
         self._version = ""
-        # Attempts that may have reached an upstream, and those of them that
-        # may have run.
+        # Attempts that may have reached an upstream, those of them that may
+        # have run, and those of these whose upstream's process has ended.
         self._sent_count = 0
         self._run_count = 0
+        self._ended_upstreams = 0
         self._unreachable_count = 0
         self._has_failed_attempt = False
         self._failure_code = ResultCode.UPSTREAM_FAILED
@@ -264,6 +266,7 @@
         is_up = await self._client.async_is_up(attempt.address)
         attempt.log.upstream_up = is_up
         if not is_up:
+            self._ended_upstreams += 1
             self._node.record_process_ended(attempt.process, self._clock())
 
     async def _async_stream(self, attempt: Attempt) -> web.StreamResponse:
@@ -315,9 +318,8 @@
         """
         if not self._model or not self._route.repeat.is_repeatable:
             return False
-        attempts_left = self._route.max_attempts - self._run_count
         # After a failed attempt the last one is reserved for another failure.
-        if attempts_left < (2 if self._has_failed_attempt else 1):
+        if self._runs_left() < (2 if self._has_failed_attempt else 1):
             return False
         larger_model = self._node.cascade.next_model(
             self._route, self._model, head.confidence
@@ -362,10 +364,12 @@
 
     def _has_attempts_left(self) -> bool:
         refusals = self._sent_count - self._run_count
-        return (
-            self._run_count < self._route.max_attempts
-            and refusals <= MAX_REFUSALS_PER_REQUEST
-        )
+        return self._runs_left() > 0 and refusals <= MAX_REFUSALS_PER_REQUEST
+
+    def _runs_left(self) -> int:
+        """Return how often the request may still run."""
+        uncounted = min(self._ended_upstreams, MAX_ENDED_UPSTREAMS)
+        return self._route.max_attempts - self._run_count + uncounted
 
     def _can_wait_for_capacity(self) -> bool:
         waited_s = self._clock() - self._arrived_at_s
--- a/tests/entry/relay/test_crashing_parts.py
+++ b/tests/entry/relay/test_crashing_parts.py
@@ -10,6 +10,7 @@
 from tests.stand_ins.platform_upstream import (
     LAST_CHUNK,
     Crash,
+    HoldOpen,
     Send,
     Wait,
     chunk,
@@ -56,6 +57,13 @@
     return [*steps, Send(LAST_CHUNK)]
 
 
+def stream_one_event(request):
+    """Stream the event after the request's Last-Event-Id, and stay silent."""
+    number = int(request.headers.get("last-event-id") or 0) + 1
+    response_head = head(request, Transfer_Encoding="chunked")
+    return [Send(response_head + chunk(event(number))), HoldOpen()]
+
+
 WHOLE_STREAM = b"".join(event(number) for number in range(1, 6))
 CRASHES = [
     begin_and_crash,
@@ -71,6 +79,8 @@
     def __init__(self, system, crash=begin_and_crash):
         self._system = system
         self._crash = crash
+        # How requests without the part are answered.
+        self.answer = stream_slowly
         self._names = itertools.count()
         self._upstreams = []
 
@@ -92,7 +102,7 @@
     def _respond(self, request):
         if BAD_PART in request.headers.get("x-prefix-hash", ""):
             return self._crash(request)
-        return stream_slowly(request)
+        return self.answer(request)
 
 
 @pytest.fixture
@@ -202,6 +212,26 @@
     assert upstreams.crashes <= MAX_CRASHES
 
 
+async def test_streams_go_on_after_more_crashes_than_attempts(relay):
+    """Attempts at upstreams that have ended do not count as attempts."""
+    upstreams = PartCrashingUpstreams(relay)
+    upstreams.answer = stream_one_event
+    await upstreams.async_start(1)
+    running = [
+        asyncio.create_task(call(relay, f"style-{number}", number=number))
+        for number in range(2)
+    ]
+    for crashes in range(4):
+        if crashes == 3:
+            upstreams.answer = stream_slowly
+        await upstreams.async_start(1)
+        *_, earlier, _ = relay.upstreams.values()
+        await relay.async_wait_for(lambda earlier=earlier: len(earlier.seen) == 2)
+        earlier.crash()
+    answers = await asyncio.gather(*running)
+    assert [answer.body for answer in answers] == [WHOLE_STREAM] * 2
+
+
 async def test_part_of_completed_requests_is_not_refused(relay):
     """Crashes with another cause do not add up for a part that is answered."""
     upstreams = PartCrashingUpstreams(relay)
