Suspect parts that were answered lately less than others

Callers lost more upstreams than the two or three that name a crashing part: a common part, as the first one of many requests, is at nearly every crash and explained all of them as well until it was answered again, so the cause ran once more after each.

A suspect whose requests were answered within the last minute is suspected least, so it does not protect what was not. It can still be the cause, if nothing else explains all of its crashes.

Evidence: test_part_that_is_answered_does_not_protect_the_cause failed before.

--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/const.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/const.py
@@ -41,6 +41,9 @@
 # Time within which an upstream crashes after the answer to the request that
 # crashes it has begun, in seconds.
 CRASH_ONSET_S: Final = 1.0
+# Time for which a request or a prompt part that was answered is suspected less
+# than others, in seconds.
+ANSWER_RETENTION_S: Final = 60.0
 # Time for which a request waits for other entries' reports of a crash before
 # it is refused for that crash, in seconds.
 CRASH_REPORT_SPREAD_S: Final = 1.0
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/crash_detection.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/crash_detection.py
@@ -10,14 +10,16 @@
 
 
 class Suspicion(IntEnum):
-    """How likely a request caused its upstream's crash, by its state then."""
+    """How likely a suspect caused a crash, by its request's state then."""
 
+    # Other requests with the suspect had been answered lately.
+    ANSWERED = 1
     # Its answer had been arriving for a while.
-    ANSWERING = 1
+    ANSWERING = 2
     # No part of an answer had arrived.
-    WAITING = 2
+    WAITING = 3
     # Its answer had just begun.
-    BEGINNING = 3
+    BEGINNING = 4
 
 
 class AttemptEnd(IntEnum):
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/crash_evidence.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/crash_evidence.py
@@ -52,15 +52,15 @@
         record = self._records.get(suspect)
         return sorted(record.times_s.values()) if record else []
 
-    def processes(self, suspect: str, least: Suspicion) -> list[str]:
-        """Return the crashed processes with at least this suspicion."""
+    def processes(self, suspect: str, suspicions: Set[Suspicion]) -> list[str]:
+        """Return the crashed processes with one of these suspicions."""
         record = self._records.get(suspect)
         if record is None:
             return []
         return [
             process
             for process, suspicion in record.suspicions.items()
-            if suspicion >= least
+            if suspicion in suspicions
         ]
 
     def add(self, crash: Crash, now_s: float) -> bool:
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/quarantine.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/quarantine.py
@@ -1,8 +1,12 @@
 """Quarantine of requests and prompt parts that crash upstreams."""
 
+import math
 from collections.abc import Callable, Iterable, Set
 
+import attrs
+
 from .const import (
+    ANSWER_RETENTION_S,
     CRASH_REPORT_SPREAD_S,
     MAX_CRASHES,
     MAX_REPORTED_CRASHES,
@@ -12,6 +16,9 @@
 from .crash_detection import Crash, Suspicion
 from .crash_evidence import CrashEvidence, Refutation
 
+# Suspicions that are refuted by an answer that arrives for a while.
+_REFUTED_BY_ONSET = frozenset(Suspicion) - {Suspicion.ANSWERING}
+
 # Called with each crash that this entry has seen, and the number of crashes
 # counted for its suspect.
 CrashListener = Callable[[Crash, int], None]
@@ -32,6 +39,9 @@
 
     def __init__(self) -> None:
         self._evidence = CrashEvidence()
+        # When requests with each suspect were last answered at this entry, in
+        # the order of these times.
+        self._answered_at_s: dict[str, float] = {}
         self._unreported: list[Crash] = []
         # Refutations by this entry that matter to no other entry yet, and
         # those that are to be stored.
@@ -61,6 +71,12 @@
 
     def record_crash(self, crash: Crash, now_s: float) -> None:
         """Count a crash that this entry has seen."""
+        answered_at_s = self._answered_at_s.get(crash.suspect, -math.inf)
+        if (
+            crash.suspicion in _REFUTED_BY_ONSET
+            and now_s - answered_at_s < ANSWER_RETENTION_S
+        ):
+            crash = attrs.evolve(crash, suspicion=Suspicion.ANSWERED)
         if not self._add(crash, now_s):
             return
         self._unreported.append(crash)
@@ -92,11 +108,11 @@
 
     def record_outlasted_onset(self, suspects: Set[str], now_s: float) -> None:
         """Record that an answer has been arriving longer than a crash takes."""
-        self._refute(suspects, Suspicion.WAITING, now_s)
+        self._refute(suspects, _REFUTED_BY_ONSET, now_s)
 
     def record_completed(self, suspects: Set[str], now_s: float) -> None:
         """Record that a request with these suspects got its complete answer."""
-        self._refute(suspects, Suspicion.ANSWERING, now_s)
+        self._refute(suspects, frozenset(Suspicion), now_s)
 
     def crashes(self, suspect: str, now_s: float) -> int:
         """Return how many processes the suspect may have crashed."""
@@ -131,16 +147,21 @@
         self._share_refutations(crash.suspect)
         return True
 
-    def _refute(self, suspects: Set[str], least: Suspicion, now_s: float) -> None:
-        """Refute the crashes of ``suspects`` with at least this suspicion."""
+    def _refute(
+        self, suspects: Set[str], suspicions: Set[Suspicion], now_s: float
+    ) -> None:
+        """Refute the crashes of answered ``suspects`` with these suspicions."""
         for suspect in suspects:
-            for process in self._evidence.processes(suspect, least):
+            self._answered_at_s.pop(suspect, None)
+            self._answered_at_s[suspect] = now_s
+            for process in self._evidence.processes(suspect, suspicions):
                 refutation = Refutation(suspect, process)
                 self._evidence.refute(refutation, now_s)
                 self._own_refutations.setdefault(suspect, set()).add(refutation)
             self._share_refutations(suspect)
-        while len(self._own_refutations) > MAX_SUSPECTS:
-            del self._own_refutations[next(iter(self._own_refutations))]
+        for kept in (self._answered_at_s, self._own_refutations):
+            while len(kept) > MAX_SUSPECTS:
+                del kept[next(iter(kept))]
 
     def _share_refutations(self, suspect: str) -> None:
         """Store this entry's refutations if another entry may block a request.
--- a/tests/core/relay/test_quarantine.py
+++ b/tests/core/relay/test_quarantine.py
@@ -102,16 +102,40 @@
 
 def test_stronger_suspicion_replaces_a_weaker_one(crash, is_blocked):
     """Of two reports of one crash the stronger one counts, in either order."""
-    for suspicions in ([1, 3], [3, 1]):
-        for suspicion in suspicions:
-            crash("u1", "r1", suspicion=Suspicion(suspicion))
-            crash("u2", "r1", suspicion=Suspicion(suspicion))
+    orders = [Suspicion.ANSWERING, Suspicion.BEGINNING], [Suspicion.WAITING]
+    for order in (*orders, orders[0][::-1]):
+        for suspicion in order:
+            crash("u1", "r1", suspicion=suspicion)
+            crash("u2", "r1", suspicion=suspicion)
     crash("u1", "sound", suspicion=Suspicion.WAITING)
     crash("u2", "sound", suspicion=Suspicion.WAITING)
     assert is_blocked("r1")
     assert not is_blocked("sound")
 
 
+def test_part_that_is_answered_does_not_protect_the_cause(
+    quarantine, crash, is_blocked
+):
+    """A common part of other requests at each crash explains none as well."""
+    for number in range(2):
+        quarantine.record_completed({"common"}, float(number))
+        crash(f"u{number}", "r1", "bad", now_s=number + 0.5)
+        crash(f"u{number}", f"sound{number}", "common", now_s=number + 0.5)
+        assert not is_blocked("r2", "common")
+    assert is_blocked("r1", "bad")
+    assert not is_blocked("r2", "common")
+
+
+def test_part_that_was_answered_before_can_be_the_cause(quarantine, crash, is_blocked):
+    """Earlier answers do not protect a part that crashes upstreams now."""
+    quarantine.record_completed({"bad", "common"}, 0.0)
+    for number in range(2):
+        crash(f"u{number}", f"r{number}", "bad")
+        crash(f"u{number}", f"sound{number}", "common" if number else "other")
+    assert is_blocked("r9", "bad")
+    assert not is_blocked("r9", "common")
+
+
 def test_request_waits_until_other_entries_have_reported(quarantine, crash):
     """A request that another entry's report may clear is not refused yet."""
     crash("u1", "sound", now_s=1.0)
