Keep suspected requests at different upstreams

Callers' sound streams were cut with the requests that crashed their upstreams: after a crash all of its requests were sent again to one other upstream, where the cause ended them once more, and the next crash had the same suspects.

Cause: placement knew nothing of suspects, and all of them had the same best upstream. Suspected requests now go where none of this entry's runs, and others avoid them while half of the upstreams are left; an upstream that fails is no way out.

--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/attempt_tracker.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/attempt_tracker.py
@@ -80,7 +80,12 @@
             rollout.record_sent(
                 key, state.upstream.version, placement.expected_ms / 1000, now_s
             )
-        self._crash_detector.record_sent(key, state.upstream.process, facts.suspects)
+        self._crash_detector.record_sent(
+            key,
+            state.upstream.process,
+            facts.suspects,
+            is_suspected=bool(self._quarantine.open_suspects(facts.suspects)),
+        )
         session = facts.session if self._versions.is_in_first_stage(facts) else ""
         self._versions.sessions.record_started(state.upstream, session, now_s)
         self._local_attempts[key] = next(self._next_attempt_number), session
@@ -122,7 +127,7 @@
 
     def record_outlasted_onset(self, key: Hashable, now_s: float) -> None:
         """Record that an answer has been arriving longer than a crash takes."""
-        suspects = self._crash_detector.suspects(key)
+        suspects = self._crash_detector.record_outlasted_onset(key)
         self._quarantine.record_outlasted_onset(suspects, now_s)
 
     def record_ended(
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/node.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/node.py
@@ -1,6 +1,6 @@
 """State and decisions of one relaying entry."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from functools import singledispatchmethod
 
 import attrs
@@ -293,6 +293,7 @@
                 "all upstreams of the service are cold and at their rate limit",
                 _RETRY_COLD_S,
             )
+        available = self._without_suspected_runs(available, facts, now_s)
         if tried:
             untried = [state for state in available if state.upstream_id not in tried]
             available = untried or available
@@ -336,6 +337,26 @@
         if self.fleet.get(upstream_id) is None:
             self._cold_limiter.forget(upstream_id)
 
+    def _without_suspected_runs(
+        self, available: Sequence[UpstreamState], facts: RequestFacts, now_s: float
+    ) -> Sequence[UpstreamState]:
+        """Leave out upstreams that a suspected request of this entry may crash.
+
+        Suspected requests are kept apart, so that the next crash tells which
+        of them is the cause. Others avoid these upstreams if enough are left.
+        """
+        suspected = self._crash_detector.suspected_processes
+        if not suspected:
+            return available
+        others = [
+            state
+            for state in available
+            if state.upstream.process not in suspected and not state.is_penalized(now_s)
+        ]
+        if self.quarantine.open_suspects(facts.suspects):
+            return others or available
+        return others if 2 * len(others) >= len(available) else available
+
     def _cold_rate_allows(
         self, state: UpstreamState, service: Service, now_s: float
     ) -> bool:
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/quarantine.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/quarantine.py
@@ -19,6 +19,9 @@
 # Suspicions that are refuted by an answer that arrives for a while.
 _REFUTED_BY_ONSET = frozenset(Suspicion) - {Suspicion.ANSWERING}
 
+# Suspicions of suspects that were not answered lately.
+_OPEN_SUSPICIONS = frozenset({Suspicion.WAITING, Suspicion.BEGINNING})
+
 # Called with each crash that this entry has seen, and the number of crashes
 # counted for its suspect.
 CrashListener = Callable[[Crash, int], None]
@@ -137,9 +140,13 @@
             blocked_from_s = min(from_s, blocked_from_s or from_s)
         return blocked_from_s
 
-    def is_suspected(self, suspects: Set[str]) -> bool:
-        """Return whether a request may be the cause of any crash."""
-        return any(self._evidence.times_s(suspect) for suspect in suspects)
+    def open_suspects(self, suspects: Set[str]) -> list[str]:
+        """Return those that may be the cause of a crash, and were not answered."""
+        return [
+            suspect
+            for suspect in suspects
+            if self._evidence.processes(suspect, _OPEN_SUSPICIONS)
+        ]
 
     def _add(self, crash: Crash, now_s: float) -> bool:
         if not self._evidence.add(crash, now_s):
--- a/tests/core/relay/test_node.py
+++ b/tests/core/relay/test_node.py
@@ -5,7 +5,7 @@
 import pytest
 
 from cardamomnotch_core.relay import changes
-from cardamomnotch_core.relay.crash_detection import AttemptEnd, Crash
+from cardamomnotch_core.relay.crash_detection import AttemptEnd, Crash, Suspicion
 from cardamomnotch_core.relay.exceptions import RefusalError
 from cardamomnotch_core.relay.limits import RelayLimits
 from cardamomnotch_core.relay.models import PromptPart, RolloutOrder, Share
@@ -262,3 +262,67 @@
         assert not node.fleet.candidates("drafts", 13.0)
     node.apply(changes.UpstreamListed(upstream=new_registration), 14.0)
     assert node.place(service, facts, "m", 0, 15.0).cached_tokens == 0
+
+
+@pytest.fixture
+def suspected_node(node, make_upstream):
+    """Return an entry with three upstreams, and "suspect" in one crash."""
+    for number in range(3):
+        register_upstream(node, make_upstream(f"up-{number}"))
+    crash = Crash(suspect="suspect", process="up@1", suspicion=Suspicion.BEGINNING)
+    node.quarantine.record_crash(crash, 0.0)
+    return node
+
+
+def place_at(node, service, facts, now_s=1.0):
+    """Place and send a request; return its upstream's id."""
+    placement = node.place(service, facts, "", 0, now_s)
+    node.attempts.record_sent(placement, facts, "", facts, now_s)
+    return placement.state.upstream_id
+
+
+def test_suspected_requests_are_kept_apart(suspected_node, service, make_facts):
+    """Suspected requests go to different upstreams, not where a prompt is cached."""
+    prompt = (
+        PromptPart(part_id="a", tokens=10_000),
+        PromptPart(part_id="own", tokens=10),
+    )
+    placed = set()
+    for number in range(4):
+        facts = make_facts(
+            f"r{number}", fingerprint="suspect", prompt=prompt, prompt_tokens=10_010
+        )
+        placement = suspected_node.place(service, facts, "", 0, 1.0)
+        suspected_node.attempts.record_sent(placement, facts, "", facts, 1.0)
+        suspected_node.attempts.record_first_byte(placement, "", facts, 0.1, 1.1)
+        placed.add(placement.state.upstream_id)
+    assert len(placed) == 3
+
+
+def test_other_requests_avoid_suspected_ones(suspected_node, service, make_facts):
+    """Requests avoid the upstream of a suspected one until it has been answered."""
+    suspect = make_facts("r1", fingerprint="suspect")
+    avoided = place_at(suspected_node, service, suspect)
+    placed = [
+        place_at(suspected_node, service, make_facts(f"r{number}", fingerprint="other"))
+        for number in range(10, 16)
+    ]
+    assert avoided not in placed
+    suspected_node.attempts.record_outlasted_onset(suspect, 2.0)
+    placed = [
+        place_at(suspected_node, service, make_facts(f"r{number}", fingerprint="other"))
+        for number in range(20, 26)
+    ]
+    assert avoided in placed
+
+
+def test_penalized_upstream_is_no_way_out(suspected_node, service, make_facts):
+    """Suspected requests share an upstream rather than use a failing one."""
+    first, *others = suspected_node.fleet
+    for state in others:
+        state.record_failure(1.0)
+    placed = {
+        place_at(suspected_node, service, make_facts(f"r{number}", fingerprint=print_))
+        for number, print_ in enumerate(["suspect", "suspect", "other"])
+    }
+    assert placed == {first.upstream_id}
