Count a crash against a request when all reports of it have arrived

A request was judged by its second crash a second later, but by further ones at once, before other entries had named the cause; and where another request explained both crashes as well, it did not wait at all, although that one was about to be cleared.

Each crash settles for a second now. A request is refused on settled crashes alone; one that may be the cause of two waits until they are settled. The time of a crash that broke no connection of this entry is known to be past, so an answer that began less than a second ago had just begun.

--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/crash_detection.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/crash_detection.py
@@ -138,7 +138,7 @@
         run.is_lost = end is AttemptEnd.LOST
         crashed_at_s = self._ended_at_s.get(run.process)
         if crashed_at_s is not None:
-            return _crashes(run, crashed_at_s)
+            return _crashes(run, crashed_at_s, is_exact=True)
         self._unanswered.append(run)
         self._expire(now_s)
         return ()
@@ -154,9 +154,13 @@
             self._unanswered.remove(run)
         lost_at_s = [run.ended_at_s for run in runs if run.is_lost]
         # A crash breaks the connections at once, but may be noticed later.
-        crashed_at_s = max(lost_at_s) if lost_at_s else None
-        self._ended_at_s.setdefault(process, crashed_at_s or now_s)
-        return tuple(crash for run in runs for crash in _crashes(run, crashed_at_s))
+        crashed_at_s = max(lost_at_s, default=now_s)
+        self._ended_at_s.setdefault(process, crashed_at_s)
+        return tuple(
+            crash
+            for run in runs
+            for crash in _crashes(run, crashed_at_s, is_exact=bool(lost_at_s))
+        )
 
     def _end_onset(self, run: _Run) -> None:
         if not run.is_in_onset:
@@ -185,8 +189,8 @@
             del counts[name]
 
 
-def _crashes(run: _Run, crashed_at_s: float | None) -> tuple[Crash, ...]:
-    suspicion = _suspicion(run, crashed_at_s)
+def _crashes(run: _Run, crashed_at_s: float, *, is_exact: bool) -> tuple[Crash, ...]:
+    suspicion = _suspicion(run, crashed_at_s, is_exact)
     if suspicion is None:
         return ()
     return tuple(
@@ -195,13 +199,15 @@
     )
 
 
-def _suspicion(run: _Run, crashed_at_s: float | None) -> Suspicion | None:
+def _suspicion(run: _Run, crashed_at_s: float, is_exact: bool) -> Suspicion | None:
     """Return how suspect an attempt is; None if it had ended before the crash.
 
-    ``crashed_at_s`` is None if the time of the crash is unknown.
+    The crash was before ``crashed_at_s`` unless that time is exact.
     """
-    if run.began_at_s is None or crashed_at_s is None:
+    if run.began_at_s is None:
         return Suspicion.WAITING
     if crashed_at_s - run.began_at_s < CRASH_ONSET_S:
         return Suspicion.BEGINNING
+    if not is_exact:
+        return Suspicion.WAITING
     return Suspicion.ANSWERING if run.is_lost else None
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/crash_evidence.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/crash_evidence.py
@@ -95,12 +95,13 @@
         if not record.times_s:
             del self._records[refutation.suspect]
 
-    def explanations(self, suspect: str) -> Set[str]:
+    def explanations(self, suspect: str, until_s: float) -> Set[str]:
         """Return the suspects that explain the crashes of ``suspect`` as well.
 
-        Each is at least as suspect in all of these crashes; ``suspect`` is one
-        of them.
+        Each is at least as suspect in all of its crashes that were known at
+        ``until_s``; ``suspect`` is one of them. There must be such a crash.
         """
+        record = self._records[suspect]
         return set.intersection(
             *(
                 {
@@ -108,7 +109,8 @@
                     for other, other_suspicion in self._suspects[process].items()
                     if other_suspicion >= suspicion
                 }
-                for process, suspicion in self._records[suspect].suspicions.items()
+                for process, suspicion in record.suspicions.items()
+                if record.times_s[process] <= until_s
             )
         )
 
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/node.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/node.py
@@ -237,11 +237,9 @@
         Until then other entries' reports may clear it. Raises RefusalError if
         it is quarantined, or would have to wait beyond its deadline.
         """
-        blocked_from_s = self.quarantine.blocked_from_s(facts.suspects, now_s)
-        if blocked_from_s is None:
-            return 0.0
-        if now_s < blocked_from_s < deadline_s:
-            return blocked_from_s - now_s
+        decision = self.quarantine.decide(facts.suspects, now_s)
+        if not decision.is_blocked and now_s + decision.wait_s < deadline_s:
+            return decision.wait_s
         raise RefusalError(
             ResultCode.REQUEST_QUARANTINED,
             "the request, or a part of its prompt, has crashed several upstreams",
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/quarantine.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/quarantine.py
@@ -27,6 +27,16 @@
 CrashListener = Callable[[Crash, int], None]
 
 
+@attrs.frozen(kw_only=True)
+class Decision:
+    """Whether a request may be sent."""
+
+    # Whether the request must not be sent to any upstream.
+    is_blocked: bool = False
+    # Time after which to decide again, in seconds; 0 if it may be sent now.
+    wait_s: float = 0.0
+
+
 class Quarantine:
     """Decides which requests must not be sent to any upstream.
 
@@ -122,23 +132,30 @@
         self._evidence.expire(now_s)
         return len(self._evidence.times_s(suspect))
 
-    def blocked_from_s(self, suspects: Set[str], now_s: float) -> float | None:
-        """Return from when on a request is refused; None if it may be sent.
+    def decide(self, suspects: Set[str], now_s: float) -> Decision:
+        """Decide whether a request may be sent now.
 
-        Until then the reports of other entries may name another cause, and the
-        request should wait.
+        A crash counts against a request only when other entries' reports of it
+        have arrived, which may name another cause. Until then a request that
+        may be the cause of several waits.
         """
         self._evidence.expire(now_s)
-        blocked_from_s = None
+        settled_s = now_s - CRASH_REPORT_SPREAD_S
+        wait_s = 0.0
         for suspect in suspects:
             times_s = self._evidence.times_s(suspect)
             if not _is_quarantined(times_s, now_s):
                 continue
-            if not self._evidence.explanations(suspect) <= suspects:
-                continue
-            from_s = times_s[MAX_CRASHES - 1] + CRASH_REPORT_SPREAD_S
-            blocked_from_s = min(from_s, blocked_from_s or from_s)
-        return blocked_from_s
+            if times_s[MAX_CRASHES - 1] <= settled_s and (
+                self._evidence.explanations(suspect, settled_s) <= suspects
+            ):
+                return Decision(is_blocked=True)
+            if times_s[-1] > settled_s and (
+                self.open_suspects({suspect})
+                or self._evidence.explanations(suspect, now_s) <= suspects
+            ):
+                wait_s = max(wait_s, times_s[-1] - settled_s)
+        return Decision(wait_s=wait_s)
 
     def open_suspects(self, suspects: Set[str]) -> list[str]:
         """Return those that may be the cause of a crash, and were not answered."""
--- a/tests/core/relay/test_crash_detection.py
+++ b/tests/core/relay/test_crash_detection.py
@@ -63,12 +63,20 @@
     assert found == ({} if expected is None else dict.fromkeys(SUSPECTS, expected))
 
 
-@pytest.mark.parametrize("began_s", [None, 5.0])
-def test_time_of_a_silent_crash_is_unknown(detector, run_attempt, began_s):
-    """Without a broken connection all abandoned attempts are suspected alike."""
-    run_attempt("key", AttemptEnd.ABANDONED, began_s=began_s, ended_s=5.0)
+@pytest.mark.parametrize(
+    ("began_s", "expected"),
+    [
+        (None, Suspicion.WAITING),
+        (5.0, Suspicion.WAITING),
+        (10.1 - CRASH_ONSET_S, Suspicion.BEGINNING),
+    ],
+)
+def test_time_of_a_silent_crash_is_unknown(detector, run_attempt, began_s, expected):
+    """Without a broken connection a crash may have been at any time before."""
+    ended_s = began_s or 5.0
+    run_attempt("key", AttemptEnd.ABANDONED, began_s=began_s, ended_s=ended_s)
     found = suspicions(detector.record_process_ended("up@1", 10.0))
-    assert found == dict.fromkeys(SUSPECTS, Suspicion.WAITING)
+    assert found == dict.fromkeys(SUSPECTS, expected)
 
 
 @pytest.mark.parametrize(
--- a/tests/core/relay/test_quarantine.py
+++ b/tests/core/relay/test_quarantine.py
@@ -10,7 +10,7 @@
 )
 from cardamomnotch_core.relay.crash_detection import Crash, Suspicion
 from cardamomnotch_core.relay.crash_evidence import Refutation
-from cardamomnotch_core.relay.quarantine import Quarantine
+from cardamomnotch_core.relay.quarantine import Decision, Quarantine
 
 # A time by which all reports have arrived.
 LATER_S = 10.0
@@ -40,8 +40,7 @@
     """Return a function that tells whether a request is blocked."""
 
     def check(*suspects, now_s=LATER_S):
-        blocked_from_s = quarantine.blocked_from_s(frozenset(suspects), now_s)
-        return blocked_from_s is not None and blocked_from_s <= now_s
+        return quarantine.decide(frozenset(suspects), now_s).is_blocked
 
     return check
 
@@ -136,18 +135,45 @@
     assert not is_blocked("r9", "common")
 
 
-def test_request_waits_until_other_entries_have_reported(quarantine, crash):
+def test_request_waits_until_other_entries_have_reported(quarantine, crash, is_blocked):
     """A request that another entry's report may clear is not refused yet."""
     crash("u1", "sound", now_s=1.0)
     crash("u2", "sound", now_s=2.0)
-    blocked_from_s = quarantine.blocked_from_s(frozenset({"sound"}), 2.0)
-    assert blocked_from_s == 2.0 + CRASH_REPORT_SPREAD_S
+    decision = quarantine.decide({"sound"}, 2.0)
+    assert decision == Decision(wait_s=CRASH_REPORT_SPREAD_S)
     reports = [
         Crash(suspect="r1", process=process, suspicion=Suspicion.BEGINNING)
         for process in ("u1", "u2")
     ]
     quarantine.add_reported(reports, (), 2.5)
-    assert quarantine.blocked_from_s(frozenset({"sound"}), 2.5) is None
+    assert not is_blocked("sound", now_s=2.0 + CRASH_REPORT_SPREAD_S)
+
+
+def test_fresh_crash_does_not_block_a_request_that_was_cleared(
+    quarantine, crash, is_blocked
+):
+    """A new crash counts against a request after other entries' reports of it."""
+    for number in range(2):
+        crash(f"u{number}", "sound")
+        crash(f"u{number}", f"r{number}", "bad")
+    crash("u9", "r9", "bad")
+    crash("u2", "sound", now_s=5.0)
+    assert not is_blocked("sound", now_s=5.0)
+    assert quarantine.decide({"sound"}, 5.0) == Decision(wait_s=CRASH_REPORT_SPREAD_S)
+    assert is_blocked("r3", "bad", now_s=5.0)
+    report = Crash(suspect="bad", process="u2", suspicion=Suspicion.BEGINNING)
+    quarantine.add_reported([report], (), 5.5)
+    assert quarantine.decide({"sound"}, 6.0) == Decision()
+
+
+def test_suspect_of_two_crashes_waits_although_another_explains_them(quarantine, crash):
+    """A request is not sent again before refutations may leave it as the cause."""
+    for number in range(2):
+        crash(f"u{number}", "r1")
+        crash(f"u{number}", "sound")
+    assert quarantine.decide({"r1"}, 0.0) == Decision(wait_s=CRASH_REPORT_SPREAD_S)
+    quarantine.add_reported((), [Refutation("sound", "u0")], 0.5)
+    assert quarantine.decide({"r1"}, 1.0) == Decision(is_blocked=True)
 
 
 @pytest.mark.parametrize("record", ["record_completed", "record_outlasted_onset"])
--- a/tests/entry/relay/test_crashing_parts.py
+++ b/tests/entry/relay/test_crashing_parts.py
@@ -92,6 +92,11 @@
             for up in self._upstreams
         )
 
+    @property
+    def alive(self):
+        """Return the upstreams that have not crashed."""
+        return [upstream for upstream in self._upstreams if upstream.is_listening]
+
     async def async_start(self, count):
         """Start ``count`` new upstreams."""
         for _ in range(count):
@@ -212,7 +217,7 @@
     assert upstreams.crashes <= MAX_CRASHES
 
 
-async def test_streams_go_on_after_more_crashes_than_attempts(relay):
+async def test_streams_go_on_after_as_many_crashes_as_attempts(relay):
     """Attempts at upstreams that have ended do not count as attempts."""
     upstreams = PartCrashingUpstreams(relay)
     upstreams.answer = stream_one_event
@@ -221,13 +226,13 @@
         asyncio.create_task(call(relay, f"style-{number}", number=number))
         for number in range(2)
     ]
-    for crashes in range(4):
-        if crashes == 3:
+    for crashes in range(3):
+        (alive,) = upstreams.alive
+        await relay.async_wait_for(lambda alive=alive: len(alive.seen) == 2)
+        if crashes == 2:
             upstreams.answer = stream_slowly
         await upstreams.async_start(1)
-        *_, earlier, _ = relay.upstreams.values()
-        await relay.async_wait_for(lambda earlier=earlier: len(earlier.seen) == 2)
-        earlier.crash()
+        alive.crash()
     answers = await asyncio.gather(*running)
     assert [answer.body for answer in answers] == [WHOLE_STREAM] * 2
 
--- a/tests/stand_ins/platform_upstream.py
+++ b/tests/stand_ins/platform_upstream.py
@@ -137,6 +137,11 @@
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
 
+    @property
+    def is_listening(self) -> bool:
+        """Return whether new connections are accepted."""
+        return self._server is not None
+
     async def async_start(self) -> None:
         """Start to listen on loopback."""
         self._server = await asyncio.start_server(self._async_serve, "127.0.0.1", 0)
