Report crashes within a third of a second

Upstreams kept crashing at the other entries until a crash was reported there: reports were at least 0.7 s apart, each with a lease of its own.

One lease serves an entry's reports for a minute, so that a report is one call and may follow the last one after 0.3 s, within the limit of calls.

The count of suspects in their onset, left from a trial, is removed.

--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/crash_detection.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/crash_detection.py
@@ -1,7 +1,7 @@
 """Attribution of an upstream's crash to the attempts that it ran."""
 
 from collections import Counter, deque
-from collections.abc import Hashable, Iterable, Set
+from collections.abc import Hashable, Set
 from enum import IntEnum, auto
 
 import attrs
@@ -69,9 +69,7 @@
 
     def __init__(self) -> None:
         self._runs: dict[Hashable, _Run] = {}
-        # Number of attempts in their onset by suspect, and of those of
-        # suspected requests by process.
-        self._onsets: Counter[str] = Counter()
+        # Number of suspected requests in their onset, by process.
         self._suspected_runs: Counter[str] = Counter()
         # Attempts without a complete answer, in the order of their ends.
         self._unanswered: deque[_Run] = deque()
@@ -83,10 +81,6 @@
         """Return the processes that a suspected request may crash now."""
         return self._suspected_runs.keys()
 
-    def is_in_onset(self, suspect: str) -> bool:
-        """Return whether a request with ``suspect`` may crash an upstream now."""
-        return suspect in self._onsets
-
     def record_sent(
         self,
         key: Hashable,
@@ -98,7 +92,6 @@
         """Record an attempt that is sent to ``process``; ``key`` identifies it."""
         run = _Run(process, suspects, is_suspected)
         self._runs[key] = run
-        self._onsets.update(suspects)
         if is_suspected:
             self._suspected_runs[process] += 1
 
@@ -166,9 +159,10 @@
         if not run.is_in_onset:
             return
         run.is_in_onset = False
-        _discard(self._onsets, run.suspects)
         if run.is_suspected:
-            _discard(self._suspected_runs, (run.process,))
+            self._suspected_runs[run.process] -= 1
+            if not self._suspected_runs[run.process]:
+                del self._suspected_runs[run.process]
 
     def _expire(self, now_s: float) -> None:
         while (
@@ -182,13 +176,6 @@
             del self._ended_at_s[process]
 
 
-def _discard(counts: Counter[str], names: Iterable[str]) -> None:
-    for name in names:
-        counts[name] -= 1
-        if not counts[name]:
-            del counts[name]
-
-
 def _crashes(run: _Run, crashed_at_s: float, *, is_exact: bool) -> tuple[Crash, ...]:
     suspicion = _suspicion(run, crashed_at_s, is_exact)
     if suspicion is None:
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/composition.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/composition.py
@@ -137,7 +137,7 @@
         self._peers = PeerExchange(self._node, boot_clock, self._peer_socket)
         await self._peers.async_setup()
         self._coordinator = StoreCoordinator(
-            self._node, RelayStore(store, self._store_codec), boot_clock
+            self._node, RelayStore(store, self._store_codec, boot_clock), boot_clock
         )
         self._admin = HttpServer(
             create_admin_app(
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/const.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/const.py
@@ -45,8 +45,11 @@
 # The same if the record has changes that may affect another entry's decision.
 URGENT_RECORD_WRITE_INTERVAL_S: Final = 0.7
 
-# Minimum interval between two reports of crashes, in seconds.
-CRASH_REPORT_INTERVAL_S: Final = 0.7
+# Minimum interval between two reports of crashes, in seconds. Upstreams may
+# crash for the same cause until all entries know of it.
+CRASH_REPORT_INTERVAL_S: Final = 0.3
+# Time for which one lease is used for reports of crashes, in seconds.
+CRASH_LEASE_REUSE_S: Final = 60.0
 
 # Time for which the load balancer may still send to an entry that is not
 # ready, in seconds: it checks every second and needs two failed checks.
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/relay_store.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/relay_store.py
@@ -1,6 +1,6 @@
 """The relay's data in a key-value store."""
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 from cardamomnotch_core.relay.changes import Change, EntryRecord, RolloutReported
 from cardamomnotch_core.relay.crash_detection import Crash
@@ -10,6 +10,7 @@
 from cardamomnotch_platform.store.interface import KeyValueStore
 from cardamomnotch_platform.store.models import StoreEntry
 
+from .const import CRASH_LEASE_REUSE_S
 from .interfaces import StoreCodec
 
 
@@ -20,10 +21,18 @@
     have taken effect nevertheless.
     """
 
-    def __init__(self, store: KeyValueStore, store_codec: StoreCodec) -> None:
+    def __init__(
+        self,
+        store: KeyValueStore,
+        store_codec: StoreCodec,
+        clock: Callable[[], float],
+    ) -> None:
         self._store = store
         self._store_codec = store_codec
+        self._clock = clock
         self._lease_id = 0
+        self._crash_lease_id = 0
+        self._crash_lease_until_s = 0.0
 
     async def async_read_all(self) -> tuple[list[Change], int]:
         """Return all items as changes, and the cursor for the next wait."""
@@ -77,14 +86,24 @@
     ) -> None:
         """Write a report of crashes, which is deleted after ``ttl_s`` seconds.
 
-        The report has a lease of its own, so it outlives this entry.
+        Reports have leases of their own, so they outlive this entry. One that
+        shares the lease of an earlier report is deleted with it, up to
+        ``CRASH_LEASE_REUSE_S`` sooner.
         """
-        lease = await self._store.async_grant_lease(ttl_s)
-        await self._store.async_put(
-            self._store_codec.crashes_key(name),
-            self._store_codec.encode_crashes(crashes, refutations),
-            lease_id=lease.lease_id,
-        )
+        now_s = self._clock()
+        if not self._crash_lease_id or now_s >= self._crash_lease_until_s:
+            lease = await self._store.async_grant_lease(ttl_s)
+            self._crash_lease_id = lease.lease_id
+            self._crash_lease_until_s = now_s + CRASH_LEASE_REUSE_S
+        try:
+            await self._store.async_put(
+                self._store_codec.crashes_key(name),
+                self._store_codec.encode_crashes(crashes, refutations),
+                lease_id=self._crash_lease_id,
+            )
+        except LeaseExpiredError:
+            self._crash_lease_id = 0
+            raise
 
     async def async_report_rollout(self, rollout: Rollout, state: RolloutState) -> None:
         """Write the state of a rollout unless it is already stored.
--- a/tests/core/relay/test_crash_detection.py
+++ b/tests/core/relay/test_crash_detection.py
@@ -116,15 +116,13 @@
 
 
 @pytest.mark.parametrize("end", AttemptEnd)
-def test_onset_ends_once(detector, end):
-    """A suspect's onset ends with a lasting answer or with its last attempt."""
+def test_suspected_onset_ends_once(detector, end):
+    """A process is avoided until its last suspected attempt is answered or ends."""
     for key in ("first", "second"):
         detector.record_sent(key, "up@1", SUSPECTS, is_suspected=True)
-    assert detector.is_in_onset("part:a")
+    detector.record_sent("third", "up@2", SUSPECTS)
     assert detector.record_outlasted_onset("first") == SUSPECTS
     detector.record_ended("first", end, 2.0)
-    assert detector.is_in_onset("part:a")
     assert detector.suspected_processes == {"up@1"}
     detector.record_ended("second", end, 2.0)
-    assert not detector.is_in_onset("part:a")
     assert not detector.suspected_processes
--- a/tests/entry/relay/test_relay_store.py
+++ b/tests/entry/relay/test_relay_store.py
@@ -9,6 +9,7 @@
 from cardamomnotch_core.relay.crash_detection import Crash
 from cardamomnotch_core.relay.models import RolloutOrder
 from cardamomnotch_core.relay.rollout import Rollout, RolloutState
+from cardamomnotch_entry.relay.const import CRASH_LEASE_REUSE_S
 from cardamomnotch_entry.relay.relay_store import RelayStore
 from cardamomnotch_platform.exceptions import (
     CompactedError,
@@ -21,10 +22,19 @@
 STATUS = "status/rollout/drafts"
 
 
+CRASHES = (Crash(suspect="print", process="up@1"),)
+
+
+@pytest.fixture
+def now_s():
+    """Return the time of the tested RelayStore, the only item of a list."""
+    return [0.0]
+
+
 @pytest.fixture
-def relay_store(store_harness):
+def relay_store(store_harness, now_s):
     """Return a RelayStore over the tested key-value store."""
-    return RelayStore(store_harness.store, PlatformStoreCodec())
+    return RelayStore(store_harness.store, PlatformStoreCodec(), lambda: now_s[0])
 
 
 async def _async_write_order(store_harness):
@@ -84,12 +94,35 @@
 
 async def test_crash_report_outlives_the_entry_record(relay_store, store_harness):
     """A report of crashes has a lease of its own."""
-    crashes = (Crash(suspect="print", process="up@1"),)
     await relay_store.async_write_record(RECORD, 6.0)
-    await relay_store.async_write_crashes("entry-a-1-0", crashes, (), 60.0)
+    await relay_store.async_write_crashes("entry-a-1-0", CRASHES, (), 60.0)
     await relay_store.async_delete_record()
     found, _ = await relay_store.async_read_all()
-    assert found == [changes.CrashesReported(crashes=crashes)]
+    assert found == [changes.CrashesReported(crashes=CRASHES)]
+
+
+async def test_crash_reports_share_a_lease_for_a_while(
+    relay_store, store_harness, now_s
+):
+    """Reports in quick succession need one lease, later ones another."""
+    leases = []
+    for now_s[0] in (0.0, CRASH_LEASE_REUSE_S - 1, CRASH_LEASE_REUSE_S + 1):
+        name = f"entry-a-1-{len(leases)}"
+        await relay_store.async_write_crashes(name, CRASHES, (), 600.0)
+        key = PlatformStoreCodec().crashes_key(name)
+        leases.append((await store_harness.store.async_get(key)).lease_id)
+    assert leases[0] == leases[1] != leases[2]
+
+
+async def test_expired_lease_of_crash_reports_is_replaced(relay_store, store_harness):
+    """A report whose lease has expired fails, and the next one is stored."""
+    await relay_store.async_write_crashes("entry-a-1-0", CRASHES, (), 60.0)
+    store_harness.expire_leases()
+    with pytest.raises(StoreError):
+        await relay_store.async_write_crashes("entry-a-1-1", CRASHES, (), 60.0)
+    await relay_store.async_write_crashes("entry-a-1-2", CRASHES, (), 60.0)
+    found, _ = await relay_store.async_read_all()
+    assert found == [changes.CrashesReported(crashes=CRASHES)]
 
 
 async def test_report_is_written_once(relay_store, store_harness):
