Crash the upstream of sound streams when the next one is listed

test_sound_streams_survive_the_crashes_of_a_part failed once of some twenty runs: the upstream crashed 50 ms after the crashing request had begun, at times before the entry had read of the next one; a request then gives up after four refused connections. The test crashes the first upstream itself now, once the next is listed, and checks the same; it fails on the code before the fix. Not reproduced in 220 runs, 10 and 24 at once; traced by reading.

--- a/tests/entry/relay/test_crashing_parts.py
+++ b/tests/entry/relay/test_crashing_parts.py
@@ -37,6 +37,12 @@
     return [Send(head(request, Transfer_Encoding="chunked")), PAUSE, Crash()]
 
 
+def begin_and_hold(request):
+    """Send the first event, and stay silent until the upstream crashes."""
+    response_head = head(request, Transfer_Encoding="chunked")
+    return [Send(response_head + chunk(event(1))), HoldOpen()]
+
+
 def crash_without_a_byte(request):
     """Crash before the response's head is sent."""
     return [PAUSE, Crash()]
@@ -74,11 +80,12 @@
 
 
 class PartCrashingUpstreams:
-    """Upstreams that ``crash`` as soon as they answer a request with BAD_PART."""
+    """Upstreams that crash as soon as they answer a request with BAD_PART."""
 
     def __init__(self, system, crash=begin_and_crash):
         self._system = system
-        self._crash = crash
+        # How requests with the part are answered.
+        self.crash = crash
         # How requests without the part are answered.
         self.answer = stream_slowly
         self._names = itertools.count()
@@ -106,7 +113,7 @@
 
     def _respond(self, request):
         if BAD_PART in request.headers.get("x-prefix-hash", ""):
-            return self._crash(request)
+            return self.crash(request)
         return self.answer(request)
 
 
@@ -197,16 +204,21 @@
 
 async def test_sound_streams_survive_the_crashes_of_a_part(relay):
     """Streams at a crashed upstream are resumed, and their parts are not refused."""
-    upstreams = PartCrashingUpstreams(relay)
+    upstreams = PartCrashingUpstreams(relay, begin_and_hold)
+    upstreams.answer = stream_one_event
     await upstreams.async_start(1)
     sound = [
         asyncio.create_task(call(relay, "subject", f"style-{number}", number=number))
         for number in range(4)
     ]
-    await asyncio.sleep(0.1)
     crashing = asyncio.create_task(call(relay, "subject", BAD_PART, number=10))
-    await asyncio.sleep(0.02)
-    await upstreams.async_start(MAX_CRASHES + 2)
+    (first,) = upstreams.alive
+    await relay.async_wait_for(lambda: len(first.seen) == 5)
+    upstreams.crash, upstreams.answer = begin_and_crash, stream_slowly
+    await upstreams.async_start(1)
+    first.crash()
+    await relay.async_wait_for(lambda: not upstreams.alive)
+    await upstreams.async_start(MAX_CRASHES)
     answers = await asyncio.gather(*sound)
     await crashing
     assert [answer.body for answer in answers] == [WHOLE_STREAM] * 4
