Keep the answer of a request that may crash its upstream

More upstreams crashed than requests with the part were sent: an answer of low confidence is dropped and the request sent to a larger model at once; the upstream that crashed with the dropped answer was noticed only when another request or the store showed it, and the second one crashed as well.

The answer of a request with a suspect of two crashes is kept, so that its upstream's crash is seen.

Evidence: test_answer_of_a_suspected_request_is_not_dropped failed before.

--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/attempt_tracker.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/attempt_tracker.py
@@ -84,7 +84,7 @@
             key,
             state.upstream.process,
             facts.suspects,
-            is_suspected=bool(self._quarantine.open_suspects(facts.suspects)),
+            is_suspected=self._quarantine.is_open_suspect(facts.suspects),
         )
         session = facts.session if self._versions.is_in_first_stage(facts) else ""
         self._versions.sessions.record_started(state.upstream, session, now_s)
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/node.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/node.py
@@ -354,7 +354,7 @@
             for state in available
             if state.upstream.process not in suspected and not state.is_penalized(now_s)
         ]
-        if self.quarantine.open_suspects(facts.suspects):
+        if self.quarantine.is_open_suspect(facts.suspects):
             return others or available
         return others if 2 * len(others) >= len(available) else available
 
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/quarantine.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/quarantine.py
@@ -151,19 +151,22 @@
             ):
                 return Decision(is_blocked=True)
             if times_s[-1] > settled_s and (
-                self.open_suspects({suspect})
+                self._open_crashes(suspect)
                 or self._evidence.explanations(suspect, now_s) <= suspects
             ):
                 wait_s = max(wait_s, times_s[-1] - settled_s)
         return Decision(wait_s=wait_s)
 
-    def open_suspects(self, suspects: Set[str]) -> list[str]:
-        """Return those that may be the cause of a crash, and were not answered."""
-        return [
-            suspect
-            for suspect in suspects
-            if self._evidence.processes(suspect, _OPEN_SUSPICIONS)
-        ]
+    def is_open_suspect(self, suspects: Set[str]) -> bool:
+        """Return whether one may have caused a crash, and was not answered."""
+        return any(self._open_crashes(suspect) for suspect in suspects)
+
+    def is_repeat_suspect(self, suspects: Set[str]) -> bool:
+        """Return whether this holds for ``MAX_CRASHES`` crashes of one suspect."""
+        return any(self._open_crashes(suspect) >= MAX_CRASHES for suspect in suspects)
+
+    def _open_crashes(self, suspect: str) -> int:
+        return len(self._evidence.processes(suspect, _OPEN_SUSPICIONS))
 
     def _add(self, crash: Crash, now_s: float) -> bool:
         if not self._evidence.add(crash, now_s):
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/forwarder.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/forwarder.py
@@ -318,6 +318,9 @@
         """
         if not self._model or not self._route.repeat.is_repeatable:
             return False
+        if self._node.quarantine.is_repeat_suspect(self._request.facts.suspects):
+            # Whether an upstream crashes with a dropped answer is known late.
+            return False
         # After a failed attempt the last one is reserved for another failure.
         if self._runs_left() < (2 if self._has_failed_attempt else 1):
             return False
--- a/tests/entry/relay/test_crashing_parts.py
+++ b/tests/entry/relay/test_crashing_parts.py
@@ -163,6 +163,16 @@
     assert {answer.status for answer in answers} == {200}
 
 
+async def test_answer_of_a_suspected_request_is_not_dropped(relay):
+    """A request that may crash its upstream is not sent again at once."""
+    upstreams = PartCrashingUpstreams(relay, crash_after_a_dropped_answer)
+    await upstreams.async_start(MAX_CRASHES + 1)
+    await call(relay, "subject", BAD_PART, model="*")
+    sent = sum(len(upstream.seen) for upstream in relay.upstreams.values())
+    await call(relay, "subject", BAD_PART, number=1, model="*")
+    assert sum(len(upstream.seen) for upstream in relay.upstreams.values()) == sent + 1
+
+
 async def test_part_is_refused_by_an_entry_that_has_not_seen_it(relay, other):
     """Entries learn of a crashing part through the store."""
     upstreams = PartCrashingUpstreams(relay)
