Quarantine a message that crashes engines in different requests

In the product's own installations requests with one message that crashes engines, no two alike, crashed two engines each: 16 for eight requests.

Here a rerun alone on its engine proves the cause, so what two quarantined requests have in common is enough. Their messages but the last are quarantined with them, unless they were answered in other requests at that entry lately; a request is refused if it contains all messages that two of them share. They are kept in the configuration under a key like a fingerprint's, so that processes of an earlier build still read it.

Evidence: test_different_requests_with_one_message_crash_few_engines failed before (16 crashes for at most 4).

--- a/packages/cardamomnotch-core/src/cardamomnotch_core/attempts/entry_table.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/attempts/entry_table.py
@@ -36,6 +36,8 @@
     stream: bool = False
     expected_tokens: int = 0
     fingerprint: str = ""
+    # Digests of the prompt's parts but the last, which is the request's own.
+    parts: frozenset[str] = frozenset()
     # Timeout set by the caller; 0 if the service or request class sets it.
     timeout_s: float = 0.0
 
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/request_handler.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/nodes/request_handler.py
@@ -130,7 +130,8 @@
         workspace = configuration.workspaces_by_digest.get(request.key_digest)
         if workspace is None:
             raise CardamomnotchError(code=ResultCode.UNKNOWN_KEY)
-        self.suspects.check(fingerprint_of_request(workspace.name, request), now_s)
+        fingerprint = fingerprint_of_request(workspace.name, request)
+        self.suspects.check(fingerprint, now_s, request.parts)
         return create_request_record(configuration, workspace.name, request, now_s)
 
     def _next_attempt(self, record: RequestRecord, now_s: float) -> list[Action]:
@@ -221,6 +222,7 @@
         self._upstreams.record_load(record.route.upstream.vm_id, event.load, now_s)
         if event.code is ResultCode.OK:
             self.suspects.clear(fingerprint_of_record(record))
+            self.suspects.record_answered(record.request.parts, now_s)
             self._requests.end(event.request_id)
             return [
                 outcome_action(record, event.code, event.usage),
@@ -245,6 +247,7 @@
             vm_id,
             event.co_suspects,
             now_s,
+            record.request.parts,
         )
         change_actions = []
         if change is not None:
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/quarantine/changes.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/quarantine/changes.py
@@ -4,6 +4,7 @@
 
 from ..configuration.changes import IncrementalChange, apply_change
 from ..configuration.models import Configuration, QuarantinedRequest, UpstreamCrash
+from .models import parts_key
 
 
 @attrs.frozen(kw_only=True)
@@ -15,6 +16,8 @@
     """
 
     fingerprint: str
+    # Parts of the request that were not answered lately in others.
+    parts: tuple[str, ...] = ()
     made_at_s: float
     until_s: float
 
@@ -26,14 +29,19 @@
         for item in configuration.quarantined
         if item.until_s > change.made_at_s and item.fingerprint != change.fingerprint
     )
-    added = QuarantinedRequest(fingerprint=change.fingerprint, until_s=change.until_s)
+    keys = [change.fingerprint]
+    if change.parts:
+        keys.append(parts_key(change.fingerprint, change.parts))
+    added = (
+        QuarantinedRequest(fingerprint=key, until_s=change.until_s) for key in keys
+    )
     unexplained_crashes = tuple(
         crash
         for crash in _unexpired_crashes(configuration, change.made_at_s)
         if change.fingerprint not in crash.fingerprints
     )
     return attrs.evolve(
-        configuration, quarantined=(*kept, added), crashes=unexplained_crashes
+        configuration, quarantined=(*kept, *added), crashes=unexplained_crashes
     )
 
 
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/quarantine/const.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/quarantine/const.py
@@ -4,6 +4,10 @@
 
 # How long a request that has crashed upstreams is refused.
 QUARANTINE_S: Final = 600.0
+# How long a prompt part that was answered is not suspected.
+ANSWER_RETENTION_S: Final = 60.0
+# Number of answered prompt parts that an entry keeps.
+MAX_ANSWERED_PARTS: Final = 10_000
 # How long a request that was in flight at a crash stays a suspect.
 SUSPECT_RETENTION_S: Final = 30.0
 # How long other entries wait for the entry whose request was in flight at a
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/quarantine/models.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/quarantine/models.py
@@ -1,9 +1,13 @@
 """Data classes of crash attribution."""
 
+from collections.abc import Iterable
+
 import attrs
 
 from .const import FINGERPRINT_DIGITS
 
+_PARTS_PREFIX = "parts:"
+
 
 def fingerprint_key(workspace: str, fingerprint: str) -> str:
     """Return the key that identifies a request body within its workspace.
@@ -15,6 +19,22 @@
     return f"{workspace}:{fingerprint[:FINGERPRINT_DIGITS]}"
 
 
+def parts_key(fingerprint: str, parts: Iterable[str]) -> str:
+    """Return the key that lists a quarantined request's suspected parts.
+
+    It is stored like a fingerprint, so that processes of an earlier build can
+    read the configuration.
+    """
+    return f"{_PARTS_PREFIX}{fingerprint}:{','.join(sorted(parts))}"
+
+
+def parts_of_key(key: str) -> frozenset[str]:
+    """Return the parts that ``key`` lists; none if it is a fingerprint."""
+    if not key.startswith(_PARTS_PREFIX):
+        return frozenset()
+    return frozenset(key.rpartition(":")[2].split(","))
+
+
 @attrs.frozen(kw_only=True)
 class CrashHistory:
     """Crash history of a request, sent to the sidecar with its attempt.
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/quarantine/registry.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/quarantine/registry.py
@@ -1,11 +1,13 @@
 """Registry of the requests that are in quarantine."""
 
-from collections.abc import Mapping
+from collections.abc import Mapping, Set
+from itertools import combinations
 
 from cardamomnotch_protocol.exceptions import CardamomnotchError
 from cardamomnotch_protocol.result_codes import ResultCode
 
 from ..configuration.holder import ConfigurationHolder
+from .models import parts_of_key
 
 
 class QuarantineRegistry:
@@ -55,6 +57,34 @@
             )
         self._local_until_s.pop(fingerprint, None)
 
+    def check_parts(self, parts: Set[str], now_s: float) -> None:
+        """Raise CardamomnotchError if ``parts`` crash upstreams in any request.
+
+        They do if two requests in quarantine have parts in common that were
+        not answered in others, and all of these are among ``parts``.
+        """
+        wall_s = self.wall_time_s(now_s)
+        self._local_until_s = {
+            key: until_s
+            for key, until_s in self._local_until_s.items()
+            if until_s > wall_s
+        }
+        until_s_by_key = {**self._configured_until_s(), **self._local_until_s}
+        suspected = [
+            (parts_of_key(key), until_s)
+            for key, until_s in until_s_by_key.items()
+            if until_s > wall_s and parts_of_key(key)
+        ]
+        for (first, first_until_s), (second, second_until_s) in combinations(
+            suspected, 2
+        ):
+            common = first & second
+            if common and common <= parts:
+                raise CardamomnotchError(
+                    code=ResultCode.REQUEST_QUARANTINED,
+                    retry_after_s=min(first_until_s, second_until_s) - wall_s,
+                )
+
     def _until_s(self, fingerprint: str) -> float:
         configured_s = self._configured_until_s().get(fingerprint, 0.0)
         return max(self._local_until_s.get(fingerprint, 0.0), configured_s)
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/quarantine/suspect_tracker.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/quarantine/suspect_tracker.py
@@ -1,6 +1,6 @@
 """Crash attribution at an entry."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Set
 
 import attrs
 
@@ -10,12 +10,14 @@
 from ..configuration.models import Configuration, UpstreamCrash
 from .changes import CrashChange, QuarantineChange
 from .const import (
+    ANSWER_RETENTION_S,
     ATTRIBUTION_WAIT_S,
+    MAX_ANSWERED_PARTS,
     QUARANTINE_S,
     SUSPECT_RETENTION_S,
     SUSPECT_RETRY_AFTER_S,
 )
-from .models import CrashHistory, SuspectRecord
+from .models import CrashHistory, SuspectRecord, parts_key
 from .registry import QuarantineRegistry
 
 _NO_VM_IDS: frozenset[str] = frozenset()
@@ -36,19 +38,24 @@
         self._is_served = is_served
         self._suspects: dict[str, SuspectRecord] = {}
         self._known_configured_crashes: tuple[UpstreamCrash, ...] = ()
+        # When each prompt part was last answered, in the order of these times.
+        self._answered_at_s: dict[str, float] = {}
 
     @property
     def fingerprints(self) -> tuple[str, ...]:
         """Return the fingerprints of the suspects."""
         return tuple(sorted(self._suspects))
 
-    def check(self, fingerprint: str, now_s: float) -> None:
+    def check(
+        self, fingerprint: str, now_s: float, parts: Set[str] = frozenset()
+    ) -> None:
         """Raise CardamomnotchError if the request may not run now.
 
-        It may not while it is in quarantine, while another request reruns it,
-        or while another entry may still attribute its crash.
+        It may not while it or one of its parts is in quarantine, while another
+        request reruns it, or while another entry may still attribute its crash.
         """
         self._registry.check(fingerprint, now_s)
+        self._registry.check_parts(parts, now_s)
         suspect = self._get(fingerprint, now_s)
         if suspect is None:
             return
@@ -94,6 +101,14 @@
         """Remove the suspect, because its request completed."""
         self._suspects.pop(fingerprint, None)
 
+    def record_answered(self, parts: Iterable[str], now_s: float) -> None:
+        """Record that a request with these parts completed."""
+        for part in parts:
+            self._answered_at_s.pop(part, None)
+            self._answered_at_s[part] = now_s
+        while len(self._answered_at_s) > MAX_ANSWERED_PARTS:
+            del self._answered_at_s[next(iter(self._answered_at_s))]
+
     def attribute_crash(
         self,
         fingerprint: str,
@@ -101,6 +116,7 @@
         vm_id: str,
         co_suspects: tuple[str, ...],
         now_s: float,
+        parts: Set[str] = frozenset(),
     ) -> QuarantineChange | CrashChange | None:
         """Record a crash, and return the configuration change that reports it.
 
@@ -113,7 +129,7 @@
         was_rerun = suspect is not None and suspect.rerun_id == request_id
         # ``crashed_vms`` may have this VM already, from a co-suspect's report.
         if was_rerun and vm_id not in suspect.crashed_vms_at_rerun:
-            return self._quarantine(fingerprint, now_s)
+            return self._quarantine(fingerprint, parts, now_s)
         for suspected in {fingerprint, *co_suspects}:
             self._add_suspect(suspected, vm_id, co_suspects, now_s)
         self._mark_crashed_here(fingerprint)
@@ -160,16 +176,29 @@
         for fingerprint in tuple(self._suspects):
             self._get(fingerprint, now_s)
 
-    def _quarantine(self, fingerprint: str, now_s: float) -> QuarantineChange:
+    def _quarantine(
+        self, fingerprint: str, parts: Set[str], now_s: float
+    ) -> QuarantineChange:
         self._clear_co_suspects(fingerprint)
         made_at_s = self._registry.wall_time_s(now_s)
+        suspected_parts = tuple(
+            sorted(part for part in parts if not self._was_answered(part, now_s))
+        )
         self._registry.add(fingerprint, made_at_s + QUARANTINE_S)
+        if suspected_parts:
+            key = parts_key(fingerprint, suspected_parts)
+            self._registry.add(key, made_at_s + QUARANTINE_S)
         return QuarantineChange(
             fingerprint=fingerprint,
+            parts=suspected_parts,
             made_at_s=made_at_s,
             until_s=made_at_s + QUARANTINE_S,
         )
 
+    def _was_answered(self, part: str, now_s: float) -> bool:
+        answered_at_s = self._answered_at_s.get(part)
+        return answered_at_s is not None and now_s - answered_at_s < ANSWER_RETENTION_S
+
     def _clear_co_suspects(self, crash_cause: str) -> None:
         """Remove ``crash_cause`` and the suspects that were in flight with it."""
         self._suspects = {
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/caller/requests.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/caller/requests.py
@@ -22,6 +22,8 @@
 )
 
 _BEARER_PREFIX = "Bearer "
+# Size of the digest that identifies a message of a prompt, in bytes.
+_PART_DIGEST_BYTES = 12
 # Headers of a service call that are forwarded to the service.
 _FORWARDED_HEADERS = ("Accept", "Accept-Language", "Content-Type")
 
@@ -69,6 +71,7 @@
         stream=stream,
         expected_tokens=max_tokens or DEFAULT_EXPECTED_TOKENS,
         fingerprint=hashlib.sha256(body).hexdigest(),
+        parts=frozenset(_message_digest(message) for message in messages[:-1]),
         timeout_s=_timeout_s(request),
     )
 
@@ -96,6 +99,11 @@
     )
 
 
+def _message_digest(message: dict[str, Any]) -> str:
+    canonical = orjson.dumps(message, option=orjson.OPT_SORT_KEYS)
+    return hashlib.blake2b(canonical, digest_size=_PART_DIGEST_BYTES).hexdigest()
+
+
 def _create_request_id() -> str:
     return uuid.uuid4().hex
 
--- a/tests/core/quarantine/test_suspect_tracker.py
+++ b/tests/core/quarantine/test_suspect_tracker.py
@@ -176,3 +176,51 @@
     refusal = _refusal(tracker, "crates:other", 1.0 + ATTRIBUTION_WAIT_S + 0.1)
     assert refusal.code is ResultCode.SUSPECT_BUSY
     assert tracker.crashed_vms("crates:other", "x", 1.6) == {"engine-1", "engine-2"}
+
+
+@pytest.fixture
+def quarantine(tracker):
+    """Return a function that lets a rerun with these parts crash an upstream."""
+
+    def crash(fingerprint, *parts):
+        for vm_id in ("engine-0", "engine-1"):
+            tracker.start_rerun(fingerprint, "first", 1.0)
+            change = tracker.attribute_crash(
+                fingerprint, "first", vm_id, (fingerprint,), 1.0, frozenset(parts)
+            )
+        return change
+
+    return crash
+
+
+def test_part_of_two_quarantined_requests_is_refused(tracker, quarantine):
+    """A part that two requests crashed with is refused in any other request."""
+    quarantine("crates:one", "system", "bad", "a")
+    tracker.check("crates:three", 1.0, frozenset({"system", "bad", "c"}))
+    quarantine("books:two", "other", "bad", "b")
+    with pytest.raises(CardamomnotchError) as caught:
+        tracker.check("crates:three", 1.0, frozenset({"system", "bad", "c"}))
+    assert caught.value.code is ResultCode.REQUEST_QUARANTINED
+    assert caught.value.retry_after_s == pytest.approx(QUARANTINE_S)
+    tracker.check("crates:four", 1.0, frozenset({"system", "a"}))
+    tracker.check("crates:three", 2.0 + QUARANTINE_S, frozenset({"bad"}))
+
+
+def test_answered_part_is_not_refused(tracker, quarantine):
+    """A part that is answered in other requests is no cause of crashes."""
+    tracker.record_answered({"system"}, 0.0)
+    first = quarantine("crates:one", "system", "bad")
+    assert first.parts == ("bad",)
+    quarantine("crates:two", "system", "bad")
+    tracker.check("crates:three", 1.0, frozenset({"system"}))
+    assert quarantine("crates:four", "system").parts == ()
+
+
+def test_parts_that_always_come_together_are_refused_together(tracker, quarantine):
+    """Which of two parts is the cause is not known, so each alone may run."""
+    for fingerprint in ("crates:one", "crates:two"):
+        quarantine(fingerprint, "subject", "bad")
+    tracker.check("crates:three", 1.0, frozenset({"subject"}))
+    tracker.check("crates:three", 1.0, frozenset({"bad"}))
+    with pytest.raises(CardamomnotchError):
+        tracker.check("crates:three", 1.0, frozenset({"subject", "bad"}))
--- a/tests/entry/test_quarantine.py
+++ b/tests/entry/test_quarantine.py
@@ -125,3 +125,46 @@
     _, data = await _async_send(http_session, system, "entry-2", "poison")
     assert data["error"]["code"] == int(ResultCode.REQUEST_QUARANTINED)
     assert _crash_count(system) == 2
+
+
+async def _async_send_prompt(http_session, system, entry, *texts):
+    roles = ("system", *["user"] * (len(texts) - 1))
+    body = {
+        "model": "auto",
+        "max_tokens": 4,
+        "messages": [
+            {"role": role, "content": text}
+            for role, text in zip(roles, texts, strict=True)
+        ],
+    }
+    url = f"{system.entries[entry].url}/v1/chat/completions"
+    async with http_session.post(url, json=body, headers=_HEADERS) as response:
+        data = await response.json()
+        return response.status, data
+
+
+async def test_different_requests_with_one_message_crash_few_engines(
+    system, http_session
+):
+    """A message that crashes engines is refused, whatever else a request has."""
+    await _async_send_prompt(http_session, system, "entry-0", "You help.", "hello")
+    await _async_send_prompt(http_session, system, "entry-1", "You help.", "hello")
+    codes = []
+    for number in range(8):
+        _, data = await _async_send_prompt(
+            http_session,
+            system,
+            _ENTRIES[number // 2 % 2],
+            "You help.",
+            "poison",
+            f"question {number}",
+        )
+        codes.append(data["error"]["code"])
+        await asyncio.sleep(_RESEND_INTERVAL_S)
+    assert codes == [int(ResultCode.REQUEST_QUARANTINED)] * 8
+    assert _crash_count(system) <= 4
+    for entry in _ENTRIES:
+        status, _ = await _async_send_prompt(
+            http_session, system, entry, "You help.", "another message", "question"
+        )
+        assert status == 200
