--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/quarantine.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/quarantine.py
@@ -22,6 +22,9 @@
 # Suspicions of suspects that were not answered lately.
 _OPEN_SUSPICIONS = frozenset({Suspicion.WAITING, Suspicion.BEGINNING})
 
+# Shortest wait of a request, in seconds: shorter ones may not advance a clock.
+_MIN_WAIT_S = 0.01
+
 # Called with each crash that this entry has seen, and the number of crashes
 # counted for its suspect.
 CrashListener = Callable[[Crash, int], None]
@@ -154,7 +157,7 @@
                 self._open_crashes(suspect)
                 or self._evidence.explanations(suspect, now_s) <= suspects
             ):
-                wait_s = max(wait_s, times_s[-1] - settled_s)
+                wait_s = max(wait_s, times_s[-1] - settled_s, _MIN_WAIT_S)
         return Decision(wait_s=wait_s)
 
     def is_open_suspect(self, suspects: Set[str]) -> bool:
