--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/fleet.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/fleet.py
@@ -134,6 +134,11 @@
         """Return the ids of all upstreams."""
         return frozenset(self._states)
 
+    @property
+    def kept_count(self) -> int:
+        """Return how many upstreams are kept that the store has lost."""
+        return sum(state.remove_at_s is not None for state in self)
+
     @property
     def cold_changes(self) -> int:
         """Return how often an upstream's cold phase began or ended anew."""
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/coordinator.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/coordinator.py
@@ -13,6 +13,7 @@
     DocumentWritten,
     EntryRecord,
     EntryReported,
+    UpstreamUnlisted,
 )
 from cardamomnotch_core.relay.const import CRASH_RETENTION_S
 from cardamomnotch_core.relay.models import RouteDocument
@@ -275,9 +276,15 @@
             match change:
                 case EntryReported() | DocumentWritten():
                     continue
+                case UpstreamUnlisted():
+                    is_kept = self._node.fleet.get(change.upstream_id) is not None
+                    self._log_change(change, is_kept=is_kept)
                 case _:
-                    kind = type(change).__name__
-                    log_event(_LOGGER, "store change", kind=kind, change=str(change))
+                    self._log_change(change)
+
+    def _log_change(self, change: Change, **fields: object) -> None:
+        kind = type(change).__name__
+        log_event(_LOGGER, "store change", kind=kind, change=str(change), **fields)
 
     def _log_routes(self, previous: RouteDocument | None) -> None:
         """Log how a newly applied route document differs from ``previous``."""
@@ -301,6 +308,11 @@
             and now_s - confirmed_at_s > MIN_STORE_OUTAGE_S
         ):
             self._node.fleet.record_store_returned(now_s)
+            log_event(
+                _LOGGER,
+                "store has returned after an outage",
+                seconds=round(now_s - confirmed_at_s, 2),
+            )
 
     def _mark_store_available(self) -> None:
         if not self._is_store_available:
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/metrics.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/metrics.py
@@ -93,6 +93,12 @@
             registry=self.registry,
         )
         upstreams.set_function(lambda: len(node.fleet))
+        kept = Gauge(
+            "cardamomnotch_relay_kept_upstreams",
+            "Upstreams that are used although the store has lost them in an outage.",
+            registry=self.registry,
+        )
+        kept.set_function(lambda: node.fleet.kept_count)
         limited = Gauge(
             "cardamomnotch_relay_rate_limited_upstreams",
             "Upstreams that name a limit on the rate of requests.",
