--- a/tests/entry/relay/test_coordinator.py
+++ b/tests/entry/relay/test_coordinator.py
@@ -1,5 +1,7 @@
 """StoreCoordinator with a stand-in store and a manual clock."""
 
+from collections.abc import Callable
+
 import pytest
 
 from cardamomnotch_core.change_feed.models import FeedPart, StoreChange
@@ -7,7 +9,7 @@
 from cardamomnotch_core.relay.crash_detection import Crash
 from cardamomnotch_core.relay.crash_evidence import Refutation
 from cardamomnotch_core.relay.limits import RelayLimits
-from cardamomnotch_core.relay.models import RolloutOrder
+from cardamomnotch_core.relay.models import RolloutOrder, Upstream
 from cardamomnotch_core.relay.node import RelayIdentity, RelayNode
 from cardamomnotch_core.relay.rollout import RolloutState
 from cardamomnotch_entry.relay import coordinator as module
@@ -30,6 +32,8 @@
         ] = []
         self.waits_s: list[float] = []
         self.found: list[changes.Change] = []
+        # Called while a watch waits for its reply.
+        self.during_watch: Callable[[], None] = lambda: None
 
     def _record_call(self, call: str) -> None:
         self.calls.append(call)
@@ -44,6 +48,7 @@
         """Record the watch's wait time and return the prepared changes."""
         self.waits_s.append(wait_s)
         self._record_call("watch")
+        self.during_watch()
         count = len(self.found)
         return [StoreChange(key="key", revision=cursor + 1)] * count, cursor + count
 
@@ -404,3 +409,40 @@
         module.READER_RETRY_DELAY_S,
         module.STORE_RETRY_DELAY_S,
     ]
+
+
+OUTAGE_S = 4.0
+
+
+@pytest.mark.parametrize(
+    "is_outage", [False, True], ids=["slow replies", "failed calls"]
+)
+async def test_deleted_upstream_is_kept_after_a_slow_reply(
+    coordinator, clock, node, relay_store, monkeypatch, is_outage
+):
+    """Only upstreams that were lost in an outage of the store are kept."""
+    monkeypatch.setattr(module.asyncio, "sleep", recording_sleep([]))
+    upstream = Upstream(
+        upstream_id="up",
+        service="drafts",
+        address="h:1",
+        zone="zone-b",
+        version="v1",
+        slots=1,
+    )
+    await coordinator.async_apply_changes()
+    await coordinator.async_apply_changes()
+    node.apply(changes.UpstreamListed(upstream=upstream), clock())
+    for _ in range(2):
+        if is_outage:
+            relay_store.failure = StoreError("status 503")
+            await coordinator.async_apply_changes()
+            clock.now_s += OUTAGE_S
+            relay_store.failure = None
+        else:
+            relay_store.during_watch = lambda: setattr(
+                clock, "now_s", clock.now_s + OUTAGE_S
+            )
+        relay_store.found = [changes.UpstreamUnlisted(upstream_id="up")]
+        await coordinator.async_apply_changes()
+        assert (node.fleet.get("up") is not None) == is_outage
