Keep no deleted upstream after a reply of the store that takes long

Cause: an entry keeps deleted upstreams for 2.5 s after an outage of the store. It took for an outage that its data had not been confirmed for 2.5 s, counted from the sending of the last call: a reply that arrives for longer than that, here one with a large document, ended an outage that there never was, in the moment in which the deletions after the document were applied.

Now the time counts in which no call was answered: from the arrival of one reply to the sending of the next call that succeeds. Confirmations by other entries count in the same way, once for each call that they pass on.

Changes still wait for the document; that is the other fault.

--- a/packages/cardamomnotch-core/src/cardamomnotch_core/change_feed/const.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/change_feed/const.py
@@ -15,6 +15,9 @@
 READER_EXPIRY_S: Final = 2.0
 # Time for which a request may be answered, in seconds.
 REQUEST_EXPIRY_S: Final = 5.0
+# Smallest time between the calls of two confirmations that are not the same, in
+# seconds.
+MIN_CONFIRMATION_STEP_S: Final = 0.1
 
 # Changes that are kept for other entries, and the sum of their sizes in bytes.
 MAX_LOG_CHANGES: Final = 512
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/const.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/const.py
@@ -44,8 +44,8 @@
 
 # Pause after a failed write to the store, in seconds.
 PUBLISH_RETRY_DELAY_S: Final = 0.7
-# Time without a confirmation of the entry's data that counts as an outage of the
-# store, in seconds; longer than a confirmation takes over another entry.
+# Time in which no call was answered that counts as an outage of the store, in
+# seconds; longer than a confirmation takes over another entry.
 MIN_STORE_OUTAGE_S: Final = 2.5
 # Longest time before it is checked again whether other entries confirm this one's
 # data, in seconds.
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/coordinator.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/coordinator.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable, Sequence
 
 from cardamomnotch_core.change_feed.models import FeedPart, StoreChange
+from cardamomnotch_core.change_feed.outages import OutageDetector
 from cardamomnotch_core.membership.rendezvous import rendezvous_hash
 from cardamomnotch_core.relay.changes import (
     Change,
@@ -61,6 +62,7 @@
         self._node = node
         self._relay_store = relay_store
         self._clock = clock
+        self._outages = OutageDetector()
         self._woken = asyncio.Event()
         self._is_store_available = False
         # When the last call was sent that the store has answered itself.
@@ -104,7 +106,7 @@
             return
         self._mark_store_available()
         self._own_confirmed_at_s = requested_at_s
-        self._note_confirmation(self._clock())
+        self._note_outage(self._outages.record_reply(requested_at_s, self._clock()))
         self._apply(feed.record_watched(found, revision, requested_at_s))
         self._node.routes.confirm(requested_at_s)
         if found:
@@ -119,7 +121,9 @@
                 self._woken.set()
             return
         if update.confirmed_at_s is not None:
-            self._note_confirmation(self._clock())
+            self._note_outage(
+                self._outages.record_confirmation(update.confirmed_at_s, self._clock())
+            )
         self._apply(update.changes)
         if update.confirmed_at_s is not None:
             self._node.routes.confirm(update.confirmed_at_s)
@@ -165,7 +169,7 @@
         """Apply everything that is needed at first, as of the reading's begin."""
         self._mark_store_available()
         now_s = self._clock()
-        self._note_confirmation(now_s)
+        self._note_outage(self._outages.record_reply(reading.began_at_s, now_s))
         previous = self._node.routes.document
         self._node.apply_listing(
             reading.changes, now_s, is_complete=reading.is_complete
@@ -299,20 +303,16 @@
             **(describe_difference(previous, document) if previous else {}),
         )
 
-    def _note_confirmation(self, now_s: float) -> None:
+    def _note_outage(self, unanswered_s: float) -> None:
         """Note the end of an outage, before changes are applied."""
-        confirmed_at_s = self._node.routes.confirmed_at_s
-        if (
-            confirmed_at_s > -math.inf
-            and now_s - confirmed_at_s > self._node.limits.feed_max_age_s
-            and now_s - confirmed_at_s > MIN_STORE_OUTAGE_S
-        ):
-            self._node.fleet.record_store_returned(now_s)
-            log_event(
-                _LOGGER,
-                "store has returned after an outage",
-                seconds=round(now_s - confirmed_at_s, 2),
-            )
+        if unanswered_s <= max(MIN_STORE_OUTAGE_S, self._node.limits.feed_max_age_s):
+            return
+        self._node.fleet.record_store_returned(self._clock())
+        log_event(
+            _LOGGER,
+            "store has returned after an outage",
+            seconds=round(unanswered_s, 2),
+        )
 
     def _mark_store_available(self) -> None:
         if not self._is_store_available:
