Read a large value apart from the other changes of the store

Cause: a change of the store that is too large to be passed on was left out of the messages between entries, and everything behind it was dropped until the entry had read the large value itself, with a watch that also had all other changes behind that value. A source, which watches the store for its zone, had them with the document, too.

Now a value that is left out is read on its own, and the changes behind it are applied at once. A watch whose reply has more than 64 KiB is given up: the other keys are read by their prefixes, and the document like a value that was left out.

--- a/packages/cardamomnotch-core/src/cardamomnotch_core/change_feed/feed.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/change_feed/feed.py
@@ -122,7 +122,8 @@
     ) -> tuple[StoreChange, ...]:
         """Record the reply to a watch that was sent at ``asked_at_s``.
 
-        Returns the changes that no other entry has passed on meanwhile.
+        Values that are too large to be read with it may be left out. Returns the
+        changes that no other entry has passed on meanwhile.
         """
         new = self._newer(changes)
         self._log.append(new, revision)
@@ -163,7 +164,8 @@
     def handle_part(self, name: str, part: FeedPart) -> FeedUpdate | None:
         """Return what is new in another entry's reply; None if nothing is.
 
-        A reply that lacks changes makes this entry ask the store.
+        A reply that lacks changes makes this entry ask the store; values that are
+        left out are read one by one.
         """
         self._sources.record_reply(name)
         if self.revision is None:
@@ -172,9 +174,6 @@
             self._has_gap = self._has_gap or part.revision > self.revision
             return None
         new = self._newer(part.changes)
-        if any(change.is_omitted for change in new):
-            self._has_gap = True
-            return None
         self._log.append(new, part.revision)
         confirmed_at_s = None
         requested_at_s = self._requested_at_s.get(part.token)
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/const.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/const.py
@@ -16,6 +16,9 @@
 # Time that one watch call waits for a store change, in seconds: the entry's
 # data ages by this much between two confirmations.
 WATCH_WAIT_S: Final = 0.6
+# Largest reply of a watch that is read, in bytes: with a larger one, small changes
+# would wait until it has arrived.
+MAX_WATCH_REPLY_BYTES: Final = 65_536
 # Pause after a watch call that returned changes, in seconds, so that one call
 # reads changes in quick succession. Each record write ends the watch of every
 # entry, so the pause grows with their number; its maximum leaves more than one
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/interfaces.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/interfaces.py
@@ -42,6 +42,14 @@
     def decode(self, entry: StoreEntry) -> Change | None:
         """Decode an item; return None if it does not concern the relay."""
 
+    @property
+    def document_key(self) -> str:
+        """Return the key of the route document, which may be large."""
+
+    @property
+    def small_value_prefixes(self) -> Sequence[str]:
+        """Return the prefixes of all other keys that concern the relay."""
+
     @property
     def upstreams_prefix(self) -> str:
         """Return the prefix of the keys of upstreams."""
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/relay_store.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/relay_store.py
@@ -1,5 +1,6 @@
 """The relay's data in a key-value store."""
 
+import asyncio
 import random
 from collections.abc import Callable, Iterable, Sequence
 
@@ -13,6 +14,7 @@
 from cardamomnotch_core.relay.rollout import Rollout, RolloutState
 from cardamomnotch_platform.exceptions import (
     LeaseExpiredError,
+    ReplyTooLargeError,
     StoreConflictError,
     StoreError,
 )
@@ -23,6 +25,7 @@
     CRASH_LEASE_REUSE_S,
     MAX_PAGE_WAIT_S,
     MAX_READING_AGE_S,
+    MAX_WATCH_REPLY_BYTES,
     PAGE_WAIT_STEP_S,
 )
 from .interfaces import StoreCodec
@@ -53,6 +56,14 @@
     failures: int = 0
 
 
+def _store_change(entry: StoreEntry) -> StoreChange:
+    return StoreChange(
+        key=entry.key,
+        revision=entry.mod_revision,
+        value=None if entry.is_deleted else entry.value,
+    )
+
+
 class RelayStore:
     """Reads changes, maintains this entry's record, and reports on rollouts.
 
@@ -139,19 +150,55 @@
     ) -> tuple[list[StoreChange], int]:
         """Return the changes after ``revision`` and the revision of the reply.
 
-        Waits up to ``wait_s`` seconds for a change. Raises CompactedError if
-        the store no longer has the changes after ``revision``.
+        Waits up to ``wait_s`` seconds for a change. The value of the route document
+        is omitted if the changes are too large to be read together. Raises
+        CompactedError if the store no longer has the changes after ``revision``.
         """
-        result = await self._store.async_wait_for_changes("", revision, wait_s)
-        found = [
-            StoreChange(
-                key=entry.key,
-                revision=entry.mod_revision,
-                value=None if entry.is_deleted else entry.value,
+        try:
+            result = await self._store.async_wait_for_changes(
+                "", revision, wait_s, max_bytes=MAX_WATCH_REPLY_BYTES
             )
-            for entry in result.entries
+        except ReplyTooLargeError:
+            return await self._async_read_small_changes(revision)
+        return [_store_change(entry) for entry in result.entries], result.revision
+
+    async def _async_read_small_changes(
+        self, revision: int
+    ) -> tuple[list[StoreChange], int]:
+        """Return the changes of all keys but the route document's.
+
+        That is said to have changed, with its value omitted: only a read of it would
+        tell whether it has.
+        """
+        views = await asyncio.gather(
+            *(
+                self._store.async_wait_for_changes(prefix, revision, 0.0)
+                for prefix in self._store_codec.small_value_prefixes
+            )
+        )
+        # What the store had in all of these calls; the next watch brings the rest.
+        last_revision = min(view.revision for view in views)
+        found = [
+            _store_change(entry)
+            for view in views
+            for entry in view.entries
+            if entry.mod_revision <= last_revision
         ]
-        return found, result.revision
+        found.sort(key=lambda change: change.revision)
+        document = StoreChange(
+            key=self._store_codec.document_key, revision=last_revision, is_omitted=True
+        )
+        return [*found, document], last_revision
+
+    async def async_read_value(self, key: str) -> StoreChange | None:
+        """Return the last write of ``key``; None if it has been deleted."""
+        entry = await self._store.async_get(key)
+        return _store_change(entry) if entry.mod_revision else None
+
+    @property
+    def document_key(self) -> str:
+        """Return the key of the route document."""
+        return self._store_codec.document_key
 
     def decode(self, store_changes: Iterable[StoreChange]) -> list[Change]:
         """Return the changes that concern the relay."""
--- a/packages/cardamomnotch-platform/src/cardamomnotch_platform/exceptions.py
+++ b/packages/cardamomnotch-platform/src/cardamomnotch_platform/exceptions.py
@@ -18,6 +18,10 @@
     """The store has compacted the requested changes; read everything again."""
 
 
+class ReplyTooLargeError(StoreError):
+    """A reply of the store exceeds the size that was asked for."""
+
+
 class LeaseExpiredError(StoreError):
     """The lease of a write has expired; nothing was written."""
 
--- a/packages/cardamomnotch-platform/src/cardamomnotch_platform/store/client.py
+++ b/packages/cardamomnotch-platform/src/cardamomnotch_platform/store/client.py
@@ -144,12 +144,18 @@
         return StorePage(entries=entries, revision=view.revision)
 
     async def async_wait_for_changes(
-        self, prefix: str, revision: int, wait_s: float
+        self,
+        prefix: str,
+        revision: int,
+        wait_s: float,
+        *,
+        max_bytes: float = math.inf,
     ) -> StoreView:
         """Return the changes under ``prefix`` after ``revision``.
 
         Waits up to ``wait_s`` seconds for a change; without one the entries
-        are empty. Raises CompactedError if the store has compacted them.
+        are empty. Raises CompactedError if the store has compacted them. The store
+        sends each change on its own, so ``max_bytes`` is not needed.
         """
         try:
             async with asyncio.timeout(wait_s):
--- a/packages/cardamomnotch-platform/src/cardamomnotch_platform/store/interface.py
+++ b/packages/cardamomnotch-platform/src/cardamomnotch_platform/store/interface.py
@@ -1,5 +1,6 @@
 """Interface of a key-value store client, independent of its protocol."""
 
+import math
 from typing import Protocol
 
 from .models import Lease, StoreEntry, StorePage, StoreView, WriteResult
@@ -27,12 +28,19 @@
         """
 
     async def async_wait_for_changes(
-        self, prefix: str, revision: int, wait_s: float
+        self,
+        prefix: str,
+        revision: int,
+        wait_s: float,
+        *,
+        max_bytes: float = math.inf,
     ) -> StoreView:
         """Return the changes under ``prefix`` after ``revision``.
 
         Waits up to ``wait_s`` seconds for a change; without one the entries
-        are empty. Raises CompactedError if the store has compacted them.
+        are empty. Raises CompactedError if the store has compacted them, and
+        ReplyTooLargeError if the store returns many changes in one reply that is
+        larger than ``max_bytes``.
         """
 
     async def async_put(self, key: str, value: bytes, *, lease_id: int = 0) -> None:
