Close no caller connection on which a request has arrived

Cause: an entry whose data is old closes its idle connections, and it took for idle each one whose handler had not begun. While the document is decoded, requests wait unread in the socket; the check that closes connections may run before they are read.

Now a connection is idle only if no byte of a request has arrived, read or unread. test_idle_connections.py: three of four cases failed before, and pass now.

--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/caller_connection.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/caller_connection.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import select
 import socket
 import struct
 from collections.abc import Callable
@@ -32,6 +33,13 @@
     )
 
 
+def _has_unread_data(transport: asyncio.BaseTransport) -> bool:
+    """Return whether data has arrived that the process has not read yet."""
+    poller = select.poll()
+    poller.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
+    return bool(poller.poll(0))
+
+
 class CallerConnection(web.RequestHandler):
     """HTTP connection that limits the time to the first byte and per head.
 
@@ -46,6 +54,15 @@
         self._timer: asyncio.TimerHandle | None = None
         self._is_serving = False
         self._has_received_data = False
+        # Whether a part of a request head has arrived.
+        self._is_receiving = False
+
+    @property
+    def is_idle(self) -> bool:
+        """Return whether no request has arrived, not even in part or unread."""
+        if self._is_serving or self._is_receiving or self._messages:
+            return False
+        return self.transport is None or not _has_unread_data(self.transport)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start the timeout for the first byte."""
@@ -61,6 +78,7 @@
         """Start the timeout for a request head at its first byte."""
         if not self._has_received_data:
             self._stop_timer()
+        self._is_receiving = not self._is_serving
         if not self._is_serving and self._timer is None:
             self._has_received_data = True
             self._start_timer(self._caller_limits().header_timeout_s)
@@ -69,6 +87,7 @@
     def mark_head_received(self) -> None:
         """Cancel the timeout, since a complete request head has arrived."""
         self._stop_timer()
+        self._is_receiving = False
         self._is_serving = True
 
     def mark_response_sent(self) -> None:
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/composition.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/composition.py
@@ -270,7 +270,8 @@
 
     def _close_idle_connections(self) -> None:
         for connection in self._caller_server.connections:
-            if connection not in self._server.busy_connections:
+            is_busy = connection in self._server.busy_connections
+            if not is_busy and connection.is_idle:
                 connection.force_close()
 
     def reload(self, settings: RelaySettings) -> None:
