Leave a malformed VM out of the VM list instead of refusing the list

One odd item ended the reading of the whole list: changes of all other VMs were not followed. A list of which no VM can be decoded is refused as before.

--- a/packages/cardamomnotch-platform/src/cardamomnotch_platform/vm_list/client.py
+++ b/packages/cardamomnotch-platform/src/cardamomnotch_platform/vm_list/client.py
@@ -1,5 +1,6 @@
 """Client of the platform's VM list."""
 
+import logging
 from typing import Any
 
 import aiohttp
@@ -12,6 +13,7 @@
 
 from ..exceptions import VmListError
 
+_LOGGER = logging.getLogger(__name__)
 _CONVERTER = strict_converter(forbid_extra_keys=False)
 # Time without a byte after which the list is not read, in seconds.
 _SILENCE_S = 2.0
@@ -35,11 +37,6 @@
     serves: tuple[str, ...] = ()
 
 
-@attrs.frozen
-class _VmListReply:
-    vms: tuple[ListedVm, ...]
-
-
 class VmListClient:
     """Reads the VM list; sends its ETag to skip an unchanged list."""
 
@@ -64,12 +61,12 @@
                     raise VmListError(f"VM list returned HTTP status {response.status}")
                 data = _require_vm_list(orjson.loads(await response.read()))
                 etag = response.headers.get("ETag", "")
-            vms = structure(_CONVERTER, data, _VmListReply).vms
+            vms = _decode_vms(data["vms"])
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             raise VmListError(
                 f"VM list could not be read: {type(error).__name__}"
             ) from error
-        except (orjson.JSONDecodeError, SchemaError) as error:
+        except orjson.JSONDecodeError as error:
             raise VmListError(f"VM list is malformed: {error}") from error
         self._etag = etag
         return vms
@@ -83,3 +80,19 @@
     if not isinstance(data, dict) or not isinstance(data.get("vms"), list):
         raise VmListError("VM list is malformed: vms is not a list")
     return data
+
+
+def _decode_vms(items: list[Any]) -> tuple[ListedVm, ...]:
+    """Return the VMs of a list without its malformed items.
+
+    Raises VmListError if all of them are malformed.
+    """
+    vms = []
+    for item in items:
+        try:
+            vms.append(structure(_CONVERTER, item, ListedVm))
+        except SchemaError as error:
+            _LOGGER.warning("VM in the list is malformed, not used: %s", error)
+    if items and not vms:
+        raise VmListError("VM list is malformed: none of its VMs can be decoded")
+    return tuple(vms)
--- a/tests/platform/test_vm_list_contract.py
+++ b/tests/platform/test_vm_list_contract.py
@@ -87,3 +87,10 @@
     client = VmListClient(http_session, f"{await serve_app(app)}/vms")
     with pytest.raises(VmListError):
         await client.async_read()
+
+
+@pytest.mark.parametrize("odd", [{"vm_id": "a"}, {**_VM, "zone": 7}, [], None, 2**53])
+async def test_list_is_not_followed_after_an_odd_vm(vm_list, stand_in, odd):
+    """A malformed VM is left out; the others are listed."""
+    stand_in.replace([odd, _VM])
+    assert await vm_list.async_read() == (ListedVm(**_VM),)
