Repeat a background step that has failed unexpectedly

The first unhandled exception of a repeated step ended it for good, with one log line, while the process went on: a reader of the store, of reports or of the VM list no longer followed it. The step is now logged and repeated after a second. test_repeated_step_ends_with_an_unexpected_error failed before.

--- a/packages/cardamomnotch-runtime/src/cardamomnotch_runtime/tasks.py
+++ b/packages/cardamomnotch-runtime/src/cardamomnotch_runtime/tasks.py
@@ -3,9 +3,11 @@
 import asyncio
 import logging
 from collections.abc import Awaitable, Callable, Coroutine
-from typing import Any
+from typing import Any, Final
 
 _LOGGER = logging.getLogger(__name__)
+# Pause after a background step that failed unexpectedly, in seconds.
+FAILED_STEP_PAUSE_S: Final = 1.0
 _CONDITION_POLL_INTERVAL_S = 0.05
 
 
@@ -28,7 +30,10 @@
     def repeat(
         self, interval_s: Callable[[], float], step: Callable[[], Awaitable[None]]
     ) -> asyncio.Task:
-        """Run ``step`` repeatedly, ``interval_s()`` seconds apart."""
+        """Run ``step`` repeatedly, ``interval_s()`` seconds apart.
+
+        A step that fails unexpectedly is logged and repeated after a pause.
+        """
         return self.start(_async_repeat(interval_s, step))
 
     async def async_unload(self) -> None:
@@ -51,8 +56,14 @@
     interval_s: Callable[[], float], step: Callable[[], Awaitable[None]]
 ) -> None:
     while True:
-        await step()
-        await asyncio.sleep(interval_s())
+        try:
+            await step()
+        except Exception:
+            # Ending the task would leave the process running without this work.
+            _LOGGER.exception("background step failed; it is repeated")
+            await asyncio.sleep(FAILED_STEP_PAUSE_S)
+        else:
+            await asyncio.sleep(interval_s())
 
 
 async def async_wait_until(condition: Callable[[], bool], timeout_s: float) -> bool:
