Use no upstream, record or order whose stored fields are out of range

Upstreams with a port of 99999, no port, slots of -3 or a cold phase of 5e8 years were used; a request to such a port counted as one that might have run, and the test connection after it raised OverflowError.

--- a/tests/adapter/test_store_codec.py
+++ b/tests/adapter/test_store_codec.py
@@ -1,5 +1,7 @@
 """Tests of decoding and encoding the items of the platform's store."""
 
+import json
+
 import attrs
 import orjson
 import pytest
@@ -58,6 +60,36 @@
     "slots are a boolean": {**REGISTRATION, "slots": True},
     "service is null": {**REGISTRATION, "service": None},
     "not UTF-8": b"\xff\xfe\x00",
+    "deeply nested": b"[" * 100_000 + b"]" * 100_000,
+    "deeply nested field": (
+        orjson.dumps(REGISTRATION)[:-1] + b',"more":' + b"[" * 9_999 + b"]" * 9_999
+    )
+    + b"}",
+    "number of 400 digits": orjson.dumps(REGISTRATION).replace(b"1500", b"9" * 400),
+    **{
+        f"{field} is {value!r}": {**REGISTRATION, field: value}
+        for field, values in {
+            "address": (
+                "10.128.0.9:99999",
+                "10.128.0.9:-1",
+                "10.128.0.9:0",
+                "10.128.0.9:+80",
+                "10.128.0.9:\u0668\u0660",
+                "10.128.0.9",
+                "10.128.0:80",
+                "somewhere:80",
+                ":80",
+                "",
+            ),
+            "slots": (-3, 0, 2**64 - 1, 1.5),
+            "cold_left_ms": (-1, 2**64 - 1, 1e300),
+            "born": ("1700000000000", -1, 1e300, None, 2**64 - 1),
+            "sequence": ("4", -1, [4]),
+            "zone": ("",),
+            "service": ("",),
+        }.items()
+        for value in values
+    },
 }
 
 
@@ -209,3 +241,71 @@
     """A report that another writer has spoiled reports nothing."""
     change = CODEC.decode(store_entry(CODEC.crashes_key("entry-a-1-0"), value))
     assert change is None or not change.crashes
+
+
+def nested(key, value):
+    """Return an entry's record with one field changed, also within statistics."""
+    record = {
+        "entry": "entry-a",
+        "incarnation": "1",
+        "address": "10.0.0.1:7000",
+        "zone": "zone-a",
+        "rollouts": {
+            "drafts": {
+                "order_id": 3,
+                "share": 0.5,
+                "passed_s": 1.5,
+                "entries": 2,
+                "zone": "zone-a",
+                "new": {"answers": 1, "bad": 0, "in_flight": 2},
+                "old": {"answers": 1, "bad": 0, "in_flight": 2},
+                "new_times": [1] * 12,
+                "old_times": [1] * 12,
+            }
+        },
+    }
+    target = record
+    *path, last = key.split(".")
+    for name in path:
+        target = target[name]
+    target[last] = value
+    return record
+
+
+@pytest.mark.parametrize(
+    ("key", "value"),
+    [
+        ("entry", ["entry-a"]),
+        ("incarnation", 7),
+        ("address", 7),
+        ("address", "10.0.0.1:99999"),
+        ("address", "10.0.0.1"),
+        ("zone", {}),
+        ("rollouts.drafts.order_id", "3"),
+        ("rollouts.drafts.share", "half"),
+        ("rollouts.drafts.passed_s", None),
+        ("rollouts.drafts.entries", 1e300),
+        ("rollouts.drafts.new.answers", "1"),
+        ("rollouts.drafts.old.bad", -1),
+        ("rollouts.drafts.new_times", [1] * 11 + ["2"]),
+        ("rollouts.drafts.new_times", [1] * 11),
+    ],
+)
+def test_record_with_a_malformed_field_reaches_the_node(key, value):
+    """A record of an entry is used only if each of its fields is."""
+    whole = CODEC.decode(store_entry("entries/entry-a", nested("zone", "zone-b")))
+    assert whole.record.rollouts["drafts"].entries == 2
+    assert CODEC.decode(store_entry("entries/entry-a", nested(key, value))) is None
+
+
+@pytest.mark.parametrize(
+    "changed",
+    [{"duration_s": value} for value in (-1, 0, "x", None, 10**400)]
+    + [{"target": 7}, {"service": ["drafts"]}],
+    ids=str,
+)
+def test_malformed_rollout_order_reaches_the_node(changed):
+    """An order without a usable target and duration causes no change."""
+    order = {"service": "drafts", "target": "v2", "duration_s": 20.0, **changed}
+    value = json.dumps(order).encode()
+    assert CODEC.decode(store_entry("op/rollout/drafts", value)) is None
