End a planned stop with responses, and refuse requests that come late in it

Reported by another operator: in a planned stop in calm, requests that came late in the grace time were taken and passed on, and cut at its end without an answer.

Here, too: what was in flight at the end of the grace time lost its connection, and a request on a connection that had been opened before was taken until then. Now each request that arrives once the balancer no longer sends is refused at once (109, 503: it has not run), and what is in flight at the end gets the response that it would get at its deadline: 504 if it was sent, 503 if not, a truncated stream if its response had begun.

--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/composition.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/composition.py
@@ -20,6 +20,7 @@
 from .caller_connection import CallerConnection
 from .const import (
     BALANCER_DETECTION_S,
+    LAST_RESPONSES_TIMEOUT_S,
     MAX_LINE_BYTES,
     PUBLISH_INTERVAL_S,
     READINESS_CHECK_INTERVAL_S,
@@ -197,10 +198,22 @@
             max(0.0, min(BALANCER_DETECTION_S, self._grace_s) - RESPONSE_FLUSH_S)
         )
         self._listener.close()
+        self._server.refuse_requests()
         self._close_idle_connections()
         await async_wait_until(
             lambda: not self._server.in_flight, self._grace_s - BALANCER_DETECTION_S
         )
+        if self._server.in_flight:
+            log_event(
+                _LOGGER,
+                "grace time has passed; ending the requests in flight",
+                logging.WARNING,
+                in_flight=self._server.in_flight,
+            )
+            self._server.end_requests()
+            await async_wait_until(
+                lambda: not self._server.in_flight, LAST_RESPONSES_TIMEOUT_S
+            )
         await self._tasks.async_unload()
         await self._caller_server.shutdown(_CONNECTION_CLOSE_TIMEOUT_S)
         await self._coordinator.async_unload()
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/const.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/const.py
@@ -76,6 +76,9 @@
 RESPONSE_FLUSH_S: Final = 0.05
 # Interval between two checks of this entry's own readiness, in seconds.
 READINESS_CHECK_INTERVAL_S: Final = 0.5
+# Time for the responses to requests that the end of the grace time has ended, in
+# seconds; within the part that is reserved for closing.
+LAST_RESPONSES_TIMEOUT_S: Final = 0.4
 # Part of the grace time that is reserved for closing, in seconds.
 SHUTDOWN_MARGIN_S: Final = 1.0
 
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/forwarder.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/forwarder.py
@@ -85,6 +85,7 @@
         self._response: web.StreamResponse | None = None
         self._placer: AttemptPlacer | None = None
         self._attempt: Attempt | None = None
+        self._time_limit: asyncio.Timeout | None = None
         self.attempts: list[AttemptLog] = []
 
     @property
@@ -142,8 +143,9 @@
             self._model = node.first_model(
                 route, self._service, request.facts, len(self._body), self._clock()
             )
+        self._time_limit = asyncio.timeout(max(0.0, self._deadline_s - self._clock()))
         try:
-            async with asyncio.timeout(max(0.0, self._deadline_s - self._clock())):
+            async with self._time_limit:
                 return await self._async_run()
         except TimeoutError:
             return self._end_at_deadline()
@@ -151,6 +153,12 @@
             if self._attempt is not None:
                 self._attempt.close(AttemptOutcome.CANCELLED)
 
+    def end(self) -> None:
+        """End the request now, as at its deadline, if it is still being served."""
+        limit = self._time_limit
+        if limit is not None and limit.when() is not None and not limit.expired():
+            limit.reschedule(asyncio.get_running_loop().time())
+
     async def _async_run(self) -> web.StreamResponse:
         while True:
             attempt = await self._async_open_attempt()
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/server.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/server.py
@@ -29,6 +29,9 @@
 _STATUS_OVERRIDES = {ResultCode.REQUEST_QUARANTINED: 503}
 # Retry-After of a process that has no routes yet, in seconds.
 _NOT_READY_RETRY_AFTER_S = 0.5
+# Retry-After of an entry that is stopping, in seconds: the caller's next connection
+# reaches another one.
+_DRAINING_RETRY_S = 0.05
 # Status in the log when the caller disconnected before the response.
 _STATUS_CLIENT_CLOSED_REQUEST = 499
 
@@ -52,6 +55,8 @@
         self._metrics = metrics
         self._in_flight = 0
         self._is_draining = False
+        self._is_refusing = False
+        self._forwarders: set[Forwarder] = set()
         self._busy_connections: set[CallerConnection] = set()
 
     @property
@@ -68,6 +73,15 @@
         """Close each connection after its response from now on."""
         self._is_draining = True
 
+    def refuse_requests(self) -> None:
+        """Refuse each new request from now on."""
+        self._is_refusing = True
+
+    def end_requests(self) -> None:
+        """End the requests that are being served, as at their deadlines."""
+        for forwarder in tuple(self._forwarders):
+            forwarder.end()
+
     async def async_handle(self, http_request: web.BaseRequest) -> web.StreamResponse:
         """Handle one request and log its end."""
         arrived_at_s = self._clock()
@@ -82,6 +96,10 @@
         response: web.StreamResponse | None = None
         try:
             body = await self._async_read_body(http_request)
+            if self._is_refusing:
+                raise RefusalError(
+                    ResultCode.DRAINING, "the entry is stopping", _DRAINING_RETRY_S
+                )
             request = self._codec.decode_request(
                 http_request.method, http_request.raw_path, http_request.headers, body
             )
@@ -95,6 +113,7 @@
                 body=body,
                 arrived_at_s=arrived_at_s,
             )
+            self._forwarders.add(forwarder)
             response = await forwarder.async_serve()
             code = ResultCode.OK
         except UpstreamFailureError as error:
@@ -112,6 +131,7 @@
         finally:
             self._in_flight -= 1
             self._busy_connections.discard(connection)
+            self._forwarders.discard(forwarder)
             self._record_end(forwarder, request, code, detail, response, arrived_at_s)
         if not http_request.content.at_eof():
             # The rest of the body must not be parsed as another request.
