Send nothing to an upstream that has said in a response that it leaves

One report of the incident: a request reached an upstream after a response of it had told the entry that it leaves. Nothing in the relay read such responses: the entry sent on until the registration changed.

Now the entry that gets the response, whatever its status, uses the upstream no more until another process is registered under its id, and does not keep it after an outage of the store. The attempt's log line has it.

--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/fleet.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/fleet.py
@@ -25,6 +25,8 @@
     # When to remove the upstream; set while it is missing from the store after
     # a store outage.
     remove_at_s: float | None = None
+    # Whether its process has said in a response that it is about to end.
+    is_leaving: bool = False
     in_flight: int = 0
     # Send times of the other entries' attempts in flight, by entry name and
     # attempt number.
@@ -187,17 +189,28 @@
         state.remove_at_s = None
         self._any_cold_until_s = max(self._any_cold_until_s, cold_until_s)
 
+    def record_leaving(self, process: str) -> None:
+        """Use an upstream no more whose process says that it is about to end.
+
+        That holds until another process is registered under its id.
+        """
+        state = self.by_process(process)
+        if state is not None and not state.is_leaving:
+            state.is_leaving = True
+            self._candidates.clear()
+
     def remove(self, upstream_id: str, now_s: float) -> None:
         """Remove an upstream that is no longer registered.
 
         Shortly after a store outage the upstream is kept for a grace period,
-        since live upstreams register again, unless it is draining.
+        since live upstreams register again, unless it is draining or leaving.
         """
         state = self._states.get(upstream_id)
         if state is None:
             return
         until_s = self._store_returned_at_s + REREGISTRATION_GRACE_S
-        if now_s < until_s and not state.upstream.is_draining:
+        may_return = not (state.upstream.is_draining or state.is_leaving)
+        if now_s < until_s and may_return:
             state.remove_at_s = until_s
             self._next_removal_at_s = min(self._next_removal_at_s, until_s)
             return
@@ -223,6 +236,7 @@
                 for state in self._states.values()
                 if state.upstream.service == service
                 and not state.upstream.is_draining
+                and not state.is_leaving
                 and state.upstream.zone not in self._zones_out
             )
             self._candidates[service] = candidates
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/attempts.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/attempts.py
@@ -161,6 +161,9 @@
             self._node.rates.record_hints(
                 self.process, head.hints, self._sent_at_s, self._clock()
             )
+        if head.is_leaving and head.request_id == request.facts.request_id:
+            self.log.leaving = True
+            self._node.fleet.record_leaving(self.process)
         self.log.framing = response_framing(response).value
         self.log.confidence = -1 if head.confidence is None else head.confidence
         self._validate_response(head, request)
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/models.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/models.py
@@ -62,6 +62,8 @@
     # What the upstream states about itself; None if that is not known, since
     # it is malformed or the response is another upstream's.
     hints: UpstreamHints | None = None
+    # Whether the upstream states that it is about to end.
+    is_leaving: bool = False
 
 
 class ResponseFraming(StrEnum):
@@ -109,6 +111,8 @@
     framing: str = ""
     # Rate limit that the upstream named, in requests per second; None if none.
     rate_limit: float | None = None
+    # Whether the upstream stated that it is about to end.
+    leaving: bool = False
     # Bytes of an incomplete event at the end of a stream.
     unfinished_bytes: int = 0
     # Whether the upstream accepted a connection after the answer was lost;
--- a/tests/core/relay/test_fleet.py
+++ b/tests/core/relay/test_fleet.py
@@ -97,3 +97,12 @@
     assert state.is_penalized(3.9)
     state.record_success()
     assert not state.is_penalized(3.9)
+
+
+def test_leaving_upstream_is_kept_after_an_outage(fleet):
+    """An upstream that has said that it leaves does not register again."""
+    fleet.record_leaving("up-1@1")
+    assert candidate_ids(fleet) == {"up-2"}
+    fleet.record_store_returned(10.0)
+    fleet.remove("up-1", 10.1)
+    assert fleet.get("up-1") is None
