--- a/tests/entry/relay/test_long_listings.py
+++ b/tests/entry/relay/test_long_listings.py
@@ -25,6 +25,7 @@
     "slots": 64,
     "state": "ready",
     "cold_left_ms": 0,
+    "sequence": 1,
 }
 DOCUMENT = {"version": 1, "routes": [], "services": []}
 
