Read the route document on its own after the store has lost its history

The same cause as that of the leaving upstreams, elsewhere: an entry that reads everything anew applies nothing until the whole listing has arrived, and a document of 1 MB in it takes 4 s on a link of 350 KB/s. An entry that has a document now leaves it out of the listing, and reads it like a value that was left out of the changes.

The stand-in of the store now answers each watch from before the loss with 410, as the protocol has it; before, only the next one was.

--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/coordinator.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/coordinator.py
@@ -91,7 +91,7 @@
         revision = feed.revision
         try:
             if revision is None:
-                self._apply_reading(await self._relay_store.async_read_all())
+                await self._async_read_all()
                 return
             found, revision = await self._relay_store.async_wait_for_changes(
                 revision, self._watch_wait_s
@@ -116,6 +116,20 @@
         if found:
             await asyncio.sleep(self._watch_pause_s)
 
+    async def _async_read_all(self) -> None:
+        """Read everything; the route document on its own if there is an older one."""
+        skips_document = self._node.routes.document is not None
+        reading = await self._relay_store.async_read_all(skips_document=skips_document)
+        self._apply_reading(reading)
+        if skips_document:
+            document = StoreChange(
+                key=self._relay_store.document_key,
+                revision=reading.revision,
+                is_omitted=True,
+            )
+            self._apply([document])
+        self._confirm_routes(reading.began_at_s)
+
     def apply_part(self, entry: str, part: FeedPart) -> None:
         """Apply what another entry has read from the store."""
         feed = self._node.feed
@@ -183,7 +197,6 @@
         self._log_routes(previous)
         self._own_confirmed_at_s = reading.began_at_s
         self._node.feed.record_read(reading.revision, reading.began_at_s)
-        self._node.routes.confirm(reading.began_at_s)
 
     def _confirm_routes(self, asked_at_s: float) -> None:
         """Confirm the route document, unless a newer one is yet to be read."""
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/relay_store.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/relay_store.py
@@ -49,6 +49,8 @@
 
     order: ListingOrder
     began_at_s: float
+    # Whether it leaves out the route document.
+    skips_document: bool = False
     revision: int | None = None
     # Entries that have not been returned yet.
     entries: list[StoreEntry] = attrs.field(factory=list)
@@ -92,20 +94,24 @@
         reading = self._reading
         return reading is not None and reading.order.is_sufficient
 
-    async def async_read_all(self) -> StoreReading:
+    async def async_read_all(self, *, skips_document: bool = False) -> StoreReading:
         """Read what an entry needs at first; the rest by ``async_read_rest``.
 
-        After a failure the next call goes on with the page that failed.
+        After a failure the next call goes on with the page that failed. The route
+        document, which may take long to arrive, is left out if ``skips_document``.
         """
-        reading = self._reading
         now_s = self._clock()
+        reading = self._reading
         if (
             reading is None
             or reading.order.is_sufficient
+            or reading.skips_document != skips_document
             or now_s - reading.began_at_s > MAX_READING_AGE_S
         ):
             order = ListingOrder(self._store_codec.upstreams_prefix, self._random)
-            reading = self._reading = _Reading(order, now_s)
+            reading = self._reading = _Reading(order, now_s, skips_document)
+        if skips_document and reading.revision is None:
+            await self._async_read_small_values(reading)
         while not reading.order.is_sufficient:
             await self._async_read_page(reading)
         return self._take_read(reading)
@@ -116,10 +122,26 @@
         await self._async_read_page(self._reading)
         return self._take_read(self._reading)
 
+    async def _async_read_small_values(self, reading: "_Reading") -> None:
+        """Read all keys but the route document and the upstreams."""
+        upstreams_prefix = self._store_codec.upstreams_prefix
+        views = await asyncio.gather(
+            *(
+                self._store.async_read(prefix)
+                for prefix in self._store_codec.small_value_prefixes
+                if prefix != upstreams_prefix
+            )
+        )
+        reading.revision = min(view.revision for view in views)
+        reading.entries.extend(entry for view in views for entry in view.entries)
+
     async def _async_read_page(self, reading: "_Reading") -> None:
+        prefix = self._store_codec.upstreams_prefix if reading.skips_document else ""
         wait_s = min(MAX_PAGE_WAIT_S, PAGE_WAIT_STEP_S * reading.failures)
         try:
-            page = await self._store.async_read_page("", reading.order.after, wait_s)
+            page = await self._store.async_read_page(
+                prefix, reading.order.after, wait_s
+            )
         except StoreError:
             reading.failures += 1
             raise
--- a/tests/entry/relay/test_coordinator.py
+++ b/tests/entry/relay/test_coordinator.py
@@ -54,7 +54,7 @@
         await self.may_reply.wait()
         return self.value
 
-    async def async_read_all(self):
+    async def async_read_all(self, *, skips_document):
         """Return no changes."""
         return StoreReading(changes=[], revision=1, began_at_s=100.0)
 
--- a/tests/entry/relay/test_large_document.py
+++ b/tests/entry/relay/test_large_document.py
@@ -10,6 +10,7 @@
 
 # Time that the document takes on an entry's link, in seconds.
 DOCUMENT_S = 4.0
+BYTES_PER_S = 1_400_000 / DOCUMENT_S
 # Time within which another change must have taken effect, in seconds.
 CHANGE_S = 2.0
 
@@ -33,9 +34,7 @@
 @pytest.fixture(params=[1, 4], ids=["alone", "with readers"])
 async def systems(request):
     """Yield entries of one zone behind slow links to their store."""
-    first = RelaySystem(
-        RelayLimits(grace_s=1.05), store_bytes_per_s=1_400_000 / DOCUMENT_S
-    )
+    first = RelaySystem(RelayLimits(grace_s=1.05), store_bytes_per_s=BYTES_PER_S)
     await first.async_start()
     others = [
         await first.async_add_entry(f"entry-a-{number}")
@@ -85,3 +84,31 @@
     assert await async_wait_until(
         lambda: not any(has_upstream(system) for system in systems), CHANGE_S
     )
+
+
+@pytest.mark.parametrize("change", CHANGES.values(), ids=CHANGES)
+async def test_upstream_is_used_on_while_everything_is_read_anew(systems, change):
+    """After the store has lost its history, changes do not wait for the document."""
+    first = systems[0]
+    up = await first.async_add_upstream("up", service="bookings")
+    for system in systems:
+        system.set_store_rate(None)
+    first.store.put("op/config", large_document(2))
+    for system in systems:
+        await first.async_wait_for(
+            lambda system=system: (
+                system.entry.node.routes.version == 2 and has_upstream(system)
+            )
+        )
+        system.set_store_rate(BYTES_PER_S)
+    change(first, up)
+    first.store.drop_history()
+    assert await async_wait_until(
+        lambda: not any(has_upstream(system) for system in systems), CHANGE_S
+    )
+    first.store.put("op/config", document(3))
+    for system in systems:
+        assert await async_wait_until(
+            lambda system=system: system.entry.node.routes.version == 3,
+            3 * DOCUMENT_S,
+        )
--- a/tests/entry/relay/test_long_listings.py
+++ b/tests/entry/relay/test_long_listings.py
@@ -51,13 +51,28 @@
         self.waits_s.append(extra_wait_s)
         if self.calls in self.failing:
             raise StoreError("no reply")
-        keys = sorted(key for key in self.items if key > after)
+        keys = sorted(
+            key for key in self.items if key > after and key.startswith(prefix)
+        )
         entries = tuple(
             StoreEntry(key=key, value=self.items[key], mod_revision=1)
             for key in keys[:PAGE]
         )
         return StorePage(entries=entries, revision=5, has_more=len(keys) > PAGE)
 
+    async def async_read(self, prefix):
+        """Return the items under a prefix."""
+        entries = tuple(
+            StoreEntry(key=key, value=value, mod_revision=1)
+            for key, value in self.items.items()
+            if key.startswith(prefix)
+        )
+        return StoreView(entries=entries, revision=5)
+
+    async def async_get(self, key):
+        """Return an item."""
+        return StoreEntry(key=key, value=self.items[key], mod_revision=1)
+
     async def async_wait_for_changes(self, prefix, revision, wait_s, *, max_bytes):
         """Return the prepared events."""
         events, self.events = self.events, ()
--- a/tests/stand_ins/platform_store.py
+++ b/tests/stand_ins/platform_store.py
@@ -45,6 +45,8 @@
         self._items: dict[str, _Item] = {}
         self._events: list[dict[str, Any]] = []
         self._revision = 100
+        # Watches after an earlier revision get 410.
+        self._first_kept = 0
         self._leases: set[int] = set()
         self._lease_ids = itertools.count(7000)
         self._changed = asyncio.Event()
@@ -105,8 +107,11 @@
             self.expire_lease(lease)
 
     def drop_history(self) -> None:
-        """Discard all past events; the next watch gets 410."""
+        """Discard all past events: the next watch, and each from before, gets 410."""
         self._events.clear()
+        self._first_kept = self._revision
+        self._changed.set()
+        self._changed = asyncio.Event()
         self.faults.active["gone"] = 1
 
     def _record_event(self, event: dict[str, Any]) -> None:
@@ -156,10 +161,10 @@
         )
 
     async def _async_watch(self, request: web.Request) -> web.Response:
-        if self.faults.consume("gone"):
-            return web.json_response({"error": "compacted"}, status=410)
         prefix = request.query["path_prefix"]
         after = int(request.query["after"])
+        if self.faults.consume("gone"):
+            return web.json_response({"error": "compacted"}, status=410)
         events = self._events_after(prefix, after)
         if not events:
             wait_s = int(request.query["wait_ms"]) / 1000
@@ -169,6 +174,8 @@
             except TimeoutError:
                 pass
             events = self._events_after(prefix, after)
+        if after < self._first_kept:
+            return web.json_response({"error": "compacted"}, status=410)
         return web.json_response({"events": events, "current_rev": self._revision})
 
     def _events_after(self, prefix: str, revision: int) -> list[dict[str, Any]]:
