Read the route document apart only if it has changed itself

A watch whose reply is larger than 64 KiB was given up, and the document taken for changed: many small changes together, such as the start of hundreds of upstreams, would have had each entry read it again, once for each such reply. A call for its own changes, under the same size limit, now tells whether it has changed and is large.

Two of three cases of test_document_is_read_again_after_many_small_changes failed before.

--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/relay_store.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/relay_store.py
@@ -19,7 +19,7 @@
     StoreError,
 )
 from cardamomnotch_platform.store.interface import KeyValueStore
-from cardamomnotch_platform.store.models import StoreEntry
+from cardamomnotch_platform.store.models import StoreEntry, StoreView
 
 from .const import (
     CRASH_LEASE_REUSE_S,
@@ -181,23 +181,26 @@
                 "", revision, wait_s, max_bytes=MAX_WATCH_REPLY_BYTES
             )
         except ReplyTooLargeError:
-            return await self._async_read_small_changes(revision)
+            return await self._async_read_by_prefix(revision)
         return [_store_change(entry) for entry in result.entries], result.revision
 
-    async def _async_read_small_changes(
+    async def _async_read_by_prefix(
         self, revision: int
     ) -> tuple[list[StoreChange], int]:
-        """Return the changes of all keys but the route document's.
+        """Return the changes after ``revision``, read by the prefixes of their keys.
 
-        That is said to have changed, with its value omitted: only a read of it would
-        tell whether it has.
+        The value of the route document is omitted if it is large.
         """
-        views = await asyncio.gather(
+        document_key = self._store_codec.document_key
+        *views, document_view = await asyncio.gather(
             *(
                 self._store.async_wait_for_changes(prefix, revision, 0.0)
                 for prefix in self._store_codec.small_value_prefixes
-            )
+            ),
+            self._async_read_document_changes(revision),
         )
+        if document_view is not None:
+            views.append(document_view)
         # What the store had in all of these calls; the next watch brings the rest.
         last_revision = min(view.revision for view in views)
         found = [
@@ -207,10 +210,24 @@
             if entry.mod_revision <= last_revision
         ]
         found.sort(key=lambda change: change.revision)
-        document = StoreChange(
-            key=self._store_codec.document_key, revision=last_revision, is_omitted=True
-        )
-        return [*found, document], last_revision
+        if document_view is None:
+            document = StoreChange(
+                key=document_key, revision=last_revision, is_omitted=True
+            )
+            found.append(document)
+        return found, last_revision
+
+    async def _async_read_document_changes(self, revision: int) -> StoreView | None:
+        """Return the route document's changes; None if they are too large."""
+        try:
+            return await self._store.async_wait_for_changes(
+                self._store_codec.document_key,
+                revision,
+                0.0,
+                max_bytes=MAX_WATCH_REPLY_BYTES,
+            )
+        except ReplyTooLargeError:
+            return None
 
     async def async_read_value(self, key: str) -> StoreChange | None:
         """Return the last write of ``key``; None if it has been deleted."""
--- a/tests/entry/relay/test_relay_store.py
+++ b/tests/entry/relay/test_relay_store.py
@@ -4,6 +4,7 @@
 import orjson
 import pytest
 
+from cardamomnotch_adapter.store import PlatformStoreClient
 from cardamomnotch_adapter.store_codec import PlatformStoreCodec
 from cardamomnotch_core.relay import changes
 from cardamomnotch_core.relay.crash_detection import Crash
@@ -17,6 +18,8 @@
     StoreError,
 )
 
+from tests.stand_ins.platform_store import PlatformStoreStandIn
+
 RECORD = changes.EntryRecord(entry="entry-a", incarnation="1")
 ORDER = RolloutOrder(service="drafts", target="v2", duration_s=20.0)
 STATUS = "status/rollout/drafts"
@@ -176,3 +179,33 @@
     again = await _async_write_order(store_harness)
     await relay_store.async_report_rollout(again, RolloutState.IN_PROGRESS)
     assert (await _async_read_status(store_harness))["state"] == "in_progress"
+
+
+@pytest.mark.parametrize(
+    ("document_bytes", "is_omitted"),
+    [(None, None), (1_000, False), (200_000, True)],
+    ids=["unchanged", "small", "large"],
+)
+async def test_document_is_read_again_after_many_small_changes(
+    serve_app, http_session, document_bytes, is_omitted
+):
+    """Of changes that are large together, only a large document is left out."""
+    stand_in = PlatformStoreStandIn()
+    url = await serve_app(stand_in.create_app())
+    store = PlatformStoreClient(http_session, url.removeprefix("http://"))
+    relay_store = RelayStore(store, PlatformStoreCodec(), lambda: 0.0)
+    cursor = stand_in.put("op/config", {})
+    zones = [f"op/evacuate/zone-{number}" for number in range(50)]
+    for zone in zones:
+        stand_in.put(zone, b"{}" + b" " * 1_500)
+    if document_bytes is not None:
+        stand_in.put("op/config", b" " * document_bytes)
+    last = stand_in.put("op/evacuate/last", {})
+    found, cursor = await relay_store.async_wait_for_changes(cursor, 1.0)
+    assert cursor == last
+    keys = [change.key for change in found if change.key != "op/config"]
+    assert keys == [*zones, "op/evacuate/last"]
+    documents = [change for change in found if change.key == "op/config"]
+    assert [change.is_omitted for change in documents] == (
+        [] if is_omitted is None else [is_omitted]
+    )
