Add a soak of planned stops, changes and leaving upstreams

Eight callers keep their connections until the entry closes them, while entries are stopped and started, the document changes, and upstreams come and leave, in series that overlap. Three seeds run with the tests; SOAK_SEEDS sets their number.

--- /dev/null
+++ b/tests/entry/relay/test_soak.py
@@ -0,0 +1,149 @@
+"""Planned stops, changes and leaving upstreams in series, under kept connections."""
+
+import asyncio
+import contextlib
+import itertools
+import os
+import random
+from collections import Counter
+
+import pytest
+
+from cardamomnotch_core.relay.limits import RelayLimits
+from cardamomnotch_entry.relay import composition
+
+from tests.fixtures.relay_system import RelaySystem, document, route
+from tests.stand_ins.platform_upstream import Wait, plain
+
+SEEDS = range(int(os.environ.get("SOAK_SEEDS", "3")))
+LENGTH_S = 8.0
+CALLERS = 8
+# Time after which an upstream that leaves gets no more requests, and for which a
+# request may be on its way when its connection is closed, in seconds.
+LEAVE_S = 2.0
+LOSS_SLACK_S = 0.2
+
+
+class Soak:
+    """Callers, entries and upstreams, and what has gone wrong among them."""
+
+    def __init__(self, entries, seed):
+        self.entries = entries
+        self.random = random.Random(seed)
+        self.numbers = itertools.count()
+        self.runs = Counter()
+        self.left_at_s = {}
+        self.statuses = Counter()
+        self.errors = []
+        self.clock = asyncio.get_running_loop().time
+        self.end_s = self.clock() + LENGTH_S
+        self.stopping = set()
+
+    def run(self, name):
+        """Return the behavior of an upstream, which counts its requests."""
+
+        def respond(request):
+            self.runs[request.headers["x-attempt-id"]] += 1
+            if self.clock() > self.left_at_s.get(name, self.clock()) + LEAVE_S:
+                self.errors.append(f"{name} has left and gets a request")
+            leaving = {"Server_Leaving": "1"} if name in self.left_at_s else {}
+            return [Wait(self.random.choice((0, 0, 0.3))), *plain(**leaving)(request)]
+
+        return respond
+
+    async def async_call(self):
+        """Send requests on connections that are kept until the entry closes them."""
+        writer = None
+        while self.clock() < self.end_s:
+            await asyncio.sleep(self.random.uniform(0, 0.1))
+            if writer is None or writer.is_closing():
+                host, _, port = self.random.choice(
+                    self.entries
+                ).caller_address.rpartition(":")
+                try:
+                    reader, writer = await asyncio.open_connection(host, int(port))
+                except ConnectionError:
+                    continue
+            path, request = (
+                self.random.choice(("book", "read")),
+                f"{next(self.numbers)}",
+            )
+            sent_at_s = self.clock()
+            try:
+                writer.write(
+                    f"POST /{path}/x HTTP/1.1\r\nHost: calls.example\r\n"
+                    f"Authorization: Token key-one\r\nX-Attempt-Id: {request}\r\n"
+                    "Content-Length: 0\r\n\r\n".encode()
+                )
+                head = (await reader.readuntil(b"\r\n\r\n")).lower()
+                length = int(head.partition(b"content-length: ")[2].split()[0])
+                await reader.readexactly(length)
+            except (ConnectionError, asyncio.IncompleteReadError):
+                writer = None
+                waited_s = self.clock() - sent_at_s
+                if self.runs[request] or waited_s > LOSS_SLACK_S:
+                    self.errors.append(f"{path} {request} cut after {waited_s:.2f} s")
+                continue
+            status = int(head.split()[1])
+            self.statuses[status] += 1
+            if status == 503 and self.runs[request]:
+                self.errors.append(f"{path} {request} ran and was refused")
+            if path == "book" and self.runs[request] > 1:
+                self.errors.append(f"{path} {request} ran twice")
+            if b"connection: close" in head:
+                writer.close()
+
+    async def async_restart(self, entry):
+        """Stop an entry in a planned way and start it again, unless it stops."""
+        if entry not in self.stopping:
+            self.stopping.add(entry)
+            await entry.async_restart_entry()
+            self.stopping.remove(entry)
+
+    async def async_change(self):
+        """Stop entries, change the document and replace upstreams, at any time."""
+        first, version, upstreams = self.entries[0], 2, []
+        while self.clock() < self.end_s:
+            await asyncio.sleep(self.random.uniform(0, 0.6))
+            match self.random.choice(("stop", "document", "join", "leave", "delete")):
+                case "stop":
+                    await self.async_restart(self.random.choice(self.entries))
+                case "document":
+                    more = range(self.random.choice((0, 0, 1000)))
+                    routes = (route(f"more-{name}", "idempotent") for name in more)
+                    routes = [*document()["routes"], *routes]
+                    first.store.put("op/config", document(version, routes=routes))
+                    version += 1
+                case "leave" | "delete" as kind if len(upstreams) > 1:
+                    up = upstreams.pop(0)
+                    self.left_at_s[up.upstream_id] = self.clock()
+                    if kind == "delete":
+                        first.store.delete(f"servers/{up.upstream_id}")
+                    else:
+                        first.register(up, service="bookings", state="draining")
+                case _:
+                    name = f"up-{next(self.numbers)}"
+                    with contextlib.suppress(AssertionError):
+                        upstreams.append(
+                            await first.async_add_upstream(
+                                name, self.run(name), service="bookings"
+                            )
+                        )
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+async def test_request_is_lost_in_a_series_of_planned_changes(monkeypatch, seed):
+    """Every request gets a true response, and no upstream one after it has left."""
+    monkeypatch.setattr(composition, "BALANCER_DETECTION_S", 0.3)
+    first = RelaySystem(RelayLimits(grace_s=2.5), store_bytes_per_s=200_000.0)
+    await first.async_start()
+    entries = [first, await first.async_add_entry("entry-a-2")]
+    soak = Soak(entries, seed)
+    await asyncio.gather(
+        *(soak.async_call() for _ in range(CALLERS)),
+        *(soak.async_change() for _ in range(2)),
+    )
+    await entries[1].async_leave()
+    await first.async_stop()
+    assert not soak.errors
+    assert soak.statuses[200] > 100
