Take an upstream that says it leaves for draining in each respect

What an upstream says in a response is one more input of the draining state, instead of a state beside it: one property, with a log line that tells the age of the evidence, and a metric of all draining upstreams.

--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/fleet.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/fleet.py
@@ -42,6 +42,14 @@
         """Return the upstream's id."""
         return self.upstream.upstream_id
 
+    @property
+    def is_draining(self) -> bool:
+        """Return whether the upstream is about to end, by itself or its registration.
+
+        It gets no new requests then.
+        """
+        return self.upstream.is_draining or self.is_leaving
+
     def running(self, now_s: float) -> int:
         """Return how many requests of all entries are in flight."""
         oldest_s = now_s - MAX_ATTEMPT_S
@@ -141,6 +149,11 @@
         """Return how many upstreams are kept that the store has lost."""
         return sum(state.remove_at_s is not None for state in self)
 
+    @property
+    def draining_count(self) -> int:
+        """Return how many upstreams are about to end, and get no new requests."""
+        return sum(state.is_draining for state in self)
+
     @property
     def cold_changes(self) -> int:
         """Return how often an upstream's cold phase began or ended anew."""
@@ -189,15 +202,19 @@
         state.remove_at_s = None
         self._any_cold_until_s = max(self._any_cold_until_s, cold_until_s)
 
-    def record_leaving(self, process: str) -> None:
+    def record_leaving(self, process: str) -> bool:
         """Use an upstream no more whose process says that it is about to end.
 
-        That holds until another process is registered under its id.
+        That holds until another process is registered under its id. Returns whether
+        it was not known to be draining.
         """
         state = self.by_process(process)
-        if state is not None and not state.is_leaving:
-            state.is_leaving = True
-            self._candidates.clear()
+        if state is None or state.is_leaving:
+            return False
+        was_draining = state.is_draining
+        state.is_leaving = True
+        self._candidates.clear()
+        return not was_draining
 
     def remove(self, upstream_id: str, now_s: float) -> None:
         """Remove an upstream that is no longer registered.
@@ -209,8 +226,7 @@
         if state is None:
             return
         until_s = self._store_returned_at_s + REREGISTRATION_GRACE_S
-        may_return = not (state.upstream.is_draining or state.is_leaving)
-        if now_s < until_s and may_return:
+        if now_s < until_s and not state.is_draining:
             state.remove_at_s = until_s
             self._next_removal_at_s = min(self._next_removal_at_s, until_s)
             return
@@ -235,8 +251,7 @@
                 state
                 for state in self._states.values()
                 if state.upstream.service == service
-                and not state.upstream.is_draining
-                and not state.is_leaving
+                and not state.is_draining
                 and state.upstream.zone not in self._zones_out
             )
             self._candidates[service] = candidates
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/attempts.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/attempts.py
@@ -1,5 +1,6 @@
 """One attempt of a request at one upstream."""
 
+import logging
 from collections.abc import AsyncIterator, Callable
 
 from aiohttp import ClientResponse
@@ -8,6 +9,7 @@
 from cardamomnotch_core.relay.crash_detection import AttemptEnd
 from cardamomnotch_core.relay.node import RelayNode
 from cardamomnotch_core.relay.placement import Placement
+from cardamomnotch_runtime.structured_log import log_event
 
 from .const import MIN_SERVER_ERROR_STATUS
 from .exceptions import (
@@ -25,6 +27,7 @@
 )
 from .upstream_client import UpstreamClient, response_framing
 
+_LOGGER = logging.getLogger(__name__)
 # Outcomes that are no evidence for or against the upstream's version.
 _NEUTRAL_OUTCOMES = frozenset(
     {AttemptOutcome.NOT_RUN, AttemptOutcome.UNREACHABLE, AttemptOutcome.CANCELLED}
@@ -162,8 +165,7 @@
                 self.process, head.hints, self._sent_at_s, self._clock()
             )
         if head.is_leaving and head.request_id == request.facts.request_id:
-            self.log.leaving = True
-            self._node.fleet.record_leaving(self.process)
+            self._record_leaving(request)
         self.log.framing = response_framing(response).value
         self.log.confidence = -1 if head.confidence is None else head.confidence
         self._validate_response(head, request)
@@ -252,6 +254,17 @@
             self._clock(),
         )
 
+    def _record_leaving(self, request: CallerRequest) -> None:
+        self.log.leaving = True
+        if self._node.fleet.record_leaving(self.process):
+            log_event(
+                _LOGGER,
+                "upstream says in a response that it is draining",
+                upstream=self.upstream_id,
+                request=request.facts.request_id,
+                sent_ms_ago=int((self._clock() - self._sent_at_s) * 1000),
+            )
+
     def _record_first_byte(self) -> None:
         now_s = self._clock()
         self._time_to_first_byte_s = now_s - self._sent_at_s
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/metrics.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/metrics.py
@@ -93,6 +93,12 @@
             registry=self.registry,
         )
         upstreams.set_function(lambda: len(node.fleet))
+        draining = Gauge(
+            "cardamomnotch_relay_draining_upstreams",
+            "Upstreams that are about to end, by their registration or a response.",
+            registry=self.registry,
+        )
+        draining.set_function(lambda: node.fleet.draining_count)
         kept = Gauge(
             "cardamomnotch_relay_kept_upstreams",
             "Upstreams that are used although the store has lost them in an outage.",
