Do not take the end of an upstream that said it leaves for a crash

A process that ends without having been registered as draining counts as crashed by the requests that it ran. One that has said in a response that it leaves now ends as draining; test_end_of_a_leaving_upstream_is_taken_for_a_crash failed before. The reads of omitted values move to a class of their own, unchanged.

--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/fleet.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/fleet.py
@@ -187,7 +187,7 @@
         cold_until_s = now_s + upstream.cold_left_s
         state = self._states.get(upstream.upstream_id)
         if state is not None and state.upstream.started_ms != upstream.started_ms:
-            self._on_ended(state.upstream, now_s)
+            self._report_end(state, now_s)
             state = None
         if state is None:
             state = UpstreamState(upstream)
@@ -276,7 +276,11 @@
     def _remove_state(self, upstream_id: str, now_s: float) -> None:
         state = self._states.pop(upstream_id)
         self._candidates.clear()
-        self._on_ended(state.upstream, now_s)
+        self._report_end(state, now_s)
+
+    def _report_end(self, state: UpstreamState, now_s: float) -> None:
+        upstream = attrs.evolve(state.upstream, is_draining=state.is_draining)
+        self._on_ended(upstream, now_s)
 
 
 def _placement_facts(upstream: Upstream) -> tuple[object, ...]:
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/coordinator.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/coordinator.py
@@ -7,7 +7,6 @@
 from collections.abc import Callable, Sequence
 
 from cardamomnotch_core.change_feed.models import FeedPart, StoreChange
-from cardamomnotch_core.change_feed.omitted_values import OmittedValues
 from cardamomnotch_core.change_feed.outages import OutageDetector
 from cardamomnotch_core.membership.rendezvous import rendezvous_hash
 from cardamomnotch_core.relay.changes import (
@@ -27,7 +26,6 @@
     StoreError,
 )
 from cardamomnotch_runtime.structured_log import log_event
-from cardamomnotch_runtime.tasks import TaskGroup
 
 from .const import (
     CRASH_REPORT_INTERVAL_S,
@@ -51,6 +49,7 @@
 )
 from .relay_store import RelayStore, StoreReading
 from .route_difference import describe_difference
+from .value_reader import ValueReader
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -65,8 +64,9 @@
         self._relay_store = relay_store
         self._clock = clock
         self._outages = OutageDetector()
-        self._omitted_values = OmittedValues()
-        self._reads = TaskGroup()
+        self._value_reader = ValueReader(
+            relay_store, clock, lambda: self._store_retry_delay_s, self._apply_value
+        )
         self._woken = asyncio.Event()
         self._is_store_available = False
         # When the last call was sent that the store has answered itself.
@@ -189,7 +189,7 @@
         now_s = self._clock()
         self._note_outage(self._outages.record_reply(reading.began_at_s, now_s))
         previous = self._node.routes.document
-        self._omitted_values.clear()
+        self._value_reader.clear()
         self._node.apply_listing(
             reading.changes, now_s, is_complete=reading.is_complete
         )
@@ -200,37 +200,21 @@
 
     def _confirm_routes(self, asked_at_s: float) -> None:
         """Confirm the route document, unless a newer one is yet to be read."""
-        if self._relay_store.document_key not in self._omitted_values:
+        if not self._value_reader.is_reading(self._relay_store.document_key):
             self._node.routes.confirm(asked_at_s)
 
-    async def _async_read_omitted(self, key: str) -> None:
-        """Read a value that was left out of the changes, until it is known."""
-        while (known_revision := self._omitted_values.revision(key)) is not None:
-            requested_at_s = self._clock()
-            try:
-                change = await self._relay_store.async_read_value(key)
-            except StoreError as error:
-                log_event(
-                    _LOGGER,
-                    "a value could not be read from the store",
-                    key=key,
-                    detail=error.detail,
-                )
-                await asyncio.sleep(self._store_retry_delay_s)
-                continue
-            revision = change.revision if change is not None else known_revision
-            is_used = self._omitted_values.record_read(key, known_revision, revision)
-            if is_used and change is not None:
-                self._apply_complete([change])
-            if is_used and key == self._relay_store.document_key:
-                self._node.routes.confirm(requested_at_s)
+    def _apply_value(
+        self, key: str, change: StoreChange | None, asked_at_s: float
+    ) -> None:
+        """Apply a value that was read on its own, by a call sent at ``asked_at_s``."""
+        if change is not None:
+            self._apply_complete([change])
+        if key == self._relay_store.document_key:
+            self._node.routes.confirm(asked_at_s)
 
     def _apply(self, found: Sequence[StoreChange]) -> None:
         """Apply changes of the store, and read the values that they omit."""
-        complete, omitted = self._omitted_values.record_changes(found)
-        for key in omitted:
-            self._reads.start(self._async_read_omitted(key))
-        self._apply_complete(complete)
+        self._apply_complete(self._value_reader.read_omitted(found))
 
     def _apply_complete(self, found: Sequence[StoreChange]) -> None:
         """Apply changes with their values, and log them."""
@@ -306,7 +290,7 @@
 
     async def async_unload(self) -> None:
         """Store the last crashes, and delete this entry's record."""
-        await self._reads.async_unload()
+        await self._value_reader.async_unload()
         try:
             await self._async_write_crashes()
             await self._relay_store.async_delete_record()
--- /dev/null
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/value_reader.py
@@ -0,0 +1,74 @@
+"""Reading of values that are left out of the store's changes."""
+
+import asyncio
+import logging
+from collections.abc import Callable, Sequence
+
+from cardamomnotch_core.change_feed.models import StoreChange
+from cardamomnotch_core.change_feed.omitted_values import OmittedValues
+from cardamomnotch_platform.exceptions import StoreError
+from cardamomnotch_runtime.structured_log import log_event
+from cardamomnotch_runtime.tasks import TaskGroup
+
+from .relay_store import RelayStore
+
+_LOGGER = logging.getLogger(__name__)
+
+
+class ValueReader:
+    """Reads each omitted value in a task of its own, until it is known.
+
+    ``apply`` is called with the key, its last write (None if it has been deleted) and
+    the time at which the call was sent that read it.
+    """
+
+    def __init__(
+        self,
+        relay_store: RelayStore,
+        clock: Callable[[], float],
+        retry_delay_s: Callable[[], float],
+        apply: Callable[[str, StoreChange | None, float], None],
+    ) -> None:
+        self._relay_store = relay_store
+        self._clock = clock
+        self._retry_delay_s = retry_delay_s
+        self._apply = apply
+        self._values = OmittedValues()
+        self._tasks = TaskGroup()
+
+    def is_reading(self, key: str) -> bool:
+        """Return whether a newer value of ``key`` is yet to be read."""
+        return key in self._values
+
+    def read_omitted(self, found: Sequence[StoreChange]) -> Sequence[StoreChange]:
+        """Begin to read the omitted values; return the changes that have theirs."""
+        complete, omitted = self._values.record_changes(found)
+        for key in omitted:
+            self._tasks.start(self._async_read(key))
+        return complete
+
+    def clear(self) -> None:
+        """Read no value any more, since everything has been read."""
+        self._values.clear()
+
+    async def async_unload(self) -> None:
+        """Stop all reads."""
+        await self._tasks.async_unload()
+
+    async def _async_read(self, key: str) -> None:
+        while (known_revision := self._values.revision(key)) is not None:
+            asked_at_s = self._clock()
+            try:
+                change = await self._relay_store.async_read_value(key)
+            except StoreError as error:
+                log_event(
+                    _LOGGER,
+                    "a value could not be read from the store",
+                    key=key,
+                    detail=error.detail,
+                )
+                await asyncio.sleep(self._retry_delay_s())
+                continue
+            revision = change.revision if change is not None else known_revision
+            if self._values.record_read(key, known_revision, revision):
+                self._apply(key, change, asked_at_s)
--- a/tests/core/relay/test_fleet.py
+++ b/tests/core/relay/test_fleet.py
@@ -106,3 +106,15 @@
     fleet.record_store_returned(10.0)
     fleet.remove("up-1", 10.1)
     assert fleet.get("up-1") is None
+
+
+def test_end_of_a_leaving_upstream_is_taken_for_a_crash(make_upstream):
+    """Whoever hears of the end learns that it was draining."""
+    ended = []
+    fleet = Fleet(lambda upstream, now_s: ended.append(upstream.is_draining))
+    for number in range(2):
+        fleet.put(make_upstream(f"up-{number}"), 0.0)
+    fleet.record_leaving("up-0@1")
+    fleet.remove("up-0", 1.0)
+    fleet.remove("up-1", 1.0)
+    assert ended == [True, False]
