--- a/tests/entry/relay/test_route_difference.py
+++ b/tests/entry/relay/test_route_difference.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from cardamomnotch_adapter.store_codec import decode_route_document
+from cardamomnotch_adapter.document_codec import decode_route_document
 from cardamomnotch_entry.relay.route_difference import describe_difference
 from cardamomnotch_runtime.structured_log import secret_digest
 
