Review, case 2: wait until the machine is in touch

Cause: the rule holds for machines in touch, three seconds after a start.

Case: requests begin four seconds after the entry is ready.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -102,6 +102,8 @@
             await models[0].start()
         entry = deployment.add_entry(f"edge-{ZONE}-1", ZONE, store)
         await entry.wait_until_ready()
+        # The machine is in touch once stable_window_ms have passed since its start.
+        await asyncio.sleep(4.0)
         callers = await _start(
             "review.stand_ins.stream_callers",
             entry.caller_address,
