--- a/review/stand_ins/engine.py
+++ b/review/stand_ins/engine.py
@@ -57,6 +57,12 @@
             },
         )
 
+    def fall_silent(self, expiry_s: float) -> None:
+        """Send no heartbeats any more; the entry is removed after ``expiry_s``."""
+        self._heartbeat.cancel()
+        key = f"servers/{self.engine_id}"
+        asyncio.get_running_loop().call_later(expiry_s, self._store.delete, key)
+
     async def _beat(self) -> None:
         while True:
             await asyncio.sleep(HEARTBEAT_S)
