--- a/review/stand_ins/stream_engine.py
+++ b/review/stand_ins/stream_engine.py
@@ -2,17 +2,36 @@
 
 Arguments: its id, the events of a stream, the seconds between two, and ``unframed`` or
 ``chunked``. An unframed stream has neither a length nor chunks, and ends with its
-connection. Goes on after ``Last-Event-Id``. Prints its port.
+connection. Goes on after ``Last-Event-Id``. Prints its port, then the id of each
+request that it begins to run. With a fifth argument, a part of prompts, it ends as soon
+as it has begun to answer a request with that part.
 """
 
 import asyncio
+import os
 import sys
 
 from .http import Message, encode, encode_head, read_message
 
+# Time from the begin of the first piece to the end of the process.
+_CRASH_AFTER_S = 0.1
+
+
+def _print(line: str) -> None:
+    sys.stdout.write(f"{line}\n")
+    sys.stdout.flush()
+
 
 class _Engine:
-    def __init__(self, engine_id: str, events: int, pause_s: float, framing: str):
+    def __init__(
+        self,
+        engine_id: str,
+        events: int,
+        pause_s: float,
+        framing: str,
+        deadly_part: str = "",
+    ) -> None:
+        self._deadly_part = deadly_part
         self._engine_id = engine_id
         self._events = events
         self._pause_s = pause_s
@@ -36,6 +55,7 @@
             headers["X-Not-Executed"] = "1"
             writer.write(encode("HTTP/1.1 421 Misdirected Request", headers))
             return
+        _print(headers["X-Attempt-Id"])
         headers["X-Engine-Signature"] = self._engine_id
         headers["Content-Type"] = "text/event-stream"
         if self._is_chunked:
@@ -46,19 +66,28 @@
             await asyncio.sleep(self._pause_s)
             writer.write(self._framed(f"id: {number}\ndata: piece\n\n".encode()))
             await writer.drain()
+            if self._is_deadly(request):
+                await asyncio.sleep(_CRASH_AFTER_S)
+                os._exit(1)
         if self._is_chunked:
             writer.write(b"0\r\n\r\n")
 
+    def _is_deadly(self, request: Message) -> bool:
+        parts = request.headers.get("x-prefix-hash", "").split(",")
+        return bool(self._deadly_part) and any(
+            part.startswith(f"{self._deadly_part}:") for part in parts
+        )
+
     def _framed(self, data: bytes) -> bytes:
         return b"%x\r\n%s\r\n" % (len(data), data) if self._is_chunked else data
 
 
 async def main() -> None:
     """Serve until the process is ended."""
-    engine = _Engine(sys.argv[1], int(sys.argv[2]), float(sys.argv[3]), sys.argv[4])
+    engine_id, events, pause_s, *rest = sys.argv[1:]
+    engine = _Engine(engine_id, int(events), float(pause_s), *rest)
     server = await asyncio.start_server(engine.serve, "127.0.0.1", 0)
-    sys.stdout.write(f"{server.sockets[0].getsockname()[1]}\n")
-    sys.stdout.flush()
+    _print(str(server.sockets[0].getsockname()[1]))
     await server.serve_forever()
 
 
