--- a/packages/cardamomnotch-core/src/cardamomnotch_core/change_feed/change_log.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/change_feed/change_log.py
@@ -5,49 +5,54 @@
 
 import attrs
 
+from cardamomnotch_protocol.store_position import StorePosition
+
 from .const import MAX_INLINE_BYTES, MAX_LOG_BYTES, MAX_LOG_CHANGES
 from .models import StoreChange
 
 
 class ChangeLog:
-    """Keeps the changes between two revisions, as far as they fit."""
+    """Keeps the changes between two positions of one era, as far as they fit."""
 
     def __init__(self) -> None:
         self._changes: deque[StoreChange] = deque()
         self._bytes = 0
-        # The log has all changes after this revision.
-        self._floor = 0
-        self._revision: int | None = None
+        # The log has all changes of the era after this position.
+        self._floor: StorePosition | None = None
+        self._position: StorePosition | None = None
 
     @property
-    def revision(self) -> int | None:
-        """Return the last revision; None before the first read."""
-        return self._revision
+    def position(self) -> StorePosition | None:
+        """Return the last position; None before the first read."""
+        return self._position
 
-    def reset(self, revision: int) -> None:
-        """Start anew after everything has been read as of ``revision``."""
+    def reset(self, position: StorePosition) -> None:
+        """Start anew after everything has been read as of ``position``."""
         self._changes.clear()
         self._bytes = 0
-        self._floor = self._revision = revision
+        self._floor = self._position = position
 
-    def append(self, changes: Iterable[StoreChange], revision: int) -> None:
-        """Add the changes up to ``revision``; older ones are ignored."""
-        assert self._revision is not None
+    def append(self, changes: Iterable[StoreChange], position: StorePosition) -> None:
+        """Add the changes up to ``position``; older ones are ignored."""
+        assert self._position is not None
         for change in changes:
-            if change.revision <= self._revision:
+            if change.position <= self._position:
                 continue
             if change.value is not None and len(change.value) > MAX_INLINE_BYTES:
                 change = attrs.evolve(change, value=None, is_omitted=True)
             self._changes.append(change)
             self._bytes += change.size
-        self._revision = max(self._revision, revision)
+        self._position = max(self._position, position)
         while len(self._changes) > MAX_LOG_CHANGES or self._bytes > MAX_LOG_BYTES:
             oldest = self._changes.popleft()
             self._bytes -= oldest.size
-            self._floor = oldest.revision
+            self._floor = oldest.position
+
+    def since(self, position: StorePosition) -> tuple[StoreChange, ...] | None:
+        """Return the changes after ``position``.
 
-    def since(self, revision: int) -> tuple[StoreChange, ...] | None:
-        """Return the changes after ``revision``; None if some are lost."""
-        if revision < self._floor:
+        Returns None if some are not in the log, as for a position of another era.
+        """
+        if self._floor is None or not self._floor.is_continued_by(position):
             return None
-        return tuple(change for change in self._changes if change.revision > revision)
+        return tuple(change for change in self._changes if change.position > position)
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/change_feed/feed.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/change_feed/feed.py
@@ -5,6 +5,8 @@
 
 import attrs
 
+from cardamomnotch_protocol.store_position import StorePosition
+
 from .change_log import ChangeLog
 from .const import (
     MAX_PART_BYTES,
@@ -23,7 +25,7 @@
 
     address: str
     token: int
-    revision: int
+    position: StorePosition
     asked_at_s: float
 
 
@@ -36,7 +38,8 @@
     A confirmation is passed on with its age. The receiver counts the age from
     the time at which it sent the request that is answered, on its own clock, so
     delays on the way, suspensions and different clocks make a confirmation older
-    than it is, never younger. All times are in seconds, on a clock that
+    than it is, never younger. It holds within one era of the store: an entry of
+    another era has to ask the store itself. All times are in seconds, on a clock that
     continues while the machine is suspended.
     """
 
@@ -58,9 +61,9 @@
         self._has_gap = False
 
     @property
-    def revision(self) -> int | None:
-        """Return the revision up to which changes are known; None before any."""
-        return self._log.revision
+    def position(self) -> StorePosition | None:
+        """Return the position up to which changes are known; None before any."""
+        return self._log.position
 
     @property
     def confirmed_at_s(self) -> float:
@@ -101,7 +104,7 @@
     def needs_store(self, now_s: float) -> bool:
         """Return whether this entry has to ask the store itself."""
         return (
-            self.revision is None
+            self.position is None
             or self._has_gap
             or self.store_needed_in_s(now_s) <= 0.0
             or self._sources.is_source(now_s)
@@ -111,14 +114,14 @@
         """Return after how many seconds the last confirmation is too old."""
         return self._confirmed_at_s + self._max_age_s - now_s
 
-    def record_read(self, revision: int, asked_at_s: float) -> None:
+    def record_read(self, position: StorePosition, asked_at_s: float) -> None:
         """Record that everything was read, by a query sent at ``asked_at_s``."""
-        self._log.reset(revision)
+        self._log.reset(position)
         self._has_gap = False
         self._confirm(asked_at_s)
 
     def record_watched(
-        self, changes: Iterable[StoreChange], revision: int, asked_at_s: float
+        self, changes: Iterable[StoreChange], position: StorePosition, asked_at_s: float
     ) -> tuple[StoreChange, ...]:
         """Record the reply to a watch that was sent at ``asked_at_s``.
 
@@ -126,7 +129,7 @@
         changes that no other entry has passed on meanwhile.
         """
         new = self._newer(changes)
-        self._log.append(new, revision)
+        self._log.append(new, position)
         self._has_gap = False
         self._confirm(asked_at_s)
         return new
@@ -137,44 +140,47 @@
 
     def requests(self, now_s: float) -> Iterator[tuple[str, FeedRequest]]:
         """Yield the requests that are due, with the addresses to send them to."""
-        if now_s < self._next_request_at_s or self.revision is None:
+        if now_s < self._next_request_at_s or self.position is None:
             return
         self._next_request_at_s = now_s + REQUEST_INTERVAL_S
         self._expire(now_s)
         for member in self._sources.due(now_s):
             token = next(self._tokens)
             self._requested_at_s[token] = now_s
-            yield member.address, FeedRequest(token=token, revision=self.revision)
+            yield member.address, FeedRequest(token=token, position=self.position)
 
     def handle_request(
         self, name: str, address: str, request: FeedRequest, now_s: float
     ) -> Sequence[FeedPart]:
         """Return the parts that answer another entry's request."""
-        reader = _Reader(address, request.token, request.revision, now_s)
+        if self.position is not None and request.position.era > self.position.era:
+            self._has_gap = True
+        reader = _Reader(address, request.token, request.position, now_s)
         self._readers[name] = reader
         return self._parts(reader, now_s)
 
     def pushes(self, now_s: float) -> Iterator[tuple[str, FeedPart]]:
         """Yield what is new to readers, with their addresses."""
         for reader in self._readers.values():
-            if self.revision is not None and reader.revision < self.revision:
+            if self.position is not None and reader.position < self.position:
                 for part in self._parts(reader, now_s):
                     yield reader.address, part
 
     def handle_part(self, name: str, part: FeedPart) -> FeedUpdate | None:
         """Return what is new in another entry's reply; None if nothing is.
 
-        A reply that lacks changes makes this entry ask the store; values that are
-        left out are read one by one.
+        A reply that lacks changes, or is of a later era, makes this entry ask the
+        store; one of an earlier era has nothing. Values that are left out are read one
+        by one.
         """
         self._sources.record_reply(name)
-        if self.revision is None:
+        if self.position is None:
             return None
-        if part.is_gap or part.after > self.revision:
-            self._has_gap = self._has_gap or part.revision > self.revision
+        if part.is_gap or not part.after.is_continued_by(self.position):
+            self._has_gap = self._has_gap or part.position > self.position
             return None
         new = self._newer(part.changes)
-        self._log.append(new, part.revision)
+        self._log.append(new, part.position)
         confirmed_at_s = None
         requested_at_s = self._requested_at_s.get(part.token)
         if part.age_s is not None and requested_at_s is not None:
@@ -184,43 +190,43 @@
 
     def _parts(self, reader: _Reader, now_s: float) -> Sequence[FeedPart]:
         """Return the changes that a reader lacks, and record that it has them."""
-        if self.revision is None:
+        if self.position is None:
             return ()
-        changes = self._log.since(reader.revision)
+        changes = self._log.since(reader.position)
         parts = list(_split(changes)) if changes is not None else []
         if changes is None or len(parts) > MAX_PARTS:
             gap = FeedPart(
                 token=reader.token,
-                after=reader.revision,
-                revision=self.revision,
+                after=self.position,
+                position=self.position,
                 is_gap=True,
             )
             # It reads the rest from the store, and tells so with its next request.
-            reader.revision = self.revision
+            reader.position = max(reader.position, self.position)
             return (gap,)
-        after = reader.revision
+        after = reader.position
         found = []
         for number, part in enumerate(parts):
             is_last = number == len(parts) - 1
-            revision = max(after, self.revision) if is_last else part[-1].revision
+            position = max(after, self.position) if is_last else part[-1].position
             found.append(
                 FeedPart(
                     token=reader.token,
                     after=after,
-                    revision=revision,
+                    position=position,
                     changes=tuple(part),
                     age_s=now_s - self._confirmed_at_s if is_last else None,
                 )
             )
-            after = revision
-        reader.revision = after
+            after = position
+        reader.position = after
         return found
 
     def _newer(self, changes: Iterable[StoreChange]) -> tuple[StoreChange, ...]:
         """Return the changes that this entry does not know yet."""
-        known = self.revision
+        known = self.position
         return tuple(
-            change for change in changes if known is None or change.revision > known
+            change for change in changes if known is None or change.position > known
         )
 
     def _confirm(self, confirmed_at_s: float) -> None:
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/change_feed/models.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/change_feed/models.py
@@ -2,15 +2,17 @@
 
 import attrs
 
+from cardamomnotch_protocol.store_position import StorePosition
+
 from .const import CHANGE_OVERHEAD_BYTES
 
 
 @attrs.frozen(kw_only=True)
 class StoreChange:
-    """A write or deletion of one key, at a revision of the store."""
+    """A write or deletion of one key, at a position of the store."""
 
     key: str
-    revision: int
+    position: StorePosition
     # None if the key was deleted, or if the value is left out.
     value: bytes | None = None
     # Whether the value is too large to be passed on.
@@ -24,30 +26,30 @@
 
 @attrs.frozen(kw_only=True)
 class FeedRequest:
-    """Asks another entry for the changes after ``revision``."""
+    """Asks another entry for the changes after ``position``."""
 
     # Number of the request at its sender, which a reply repeats.
     token: int
-    revision: int
+    position: StorePosition
 
 
 @attrs.frozen(kw_only=True)
 class FeedPart:
     """One datagram with changes for an entry that has asked.
 
-    The changes are all that the store has between the revisions ``after`` and
-    ``revision``, in order.
+    The changes are all that the store has between the positions ``after`` and
+    ``position``, in order. All positions are of one era.
     """
 
     # The last request of the receiver.
     token: int
-    after: int
-    revision: int
+    after: StorePosition
+    position: StorePosition
     changes: tuple[StoreChange, ...] = ()
-    # Time since the query was sent that confirmed ``revision`` as the newest one,
+    # Time since the query was sent that confirmed ``position`` as the newest one,
     # in seconds; None if further parts follow, or if it is not known.
     age_s: float | None = None
-    # Whether the sender lacks changes after the receiver's revision.
+    # Whether the sender lacks changes after the receiver's position.
     is_gap: bool = False
 
 
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/change_feed/omitted_values.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/change_feed/omitted_values.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Iterable
 
+from cardamomnotch_protocol.store_position import StorePosition
+
 from .models import StoreChange
 
 
@@ -13,14 +15,14 @@
     """
 
     def __init__(self) -> None:
-        # Revision of the last change whose value is not known, by key.
-        self._revisions: dict[str, int] = {}
+        # Position of the last change whose value is not known, by key.
+        self._positions: dict[str, StorePosition] = {}
 
     def __contains__(self, key: str) -> bool:
-        return key in self._revisions
+        return key in self._positions
 
     def __len__(self) -> int:
-        return len(self._revisions)
+        return len(self._positions)
 
     def record_changes(
         self, changes: Iterable[StoreChange]
@@ -32,31 +34,33 @@
         complete, added = [], []
         for change in changes:
             if not change.is_omitted:
-                self._revisions.pop(change.key, None)
+                self._positions.pop(change.key, None)
                 complete.append(change)
                 continue
-            if change.key not in self._revisions:
+            if change.key not in self._positions:
                 added.append(change.key)
-            self._revisions[change.key] = change.revision
-        return complete, [key for key in added if key in self._revisions]
+            self._positions[change.key] = change.position
+        return complete, [key for key in added if key in self._positions]
 
-    def revision(self, key: str) -> int | None:
+    def position(self, key: str) -> StorePosition | None:
         """Return the last change to read; None if the key has none."""
-        return self._revisions.get(key)
+        return self._positions.get(key)
 
-    def record_read(self, key: str, known_revision: int, revision: int) -> bool:
-        """Record a value of ``revision``; return whether it is to be used.
+    def record_read(
+        self, key: str, known_position: StorePosition, position: StorePosition
+    ) -> bool:
+        """Record a value of ``position``; return whether it is to be used.
 
-        ``known_revision`` is the change that was known when the call was sent. The
+        ``known_position`` is the change that was known when the call was sent. The
         key stays to be read if a newer change has become known since.
         """
-        wanted = self._revisions.get(key)
+        wanted = self._positions.get(key)
         if wanted is None:
             return False
-        if wanted <= max(known_revision, revision):
-            del self._revisions[key]
+        if wanted <= max(known_position, position):
+            del self._positions[key]
         return True
 
     def clear(self) -> None:
         """Forget all keys, since everything has been read."""
-        self._revisions.clear()
+        self._positions.clear()
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/coordinator.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/coordinator.py
@@ -88,19 +88,20 @@
             await self._async_wait_until_needed()
             return
         requested_at_s = self._clock()
-        revision = feed.revision
+        position = feed.position
         try:
-            if revision is None:
+            if position is None:
                 await self._async_read_all()
                 return
-            found, revision = await self._relay_store.async_wait_for_changes(
-                revision, self._watch_wait_s
+            found, position = await self._relay_store.async_wait_for_changes(
+                position, self._watch_wait_s
             )
-        except CompactedError:
+        except CompactedError as error:
             log_event(
                 _LOGGER,
                 "store history lost; reading everything again",
-                cursor=revision,
+                position=str(position),
+                detail=error.detail,
             )
             feed.forget()
             return
@@ -111,7 +112,7 @@
         self._mark_store_available()
         self._own_confirmed_at_s = requested_at_s
         self._note_outage(self._outages.record_reply(requested_at_s, self._clock()))
-        self._apply(feed.record_watched(found, revision, requested_at_s))
+        self._apply(feed.record_watched(found, position, requested_at_s))
         self._confirm_routes(requested_at_s)
         if found:
             await asyncio.sleep(self._watch_pause_s)
@@ -124,7 +125,7 @@
         if skips_document:
             document = StoreChange(
                 key=self._relay_store.document_key,
-                revision=reading.revision,
+                position=reading.position,
                 is_omitted=True,
             )
             self._apply([document])
@@ -196,7 +197,7 @@
         self._log_full_read(reading)
         self._log_routes(previous)
         self._own_confirmed_at_s = reading.began_at_s
-        self._node.feed.record_read(reading.revision, reading.began_at_s)
+        self._node.feed.record_read(reading.position, reading.began_at_s)
 
     def _confirm_routes(self, asked_at_s: float) -> None:
         """Confirm the route document, unless a newer one is yet to be read."""
@@ -240,7 +241,7 @@
             feed.confirmed_at_s > self._own_confirmed_at_s
             and feed.store_needed_in_s(now_s) > 0
         )
-        if feed.revision is None or (feed.is_source(now_s) and not is_confirmed):
+        if feed.position is None or (feed.is_source(now_s) and not is_confirmed):
             return STORE_RETRY_DELAY_S
         return READER_RETRY_DELAY_S
 
@@ -306,7 +307,7 @@
         log_event(
             _LOGGER,
             "store read",
-            cursor=reading.revision,
+            position=str(reading.position),
             complete=reading.is_complete,
             version=self._node.routes.version,
             found=dict(kinds),
@@ -360,7 +361,11 @@
         if self._is_store_available:
             self._is_store_available = False
             log_event(
-                _LOGGER, "store is unavailable", logging.WARNING, detail=error.detail
+                _LOGGER,
+                "store is unavailable",
+                logging.WARNING,
+                code=int(error.code),
+                detail=error.detail,
             )
 
     def _mark_write_failed(self, error: StoreError) -> None:
@@ -370,6 +375,7 @@
                 _LOGGER,
                 "entry record or report could not be written",
                 logging.WARNING,
+                code=int(error.code),
                 detail=error.detail,
             )
 
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/diagnostics.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/diagnostics.py
@@ -9,6 +9,7 @@
 
 def diagnostics(node: RelayNode, server: RelayServer, now_s: float) -> dict[str, Any]:
     """Return the state dump, which contains no API keys."""
+    position = node.feed.position
     return {
         "entry": node.identity.name,
         "zone": node.identity.zone,
@@ -20,7 +21,8 @@
             "age_s": now_s - node.routes.confirmed_at_s,
         },
         "feed": {
-            "revision": node.feed.revision,
+            "era": position.era if position else None,
+            "revision": position.revision if position else None,
             "age_s": now_s - node.feed.confirmed_at_s,
             "is_source": node.feed.is_source(now_s),
         },
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/peer_messages.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/peer_messages.py
@@ -23,6 +23,7 @@
 from cardamomnotch_core.relay.notices import LoadKind, LoadNotice
 from cardamomnotch_core.relay.rollout import AnswerStats, RolloutReport
 from cardamomnotch_core.relay.rollout_reports import RolloutsMessage
+from cardamomnotch_protocol.store_position import StorePosition
 
 
 def encode_notices(
@@ -239,7 +240,14 @@
 
 def encode_feed_request(entry: str, request: FeedRequest) -> bytes:
     """Return the datagram that asks for store changes."""
-    return orjson.dumps({"feed": entry, "ask": [request.token, request.revision]})
+    position = request.position
+    return orjson.dumps(
+        {
+            "feed": entry,
+            "ask": [request.token, position.revision],
+            "era": position.era,
+        }
+    )
 
 
 def encode_feed_part(entry: str, part: FeedPart) -> bytes:
@@ -250,12 +258,13 @@
             "feed": entry,
             "part": [
                 part.token,
-                part.after,
-                part.revision,
+                part.after.revision,
+                part.position.revision,
                 part.age_s,
                 part.is_gap,
                 changes,
             ],
+            "era": part.position.era,
         }
     )
 
@@ -265,8 +274,8 @@
     try:
         value = None if change.value is None else change.value.decode()
     except UnicodeDecodeError:
-        return [change.key, change.revision, None, True]
-    return [change.key, change.revision, value, change.is_omitted]
+        return [change.key, change.position.revision, None, True]
+    return [change.key, change.position.revision, value, change.is_omitted]
 
 
 def decode_feed_request(message: dict[str, Any]) -> FeedRequest:
@@ -275,7 +284,14 @@
     Raises ValueError or TypeError if the message is malformed.
     """
     token, revision = message["ask"]
-    return FeedRequest(token=int(token), revision=int(revision))
+    return FeedRequest(
+        token=int(token), position=StorePosition(_decode_era(message), int(revision))
+    )
+
+
+def _decode_era(message: dict[str, Any]) -> int:
+    """Return the era of a message's revisions; an earlier build states none."""
+    return int(message.get("era", 0))
 
 
 def decode_feed_part(message: dict[str, Any]) -> FeedPart:
@@ -285,16 +301,17 @@
     malformed.
     """
     token, after, revision, age_s, is_gap, changes = message["part"]
+    era = _decode_era(message)
     return FeedPart(
         token=int(token),
-        after=int(after),
-        revision=int(revision),
+        after=StorePosition(era, int(after)),
+        position=StorePosition(era, int(revision)),
         age_s=None if age_s is None else float(age_s),
         is_gap=bool(is_gap),
         changes=tuple(
             StoreChange(
                 key=str(key),
-                revision=int(change_revision),
+                position=StorePosition(era, int(change_revision)),
                 value=None if value is None else value.encode(),
                 is_omitted=bool(is_omitted),
             )
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/relay_store.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/relay_store.py
@@ -17,9 +17,11 @@
     ReplyTooLargeError,
     StoreConflictError,
     StoreError,
+    StoreRestoredError,
 )
 from cardamomnotch_platform.store.interface import KeyValueStore
 from cardamomnotch_platform.store.models import StoreEntry, StoreView
+from cardamomnotch_protocol.store_position import StorePosition
 
 from .const import (
     CRASH_LEASE_REUSE_S,
@@ -36,8 +38,8 @@
     """What was read of everything in the store."""
 
     changes: list[Change]
-    # All changes after this revision have to be watched for.
-    revision: int
+    # All changes after this position have to be watched for.
+    position: StorePosition
     # When the first page was asked for, in seconds.
     began_at_s: float
     is_complete: bool = True
@@ -51,7 +53,7 @@
     began_at_s: float
     # Whether it leaves out the route document.
     skips_document: bool = False
-    revision: int | None = None
+    position: StorePosition | None = None
     # Entries that have not been returned yet.
     entries: list[StoreEntry] = attrs.field(factory=list)
     # Failed calls since the last page.
@@ -61,7 +63,7 @@
 def _store_change(entry: StoreEntry) -> StoreChange:
     return StoreChange(
         key=entry.key,
-        revision=entry.mod_revision,
+        position=entry.position,
         value=None if entry.is_deleted else entry.value,
     )
 
@@ -110,7 +112,7 @@
         ):
             order = ListingOrder(self._store_codec.upstreams_prefix, self._random)
             reading = self._reading = _Reading(order, now_s, skips_document)
-        if skips_document and reading.revision is None:
+        if skips_document and reading.position is None:
             await self._async_read_small_values(reading)
         while not reading.order.is_sufficient:
             await self._async_read_page(reading)
@@ -132,7 +134,11 @@
                 if prefix != upstreams_prefix
             )
         )
-        reading.revision = min(view.revision for view in views)
+        if len({view.position.era for view in views}) > 1:
+            raise StoreRestoredError(
+                "the store came back from a copy while it was read"
+            )
+        reading.position = min(view.position for view in views)
         reading.entries.extend(entry for view in views for entry in view.entries)
 
     async def _async_read_page(self, reading: "_Reading") -> None:
@@ -146,83 +152,89 @@
             reading.failures += 1
             raise
         reading.failures = 0
-        # The pages are not one snapshot: a watch from the first page's revision
+        # The pages are not one snapshot: a watch from the first page's position
         # repeats all changes since then.
-        if reading.revision is None:
-            reading.revision = page.revision
+        if reading.position is None:
+            reading.position = page.position
+        if reading.position.era != page.position.era:
+            self._reading = None
+            raise StoreRestoredError(
+                "the store came back from a copy while it was read"
+            )
         keys = [entry.key for entry in page.entries]
         reading.order.record_page(keys, page.has_more)
         reading.entries.extend(page.entries)
 
     def _take_read(self, reading: "_Reading") -> StoreReading:
-        assert reading.revision is not None
+        assert reading.position is not None
         entries, reading.entries = reading.entries, []
         is_complete = reading.order.is_complete
         if is_complete:
             self._reading = None
         return StoreReading(
             changes=self._decode(entries),
-            revision=reading.revision,
+            position=reading.position,
             began_at_s=reading.began_at_s,
             is_complete=is_complete,
         )
 
     async def async_wait_for_changes(
-        self, revision: int, wait_s: float
-    ) -> tuple[list[StoreChange], int]:
-        """Return the changes after ``revision`` and the revision of the reply.
+        self, after: StorePosition, wait_s: float
+    ) -> tuple[list[StoreChange], StorePosition]:
+        """Return the changes after the position ``after``, and that of the reply.
 
         Waits up to ``wait_s`` seconds for a change. The value of the route document
         is omitted if the changes are too large to be read together. Raises
-        CompactedError if the store no longer has the changes after ``revision``.
+        CompactedError if the store no longer has the changes, and StoreRestoredError
+        if it is in a later era.
         """
         try:
             result = await self._store.async_wait_for_changes(
-                "", revision, wait_s, max_bytes=MAX_WATCH_REPLY_BYTES
+                "", after, wait_s, max_bytes=MAX_WATCH_REPLY_BYTES
             )
         except ReplyTooLargeError:
-            return await self._async_read_by_prefix(revision)
-        return [_store_change(entry) for entry in result.entries], result.revision
+            return await self._async_read_by_prefix(after)
+        return [_store_change(entry) for entry in result.entries], result.position
 
     async def _async_read_by_prefix(
-        self, revision: int
-    ) -> tuple[list[StoreChange], int]:
-        """Return the changes after ``revision``, read by the prefixes of their keys.
+        self, after: StorePosition
+    ) -> tuple[list[StoreChange], StorePosition]:
+        """Return the changes after ``after``, read by the prefixes of their keys.
 
         The value of the route document is omitted if it is large.
         """
         document_key = self._store_codec.document_key
         *views, document_view = await asyncio.gather(
             *(
-                self._store.async_wait_for_changes(prefix, revision, 0.0)
+                self._store.async_wait_for_changes(prefix, after, 0.0)
                 for prefix in self._store_codec.small_value_prefixes
             ),
-            self._async_read_document_changes(revision),
+            self._async_read_document_changes(after),
         )
         if document_view is not None:
             views.append(document_view)
         # What the store had in all of these calls; the next watch brings the rest.
-        last_revision = min(view.revision for view in views)
+        last = min(view.position for view in views)
         found = [
             _store_change(entry)
             for view in views
             for entry in view.entries
-            if entry.mod_revision <= last_revision
+            if entry.position <= last
         ]
-        found.sort(key=lambda change: change.revision)
+        found.sort(key=lambda change: change.position)
         if document_view is None:
-            document = StoreChange(
-                key=document_key, revision=last_revision, is_omitted=True
-            )
+            document = StoreChange(key=document_key, position=last, is_omitted=True)
             found.append(document)
-        return found, last_revision
+        return found, last
 
-    async def _async_read_document_changes(self, revision: int) -> StoreView | None:
+    async def _async_read_document_changes(
+        self, after: StorePosition
+    ) -> StoreView | None:
         """Return the route document's changes; None if they are too large."""
         try:
             return await self._store.async_wait_for_changes(
                 self._store_codec.document_key,
-                revision,
+                after,
                 0.0,
                 max_bytes=MAX_WATCH_REPLY_BYTES,
             )
@@ -245,7 +257,8 @@
             StoreEntry(
                 key=change.key,
                 value=change.value or b"",
-                mod_revision=change.revision,
+                mod_revision=change.position.revision,
+                era=change.position.era,
                 is_deleted=change.value is None,
             )
             for change in store_changes
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/value_reader.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/value_reader.py
@@ -56,7 +56,7 @@
         await self._tasks.async_unload()
 
     async def _async_read(self, key: str) -> None:
-        while (known_revision := self._values.revision(key)) is not None:
+        while (known_position := self._values.position(key)) is not None:
             asked_at_s = self._clock()
             try:
                 change = await self._relay_store.async_read_value(key)
@@ -69,6 +69,6 @@
                 )
                 await asyncio.sleep(self._retry_delay_s())
                 continue
-            revision = change.revision if change is not None else known_revision
-            if self._values.record_read(key, known_revision, revision):
+            position = change.position if change is not None else known_position
+            if self._values.record_read(key, known_position, position):
                 self._apply(key, change, asked_at_s)
--- a/packages/cardamomnotch-platform/src/cardamomnotch_platform/exceptions.py
+++ b/packages/cardamomnotch-platform/src/cardamomnotch_platform/exceptions.py
@@ -18,6 +18,16 @@
     """The store has compacted the requested changes; read everything again."""
 
 
+class StoreRestoredError(CompactedError):
+    """The store has come back from a copy; revisions of earlier calls are void."""
+
+
+class StoreEraError(StoreError):
+    """A reply states no usable era of the store, or one that has ended."""
+
+    code = ResultCode.STORE_ERA_INVALID
+
+
 class ReplyTooLargeError(StoreError):
     """A reply of the store exceeds the size that was asked for."""
 
--- a/packages/cardamomnotch-platform/src/cardamomnotch_platform/store/client.py
+++ b/packages/cardamomnotch-platform/src/cardamomnotch_platform/store/client.py
@@ -10,6 +10,7 @@
 import aiohttp
 import orjson
 
+from cardamomnotch_protocol.store_position import StorePosition
 from cardamomnotch_protocol.timeouts import longest_reply_s
 
 from ..exceptions import CompactedError, LeaseExpiredError, StoreError
@@ -97,6 +98,11 @@
         self._budget = budget
         self._calls: dict[str, int] = {}
 
+    @property
+    def era(self) -> int:
+        """Return 0: this store does not come back from copies."""
+        return 0
+
     @property
     def refused(self) -> dict[str, int]:
         """Return the number of calls that the budget rejected, by kind."""
@@ -128,11 +134,11 @@
         return _decode_entries(reply)
 
     async def async_read(self, prefix: str) -> StoreView:
-        """Return the entries under ``prefix`` and the revision of the read."""
+        """Return the entries under ``prefix`` and the position of the read."""
         reply = await self._async_call("kv/range", _prefix_range(prefix))
         return StoreView(
             entries=_decode_entries(reply),
-            revision=int(reply["header"]["revision"]),
+            position=StorePosition(0, int(reply["header"]["revision"])),
         )
 
     async def async_read_page(
@@ -141,17 +147,17 @@
         """Return all entries under ``prefix`` whose keys follow ``after``."""
         view = await self.async_read(prefix)
         entries = tuple(entry for entry in view.entries if entry.key > after)
-        return StorePage(entries=entries, revision=view.revision)
+        return StorePage(entries=entries, position=view.position)
 
     async def async_wait_for_changes(
         self,
         prefix: str,
-        revision: int,
+        after: StorePosition,
         wait_s: float,
         *,
         max_bytes: float = math.inf,
     ) -> StoreView:
-        """Return the changes under ``prefix`` after ``revision``.
+        """Return the changes under ``prefix`` after the position ``after``.
 
         Waits up to ``wait_s`` seconds for a change; without one the entries
         are empty. Raises CompactedError if the store has compacted them. The store
@@ -160,13 +166,13 @@
         try:
             async with asyncio.timeout(wait_s):
                 async for entries in self._async_events(
-                    _prefix_range(prefix), revision + 1
+                    _prefix_range(prefix), after.revision + 1
                 ):
-                    last_revision = max(entry.mod_revision for entry in entries)
-                    return StoreView(entries=entries, revision=last_revision)
+                    last = max(entry.position for entry in entries)
+                    return StoreView(entries=entries, position=last)
         except TimeoutError:
             # No change came within ``wait_s``.
-            return StoreView(entries=(), revision=revision)
+            return StoreView(entries=(), position=after)
         raise StoreError("store closed the watch before a change came")
 
     async def async_put(self, key: str, value: bytes, *, lease_id: int = 0) -> None:
@@ -179,7 +185,13 @@
         )
 
     async def async_put_if(
-        self, key: str, value: bytes, mod_revision: int, *, lease_id: int = 0
+        self,
+        key: str,
+        value: bytes,
+        mod_revision: int,
+        *,
+        lease_id: int = 0,
+        era: int | None = None,
     ) -> WriteResult:
         """Write ``value`` if ``key`` is still at ``mod_revision``.
 
--- a/packages/cardamomnotch-platform/src/cardamomnotch_platform/store/interface.py
+++ b/packages/cardamomnotch-platform/src/cardamomnotch_platform/store/interface.py
@@ -3,6 +3,8 @@
 import math
 from typing import Protocol
 
+from cardamomnotch_protocol.store_position import StorePosition
+
 from .models import Lease, StoreEntry, StorePage, StoreView, WriteResult
 
 
@@ -13,11 +15,15 @@
     effect nevertheless.
     """
 
+    @property
+    def era(self) -> int:
+        """Return the last era of the store that is known; 0 if it states none."""
+
     async def async_get(self, key: str) -> StoreEntry:
         """Return the entry of ``key``; absent keys have ``mod_revision`` 0."""
 
     async def async_read(self, prefix: str) -> StoreView:
-        """Return the entries under ``prefix`` and the revision of the read."""
+        """Return the entries under ``prefix`` and the position of the read."""
 
     async def async_read_page(
         self, prefix: str, after: str, extra_wait_s: float = 0.0
@@ -30,17 +36,17 @@
     async def async_wait_for_changes(
         self,
         prefix: str,
-        revision: int,
+        after: StorePosition,
         wait_s: float,
         *,
         max_bytes: float = math.inf,
     ) -> StoreView:
-        """Return the changes under ``prefix`` after ``revision``.
+        """Return the changes under ``prefix`` after the position ``after``.
 
         Waits up to ``wait_s`` seconds for a change; without one the entries
-        are empty. Raises CompactedError if the store has compacted them, and
-        ReplyTooLargeError if the store returns many changes in one reply that is
-        larger than ``max_bytes``.
+        are empty. Raises CompactedError if the store has compacted them,
+        StoreRestoredError if it is in a later era, and ReplyTooLargeError if the
+        store returns many changes in one reply that is larger than ``max_bytes``.
         """
 
     async def async_put(self, key: str, value: bytes, *, lease_id: int = 0) -> None:
@@ -50,12 +56,20 @@
         """
 
     async def async_put_if(
-        self, key: str, value: bytes, mod_revision: int, *, lease_id: int = 0
+        self,
+        key: str,
+        value: bytes,
+        mod_revision: int,
+        *,
+        lease_id: int = 0,
+        era: int | None = None,
     ) -> WriteResult:
         """Write ``value`` if ``key`` is still at ``mod_revision``.
 
-        A ``mod_revision`` of 0 requires that the key is absent. Raises
-        LeaseExpiredError if the lease has expired.
+        A ``mod_revision`` of 0 requires that the key is absent. ``era`` is that of
+        the revision; None if it was never read. Raises LeaseExpiredError if the lease
+        has expired, and StoreRestoredError if the store is in a later era; it may
+        have written then if it entered that during the call.
         """
 
     async def async_delete(self, key: str) -> None:
--- a/packages/cardamomnotch-platform/src/cardamomnotch_platform/store/models.py
+++ b/packages/cardamomnotch-platform/src/cardamomnotch_platform/store/models.py
@@ -2,13 +2,15 @@
 
 import attrs
 
+from cardamomnotch_protocol.store_position import StorePosition
+
 
 @attrs.frozen(kw_only=True)
 class StoreEntry:
     """A key with its value and the revision of its last write.
 
     A ``mod_revision`` of 0 means that the key is absent. ``is_deleted`` is
-    set in a change that deletes the key.
+    set in a change that deletes the key. ``era`` is that of the reply.
     """
 
     key: str
@@ -16,22 +18,28 @@
     mod_revision: int = 0
     lease_id: int = 0
     is_deleted: bool = False
+    era: int = 0
+
+    @property
+    def position(self) -> StorePosition:
+        """Return the position of the last write."""
+        return StorePosition(self.era, self.mod_revision)
 
 
 @attrs.frozen(kw_only=True)
 class StoreView:
-    """Entries or changes, complete up to the store's ``revision``."""
+    """Entries or changes, complete up to the store's ``position``."""
 
     entries: tuple[StoreEntry, ...]
-    revision: int
+    position: StorePosition
 
 
 @attrs.frozen(kw_only=True)
 class StorePage:
-    """Entries of a listing in the order of their keys, as of ``revision``."""
+    """Entries of a listing in the order of their keys, as of ``position``."""
 
     entries: tuple[StoreEntry, ...]
-    revision: int
+    position: StorePosition
     # Whether the listing goes on after the last entry's key.
     has_more: bool = False
 
@@ -51,7 +59,11 @@
 
 @attrs.frozen(kw_only=True)
 class Lease:
-    """A lease; ``ttl_s`` is the lifetime that the store granted."""
+    """A lease; ``ttl_s`` is the lifetime that the store granted.
+
+    It exists in its ``era`` only: a later one may give its id to another lease.
+    """
 
     lease_id: int
     ttl_s: float
+    era: int = 0
--- a/packages/cardamomnotch-protocol/src/cardamomnotch_protocol/result_codes.py
+++ b/packages/cardamomnotch-protocol/src/cardamomnotch_protocol/result_codes.py
@@ -69,6 +69,7 @@
     VM_LIST_UNAVAILABLE = 603
     RATING_UNAVAILABLE = 604
     WEIGHT_STORE_LIMITED = 605
+    STORE_ERA_INVALID = 606
     MALFORMED_MESSAGE = 701
     UNSUPPORTED_PROTOCOL = 702
     MESSAGE_TOO_LARGE = 703
@@ -273,6 +274,12 @@
             "The weight store limits the rate of requests.",
             True,
         ),
+        (
+            ResultCode.STORE_ERA_INVALID,
+            503,
+            "A reply of the store states no valid era, or an earlier one.",
+            True,
+        ),
         (ResultCode.MALFORMED_MESSAGE, 400, "An inner message is malformed.", False),
         (
             ResultCode.UNSUPPORTED_PROTOCOL,
--- a/tests/adapter/test_slow_store.py
+++ b/tests/adapter/test_slow_store.py
@@ -7,6 +7,7 @@
 from cardamomnotch_adapter.store import PlatformStoreClient
 from cardamomnotch_platform.exceptions import StoreError
 
+from tests.fixtures.positions import at
 from tests.fixtures.tcp_proxy import async_start_tcp_proxy
 from tests.stand_ins.platform_store import PlatformStoreStandIn
 
@@ -51,11 +52,11 @@
 
 @pytest.mark.parametrize("bytes_per_s", [1_000_000.0, 300_000.0])
 async def test_large_reply_that_keeps_arriving_is_read(
-    store, proxy, replies, bytes_per_s
+    store, stand_in, proxy, replies, bytes_per_s
 ):
     """A reply may take longer than a silent store is waited for."""
     proxy.bytes_per_s = bytes_per_s
-    view = await store.async_wait_for_changes("", 0, 0.5)
+    view = await store.async_wait_for_changes("", at(0, stand_in.era), 0.5)
     assert view.entries[-1].value == LARGE_VALUE
     ((kind, size, seconds),) = replies
     assert kind == "kv-watch"
--- a/tests/adapter/test_store.py
+++ b/tests/adapter/test_store.py
@@ -11,6 +11,7 @@
 from cardamomnotch_platform.exceptions import CompactedError, StoreError
 from cardamomnotch_platform.store.budget import StoreBudget, StoreBudgetError
 
+from tests.fixtures.positions import at
 from tests.stand_ins.platform_store import PlatformStoreStandIn
 
 
@@ -33,7 +34,7 @@
         stand_in.put(f"op/evacuate/zone-{number}", {})
     view = await store.async_read("")
     assert len(view.entries) == 10
-    assert view.revision == stand_in.revision("op/evacuate/zone-9")
+    assert view.position == at(stand_in.revision("op/evacuate/zone-9"), stand_in.era)
 
 
 async def test_values_are_base64(store, stand_in):
@@ -71,5 +72,5 @@
     """Every fault of the store raises StoreError, not CompactedError."""
     stand_in.faults.active[fault] = True
     with pytest.raises(StoreError) as error:
-        await store.async_wait_for_changes("", 5, 0.01)
+        await store.async_wait_for_changes("", at(5), 0.01)
     assert not isinstance(error.value, CompactedError)
--- a/tests/core/change_feed/test_feed_state_machine.py
+++ b/tests/core/change_feed/test_feed_state_machine.py
@@ -17,7 +17,9 @@
     LARGE_VALUE_BYTES,
     MAX_AGE_S,
     FeedSimulation,
+    order,
 )
+from tests.fixtures.positions import at
 
 # Time within which a change must be known at an entry that reaches the store.
 APPLY_S = 2.0
@@ -99,11 +101,16 @@
         """Let the store forget its history."""
         self.simulation.store.first_kept = self.simulation.store.revision
 
+    @rule(copy_age_s=st.floats(0.0, 20.0))
+    def bring_back_store(self, copy_age_s):
+        """Let the store come back from a copy: it gives out revisions again."""
+        self.simulation.bring_back_store(copy_age_s)
+
     @invariant()
     def entries_that_reach_the_store_are_fresh(self):
         """Entries that reach the store know all changes in time."""
         simulation = self.simulation
-        needed = simulation.store.revision_at(simulation.now_s - APPLY_S)
+        needed = simulation.store.position_at(simulation.now_s - APPLY_S)
         for entry in simulation.entries.values():
             stable_since_s = max(
                 entry.in_touch_since_s, simulation.store_stable_since_s
@@ -111,7 +118,7 @@
             if simulation.now_s - stable_since_s < STABLE_S:
                 continue
             assert simulation.age_s(entry) < MAX_USED_AGE_S
-            assert entry.applied_revision >= needed
+            assert order(entry.applied_position) >= order(needed)
 
 
 TestFeedMachine = FeedMachine.TestCase
@@ -141,22 +148,29 @@
 def test_late_reply_of_the_store_repeats_no_older_change():
     """A reply that was overtaken by another entry's changes applies nothing."""
     feed = ChangeFeed("entry-0", "a", MAX_AGE_S)
-    feed.record_read(10, 0.0)
-    written = [StoreChange(key="key", revision=n, value=b"%d" % n) for n in (11, 12)]
+    feed.record_read(at(10), 0.0)
+    written = [
+        StoreChange(key="key", position=at(n), value=b"%d" % n) for n in (11, 12)
+    ]
     update = feed.handle_part(
-        "entry-1", FeedPart(token=1, after=10, revision=12, changes=tuple(written))
+        "entry-1",
+        FeedPart(token=1, after=at(10), position=at(12), changes=tuple(written)),
     )
-    assert [change.revision for change in update.changes] == [11, 12]
-    assert feed.record_watched(written[:1], 11, 0.1) == ()
-    assert feed.revision == 12
+    assert [change.position for change in update.changes] == [at(11), at(12)]
+    assert feed.record_watched(written[:1], at(11), 0.1) == ()
+    assert feed.position == at(12)
 
 
 def test_reader_that_lacks_too_much_is_told_once():
     """A source repeats only at a request that it cannot pass on the changes."""
     feed = ChangeFeed("entry-0", "a", MAX_AGE_S)
-    feed.record_read(10, 0.0)
-    parts = feed.handle_request("entry-1", "h:1", FeedRequest(token=1, revision=4), 0.0)
+    feed.record_read(at(10), 0.0)
+    parts = feed.handle_request(
+        "entry-1", "h:1", FeedRequest(token=1, position=at(4)), 0.0
+    )
     assert [part.is_gap for part in parts] == [True]
     assert list(feed.pushes(0.01)) == []
-    feed.record_watched([StoreChange(key="key", revision=11, value=b"v")], 11, 0.1)
-    assert [part.after for _, part in feed.pushes(0.2)] == [10]
+    feed.record_watched(
+        [StoreChange(key="key", position=at(11), value=b"v")], at(11), 0.1
+    )
+    assert [part.after for _, part in feed.pushes(0.2)] == [at(10)]
--- a/tests/entry/relay/test_coordinator.py
+++ b/tests/entry/relay/test_coordinator.py
@@ -18,6 +18,8 @@
 from cardamomnotch_entry.relay.relay_store import StoreReading
 from cardamomnotch_platform.exceptions import StoreConflictError, StoreError
 
+from tests.fixtures.positions import at
+
 STEP_S = 0.1
 
 
@@ -56,7 +58,7 @@
 
     async def async_read_all(self, *, skips_document):
         """Return no changes."""
-        return StoreReading(changes=[], revision=1, began_at_s=100.0)
+        return StoreReading(changes=[], position=at(1), began_at_s=100.0)
 
     async def async_wait_for_changes(self, cursor, wait_s):
         """Record the watch's wait time and return the prepared changes."""
@@ -64,7 +66,8 @@
         self._record_call("watch")
         self.during_watch()
         count = len(self.found)
-        return [StoreChange(key="key", revision=cursor + 1)] * count, cursor + count
+        end = at(cursor.revision + count)
+        return [StoreChange(key="key", position=end)] * count, end
 
     def decode(self, store_changes):
         """Return the prepared changes for those of a watch."""
@@ -348,7 +351,7 @@
         clock.now_s += max_age_s / 2
         _, request = next(iter(node.feed.requests(clock())))
         clock.now_s += 0.1
-        part = FeedPart(token=request.token, after=1, revision=1, age_s=0.2)
+        part = FeedPart(token=request.token, after=at(1), position=at(1), age_s=0.2)
         reader.apply_part("other-1", part)
         await reader.async_apply_changes()
         assert node.routes.confirmed_at_s == pytest.approx(clock() - 0.3)
@@ -361,8 +364,8 @@
 @pytest.mark.parametrize(
     "part",
     [
-        FeedPart(token=1, after=1, revision=9, is_gap=True),
-        FeedPart(token=1, after=5, revision=9),
+        FeedPart(token=1, after=at(1), position=at(9), is_gap=True),
+        FeedPart(token=1, after=at(5), position=at(9)),
     ],
     ids=["older than the log", "an earlier part is lost"],
 )
@@ -407,7 +410,7 @@
     await coordinator.async_apply_changes()
     _, request = next(iter(node.feed.requests(clock())))
     clock.now_s += 0.3
-    part = FeedPart(token=request.token, after=1, revision=1, age_s=0.0)
+    part = FeedPart(token=request.token, after=at(1), position=at(1), age_s=0.0)
     coordinator.apply_part("other", part)
     await coordinator.async_apply_changes()
     clock.now_s += node.limits.feed_max_age_s
@@ -459,12 +462,12 @@
 def part_with_omitted_value(node, clock, key, **fields):
     """Return a part with a value left out and another change behind it."""
     _, request = next(iter(node.feed.requests(clock())))
-    omitted = StoreChange(key=key, revision=2, is_omitted=True)
-    small = StoreChange(key="key", revision=3)
+    omitted = StoreChange(key=key, position=at(2), is_omitted=True)
+    small = StoreChange(key="key", position=at(3))
     return FeedPart(
         token=request.token,
-        after=1,
-        revision=3,
+        after=at(1),
+        position=at(3),
         changes=(omitted, small),
         age_s=0.0,
         **fields,
@@ -490,7 +493,7 @@
     clock.now_s += 1.0
     assert relay_store.calls == ["value of document"]
     assert node.routes.confirmed_at_s == confirmed_at_s
-    relay_store.value = StoreChange(key="document", revision=2, value=b"{}")
+    relay_store.value = StoreChange(key="document", position=at(2), value=b"{}")
     relay_store.may_reply.set()
     for _ in range(3):
         await real_sleep(0)
--- a/tests/entry/relay/test_long_listings.py
+++ b/tests/entry/relay/test_long_listings.py
@@ -15,6 +15,8 @@
 from cardamomnotch_platform.exceptions import StoreError
 from cardamomnotch_platform.store.models import StoreEntry, StorePage, StoreView
 
+from tests.fixtures.positions import at
+
 PAGE = 500
 UPSTREAMS = 3000
 REGISTRATION = {
@@ -58,7 +60,7 @@
             StoreEntry(key=key, value=self.items[key], mod_revision=1)
             for key in keys[:PAGE]
         )
-        return StorePage(entries=entries, revision=5, has_more=len(keys) > PAGE)
+        return StorePage(entries=entries, position=at(5), has_more=len(keys) > PAGE)
 
     async def async_read(self, prefix):
         """Return the items under a prefix."""
@@ -67,16 +69,17 @@
             for key, value in self.items.items()
             if key.startswith(prefix)
         )
-        return StoreView(entries=entries, revision=5)
+        return StoreView(entries=entries, position=at(5))
 
     async def async_get(self, key):
         """Return an item."""
         return StoreEntry(key=key, value=self.items[key], mod_revision=1)
 
-    async def async_wait_for_changes(self, prefix, revision, wait_s, *, max_bytes):
+    async def async_wait_for_changes(self, prefix, after, wait_s, *, max_bytes):
         """Return the prepared events."""
         events, self.events = self.events, ()
-        return StoreView(entries=events, revision=revision + len(events))
+        position = at(after.revision + len(events))
+        return StoreView(entries=events, position=position)
 
 
 @pytest.fixture
@@ -133,7 +136,7 @@
     """After a failure the listing goes on with the page that failed."""
     store.failing = failing
     for _ in range(2 + len(failing)):
-        if node.feed.revision is None:
+        if node.feed.position is None:
             await coordinator.async_apply_changes()
     await read_rest(coordinator)
     assert len(node.fleet) == UPSTREAMS
--- a/tests/entry/relay/test_peers.py
+++ b/tests/entry/relay/test_peers.py
@@ -36,6 +36,8 @@
 from cardamomnotch_entry.relay.peers import PeerExchange
 from cardamomnotch_runtime.tasks import async_wait_until
 
+from tests.fixtures.positions import at
+
 NOTICES = [
     LoadNotice(
         kind=LoadKind.STARTED,
@@ -100,18 +102,18 @@
 
 def test_store_changes_round_trip():
     """Requests and parts are decoded to equal ones; binary values are left out."""
-    request = FeedRequest(token=9, revision=4)
+    request = FeedRequest(token=9, position=at(4))
     message = orjson.loads(encode_feed_request("entry-a", request))
     assert decode_feed_request(message) == request
     kept = (
-        StoreChange(key="a", revision=5, value=b"{}"),
-        StoreChange(key="b", revision=6),
-        StoreChange(key="c", revision=7, is_omitted=True),
+        StoreChange(key="a", position=at(5), value=b"{}"),
+        StoreChange(key="b", position=at(6)),
+        StoreChange(key="c", position=at(7), is_omitted=True),
     )
-    part = FeedPart(token=9, after=4, revision=8, age_s=0.25, changes=kept)
+    part = FeedPart(token=9, after=at(4), position=at(8), age_s=0.25, changes=kept)
     assert decode_feed_part(orjson.loads(encode_feed_part("entry-a", part))) == part
     binary = attrs.evolve(
-        part, changes=(StoreChange(key="c", revision=7, value=b"\xff"),)
+        part, changes=(StoreChange(key="c", position=at(7), value=b"\xff"),)
     )
     decoded = decode_feed_part(orjson.loads(encode_feed_part("entry-a", binary)))
     assert decoded.changes == kept[2:]
--- a/tests/entry/relay/test_relay_store.py
+++ b/tests/entry/relay/test_relay_store.py
@@ -18,6 +18,7 @@
     StoreError,
 )
 
+from tests.fixtures.positions import at
 from tests.stand_ins.platform_store import PlatformStoreStandIn
 
 RECORD = changes.EntryRecord(entry="entry-a", incarnation="1")
@@ -58,11 +59,11 @@
     await store_harness.store.async_put("op/evacuate/zone-a", b"{}")
     reading = await relay_store.async_read_all()
     assert reading.changes == [changes.ZoneDisabled(zone="zone-a")]
-    cursor = reading.revision
+    cursor = reading.position
     await store_harness.store.async_delete("op/evacuate/zone-a")
     found, cursor = await relay_store.async_wait_for_changes(cursor, 2.0)
     assert relay_store.decode(found) == [changes.ZoneEnabled(zone="zone-a")]
-    assert [change.revision for change in found] == [cursor]
+    assert [change.position for change in found] == [cursor]
     assert await relay_store.async_wait_for_changes(cursor, 0.01) == ([], cursor)
 
 
@@ -70,7 +71,7 @@
     """Lost change history raises CompactedError."""
     store_harness.drop_history()
     with pytest.raises(CompactedError):
-        await relay_store.async_wait_for_changes(5, 1.0)
+        await relay_store.async_wait_for_changes(at(5, store_harness.era), 1.0)
 
 
 async def test_record_expires_with_its_lease(relay_store, store_harness):
@@ -194,7 +195,7 @@
     url = await serve_app(stand_in.create_app())
     store = PlatformStoreClient(http_session, url.removeprefix("http://"))
     relay_store = RelayStore(store, PlatformStoreCodec(), lambda: 0.0)
-    cursor = stand_in.put("op/config", {})
+    cursor = at(stand_in.put("op/config", {}), stand_in.era)
     zones = [f"op/evacuate/zone-{number}" for number in range(50)]
     for zone in zones:
         stand_in.put(zone, b"{}" + b" " * 1_500)
@@ -202,7 +203,7 @@
         stand_in.put("op/config", b" " * document_bytes)
     last = stand_in.put("op/evacuate/last", {})
     found, cursor = await relay_store.async_wait_for_changes(cursor, 1.0)
-    assert cursor == last
+    assert cursor == at(last, stand_in.era)
     keys = [change.key for change in found if change.key != "op/config"]
     assert keys == [*zones, "op/evacuate/last"]
     documents = [change for change in found if change.key == "op/config"]
--- /dev/null
+++ b/tests/entry/relay/test_store_restore.py
@@ -0,0 +1,59 @@
+"""A store that comes back from a copy, while entries serve."""
+
+import pytest
+
+from tests.fixtures.relay_system import API_KEY, WORKSPACE, document
+from tests.stand_ins.platform_upstream import plain
+
+TAKEN_KEY = "key-two"
+
+
+def tenants(*keys):
+    """Return the route document's field with the keys of one workspace."""
+    return [{"name": WORKSPACE, "api_keys": list(keys), "priority": 1}]
+
+
+@pytest.fixture
+async def entries(relay):
+    """Return four entries of one availability zone that serve bookings."""
+    others = [await relay.async_add_entry(f"entry-a-{n}") for n in (2, 3, 4)]
+    relay.store.put("op/config", document(2, tenants=tenants(API_KEY, TAKEN_KEY)))
+    await relay.async_add_upstream("up", plain(b"done"), service="bookings")
+    entries = [relay, *others]
+    for entry in entries:
+        await entry.async_wait_for(
+            lambda e=entry: (
+                e.entry.node.routes.version == 2 and len(e.entry.node.entries) == 4
+            )
+        )
+    yield entries
+    for other in others:
+        await other.async_leave()
+
+
+async def statuses(entries, key):
+    """Return the status of a booking with ``key`` at each entry."""
+    return [(await entry.async_call("/book/x", key=key)).status for entry in entries]
+
+
+async def test_key_taken_away_after_a_restore_is_refused(relay, entries):
+    """A key that is taken away after the store's restore is refused at all entries.
+
+    The revisions that the restored store gives out are ones that entries know.
+    """
+    assert await statuses(entries, TAKEN_KEY) == [200] * 4
+    copy = relay.store.copy()
+    for number in range(20):
+        relay.store.put("op/other", {"number": number})
+    for entry in entries:
+        await entry.async_wait_for(
+            lambda e=entry: (
+                e.entry.node.feed.position.revision >= relay.store.revision("op/other")
+            )
+        )
+    relay.store.restore(copy)
+    relay.store.put("op/config", document(3, tenants=tenants(API_KEY)))
+    for entry in entries:
+        await entry.async_wait_for(lambda e=entry: e.entry.node.routes.version == 3)
+    assert await statuses(entries, TAKEN_KEY) == [401] * 4
+    assert await statuses(entries, API_KEY) == [200] * 4
--- a/tests/platform/test_key_value_store.py
+++ b/tests/platform/test_key_value_store.py
@@ -10,6 +10,8 @@
     StoreError,
 )
 
+from tests.fixtures.positions import at
+
 
 async def test_absent_key_has_revision_0(store_harness):
     """An absent key is returned with revision 0."""
@@ -43,27 +45,27 @@
     assert [entry.key for entry in view.entries] == ["a/1"]
     await store_harness.store.async_put("a/2", b"two")
     changes = await store_harness.store.async_wait_for_changes(
-        prefix, view.revision, 2.0
+        prefix, view.position, 2.0
     )
     assert [(entry.key, entry.value) for entry in changes.entries] == [("a/2", b"two")]
     await store_harness.store.async_delete("a/1")
     changes = await store_harness.store.async_wait_for_changes(
-        prefix, changes.revision, 2.0
+        prefix, changes.position, 2.0
     )
     assert [(entry.key, entry.is_deleted) for entry in changes.entries] == [
         ("a/1", True)
     ]
     unchanged = await store_harness.store.async_wait_for_changes(
-        prefix, changes.revision, 0.05
+        prefix, changes.position, 0.05
     )
-    assert (unchanged.entries, unchanged.revision) == ((), changes.revision)
+    assert (unchanged.entries, unchanged.position) == ((), changes.position)
 
 
 async def test_wait_ends_with_a_change(store_harness):
     """A wait returns as soon as a change is written."""
     view = await store_harness.store.async_read("")
     wait_task = asyncio.create_task(
-        store_harness.store.async_wait_for_changes("", view.revision, 10.0)
+        store_harness.store.async_wait_for_changes("", view.position, 10.0)
     )
     await asyncio.sleep(0.05)
     await store_harness.store.async_put("a/k", b"late")
@@ -75,7 +77,9 @@
     """Waiting for compacted changes raises CompactedError."""
     store_harness.drop_history()
     with pytest.raises(CompactedError):
-        await store_harness.store.async_wait_for_changes("", 5, 1.0)
+        await store_harness.store.async_wait_for_changes(
+            "", at(5, store_harness.era), 1.0
+        )
 
 
 async def test_expired_lease_deletes_its_key_and_rejects_writes(store_harness):
@@ -117,4 +121,6 @@
     with pytest.raises(StoreError):
         await store_harness.store.async_read("")
     with pytest.raises(StoreError):
-        await store_harness.store.async_wait_for_changes("", 5, 1.0)
+        await store_harness.store.async_wait_for_changes(
+            "", at(5, store_harness.era), 1.0
+        )
--- a/tests/platform/test_truncated_replies.py
+++ b/tests/platform/test_truncated_replies.py
@@ -14,6 +14,7 @@
 from cardamomnotch_platform.store.client import StoreClient
 from cardamomnotch_platform.vm_list.client import VmListClient
 
+from tests.fixtures.positions import at
 from tests.fixtures.truncated_responses import without_framing
 from tests.stand_ins.platform_upstream import PlatformUpstreamStandIn, Send
 
@@ -21,7 +22,7 @@
 STORE_CALLS: dict[str, Call] = {
     "get": lambda store: store.async_get("k"),
     "read": lambda store: store.async_read("k"),
-    "wait": lambda store: store.async_wait_for_changes("k", 1, 0.5),
+    "wait": lambda store: store.async_wait_for_changes("k", at(1), 0.5),
     "put": lambda store: store.async_put_if("k", b"v", 1),
     "grant": lambda store: store.async_grant_lease(1.0),
     "renew": lambda store: store.async_renew_lease(7),
--- a/tests/stand_ins/platform_store.py
+++ b/tests/stand_ins/platform_store.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import base64
-import itertools
+import copy
 from typing import Any
 
 import attrs
@@ -29,9 +29,25 @@
         return {**attrs.asdict(self), "value": value}
 
 
+@attrs.define
+class StoreState:
+    """What a copy of the store holds."""
+
+    items: dict[str, _Item] = attrs.field(factory=dict)
+    events: list[dict[str, Any]] = attrs.field(factory=list)
+    revision: int = 100
+    # Watches after an earlier revision get 410.
+    first_kept: int = 0
+    leases: set[int] = attrs.field(factory=set)
+    last_lease: int = 7000
+
+
 class PlatformStoreStandIn:
     """Keeps items, watches and leases; leases expire by ``expire_lease`` only.
 
+    It can come back from a copy of its state: ``era``, which every reply states if it
+    is not None, rises by one then, and revisions and leases are given out again.
+
     Faults: ``busy`` (503 without effect), ``limited`` (429 without effect),
     ``reset`` (the connection is reset without effect), ``silent`` (no
     response), ``lost`` (the connection is reset after a write took effect),
@@ -42,13 +58,9 @@
     def __init__(self) -> None:
         self.faults = Faults()
         self.calls: list[str] = []
-        self._items: dict[str, _Item] = {}
-        self._events: list[dict[str, Any]] = []
-        self._revision = 100
-        # Watches after an earlier revision get 410.
-        self._first_kept = 0
-        self._leases: set[int] = set()
-        self._lease_ids = itertools.count(7000)
+        # Value of the header; text that is no number is sent as it is.
+        self.era: int | str | None = 1
+        self._state = StoreState()
         self._changed = asyncio.Event()
 
     def create_app(self) -> web.Application:
@@ -70,93 +82,125 @@
         ``value`` is encoded as JSON unless it is bytes.
         """
         raw = value if isinstance(value, bytes) else orjson.dumps(value)
-        self._revision += 1
-        created = self._items[key].created if key in self._items else self._revision
-        item = _Item(key, raw, self._revision, created, lease)
-        self._items[key] = item
+        self._state.revision += 1
+        created = (
+            self._state.items[key].created
+            if key in self._state.items
+            else self._state.revision
+        )
+        item = _Item(key, raw, self._state.revision, created, lease)
+        self._state.items[key] = item
         self._record_event(item.as_json())
-        return self._revision
+        return self._state.revision
 
     def delete(self, key: str) -> None:
         """Delete an item."""
-        if self._items.pop(key, None) is None:
+        if self._state.items.pop(key, None) is None:
             return
-        self._revision += 1
-        self._record_event({"key": key, "revision": self._revision, "tombstone": True})
+        self._state.revision += 1
+        self._record_event(
+            {"key": key, "revision": self._state.revision, "tombstone": True}
+        )
 
     def value(self, key: str) -> Any:
         """Return the decoded value of an item; None if there is none."""
-        item = self._items.get(key)
+        item = self._state.items.get(key)
         return orjson.loads(item.value) if item else None
 
     def revision(self, key: str) -> int:
         """Return the revision of an item; 0 if there is none."""
-        item = self._items.get(key)
+        item = self._state.items.get(key)
         return item.revision if item else 0
 
     def expire_lease(self, lease: int) -> None:
         """Expire a lease and delete its items."""
-        self._leases.discard(lease)
-        for item in tuple(self._items.values()):
+        self._state.leases.discard(lease)
+        for item in tuple(self._state.items.values()):
             if item.lease == lease:
                 self.delete(item.key)
 
     def expire_leases(self) -> None:
         """Expire all leases and delete their items."""
-        for lease in tuple(self._leases):
+        for lease in tuple(self._state.leases):
             self.expire_lease(lease)
 
     def drop_history(self) -> None:
         """Discard all past events: the next watch, and each from before, gets 410."""
-        self._events.clear()
-        self._first_kept = self._revision
-        self._changed.set()
-        self._changed = asyncio.Event()
+        self._state.events.clear()
+        self._state.first_kept = self._state.revision
+        self._wake_watches()
         self.faults.active["gone"] = 1
 
-    def _record_event(self, event: dict[str, Any]) -> None:
-        self._events.append(event)
+    def copy(self) -> StoreState:
+        """Return a copy of what the store holds now."""
+        return copy.deepcopy(self._state)
+
+    def restore(self, state: StoreState) -> None:
+        """Come back from a copy: what was written since is gone, leases too."""
+        self._state = copy.deepcopy(state)
+        self.era += 1
+        self._wake_watches()
+
+    def _wake_watches(self) -> None:
         self._changed.set()
         self._changed = asyncio.Event()
 
+    def _record_event(self, event: dict[str, Any]) -> None:
+        self._state.events.append(event)
+        self._wake_watches()
+
     @web.middleware
     async def _fault_middleware(self, request: web.Request, handler: Any) -> Any:
         if request.path == "/faults":
             return await handler(request)
         self.calls.append(f"{request.method} {request.path}")
         if self.faults.consume("busy"):
-            return web.Response(status=503)
+            return self._state_era(web.Response(status=503))
         if self.faults.consume("limited"):
-            return web.Response(status=429)
+            return self._state_era(web.Response(status=429))
         if self.faults.consume("silent"):
             await async_never_respond()
         if self.faults.consume("reset"):
             request.transport.abort()
             return web.Response()
+        era = self.era
         response = await handler(request)
+        if era != self.era:
+            # The connection does not survive the store's restore.
+            request.transport.abort()
+        self._state_era(response)
         if self.faults.consume("garbled"):
             return web.Response(body=b"{not json")
         if request.method == "POST" and self.faults.consume("lost"):
             request.transport.abort()
         return response
 
+    def _state_era(self, response: web.Response) -> web.Response:
+        if self.era is not None:
+            response.headers["Store-Era"] = str(self.era)
+        return response
+
     async def _async_key(self, request: web.Request) -> web.Response:
-        item = self._items.get(request.query["key"])
+        item = self._state.items.get(request.query["key"])
         if item is None:
             return web.json_response({}, status=404)
-        return web.json_response({**item.as_json(), "current_rev": self._revision})
+        return web.json_response(
+            {**item.as_json(), "current_rev": self._state.revision}
+        )
 
     async def _async_range(self, request: web.Request) -> web.Response:
         prefix = request.query["path_prefix"]
         after = request.query.get("after", "")
         keys = sorted(
-            key for key in self._items if key.startswith(prefix) and key > after
+            key for key in self._state.items if key.startswith(prefix) and key > after
         )
         return web.json_response(
             {
-                "items": [self._items[key].as_json() for key in keys[:_PAGE_SIZE]],
+                "items": [
+                    self._state.items[key].as_json() for key in keys[:_PAGE_SIZE]
+                ],
                 "has_more": len(keys) > _PAGE_SIZE,
-                "current_rev": self._revision,
+                "current_rev": self._state.revision,
             }
         )
 
@@ -174,14 +218,16 @@
             except TimeoutError:
                 pass
             events = self._events_after(prefix, after)
-        if after < self._first_kept:
+        if not self._state.first_kept <= after <= self._state.revision:
             return web.json_response({"error": "compacted"}, status=410)
-        return web.json_response({"events": events, "current_rev": self._revision})
+        return web.json_response(
+            {"events": events, "current_rev": self._state.revision}
+        )
 
     def _events_after(self, prefix: str, revision: int) -> list[dict[str, Any]]:
         return [
             event
-            for event in self._events
+            for event in self._state.events
             if event["revision"] > revision and event["key"].startswith(prefix)
         ]
 
@@ -190,32 +236,35 @@
         expected = body["expected_revision"]
         if any(self.revision(row["key"]) != row["revision"] for row in expected):
             keys = [row["key"] for row in expected]
-            current = [self._items[key] for key in keys if key in self._items]
+            current = [
+                self._state.items[key] for key in keys if key in self._state.items
+            ]
             return web.json_response(
                 {"items": [item.as_json() for item in current]}, status=412
             )
         leases = {write["lease"] for write in body["writes"]}
-        if leases - self._leases - {0}:
+        if leases - self._state.leases - {0}:
             return web.json_response({}, status=404)
         for write in body["writes"]:
             self.put(write["key"], base64.b64decode(write["value"]), write["lease"])
         for key in body["deletes"]:
             self.delete(key)
-        return web.json_response({"revision": self._revision})
+        return web.json_response({"revision": self._state.revision})
 
     async def _async_lease(self, request: web.Request) -> web.Response:
         body = orjson.loads(await request.read())
-        lease = next(self._lease_ids)
-        self._leases.add(lease)
+        self._state.last_lease += 1
+        lease = self._state.last_lease
+        self._state.leases.add(lease)
         return web.json_response({"lease": lease, "ttl_ms": body["ttl_ms"]})
 
     async def _async_keep_alive(self, request: web.Request) -> web.Response:
-        if int(request.match_info["lease"]) not in self._leases:
+        if int(request.match_info["lease"]) not in self._state.leases:
             return web.json_response({}, status=404)
         return web.json_response({"ttl_ms": 6000})
 
     async def _async_end_lease(self, request: web.Request) -> web.Response:
         lease = int(request.match_info["lease"])
-        status = 200 if lease in self._leases else 404
+        status = 200 if lease in self._state.leases else 404
         self.expire_lease(lease)
         return web.json_response({}, status=status)
