Use no lease of an earlier era of the store

Callers saw nothing yet; found while looking for related paths of the fault before: a restored store has lost the leases that it granted since its copy was made, and gives their ids out again. An entry went on renewing such an id. The renewal succeeded, for another entry's lease, so the entry believed its record was stored while it was not: others do not count it, and the parts of the shared limits add up to more than the limits. At its stop it revoked the lease, and with it deleted the other entry's record.

Change: a lease carries the era in which it was granted, and is not renewed, written under or revoked in another one. The record and the reports of crashes get a new lease. A reply of a later era counts as a lost lease.

--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/relay_store.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/relay_store.py
@@ -20,7 +20,7 @@
     StoreRestoredError,
 )
 from cardamomnotch_platform.store.interface import KeyValueStore
-from cardamomnotch_platform.store.models import StoreEntry, StoreView
+from cardamomnotch_platform.store.models import Lease, StoreEntry, StoreView
 from cardamomnotch_protocol.store_position import StorePosition
 
 from .const import (
@@ -86,8 +86,8 @@
         self._clock = clock
         self._random = random.Random()
         self._reading: _Reading | None = None
-        self._lease_id = 0
-        self._crash_lease_id = 0
+        self._lease: Lease | None = None
+        self._crash_lease: Lease | None = None
         self._crash_lease_until_s = 0.0
 
     @property
@@ -266,30 +266,33 @@
 
     async def async_write_record(self, record: EntryRecord, ttl_s: float) -> None:
         """Write this entry's record under a lease of ``ttl_s`` seconds."""
-        if not self._lease_id:
-            lease = await self._store.async_grant_lease(ttl_s)
-            self._lease_id = lease.lease_id
+        lease = self._current(self._lease)
+        if lease is None:
+            lease = self._lease = await self._store.async_grant_lease(ttl_s)
         key = self._store_codec.record_key(record.entry)
         value = self._store_codec.encode_record(record)
         try:
-            await self._store.async_put(key, value, lease_id=self._lease_id)
+            await self._async_put_under(lease, key, value)
         except LeaseExpiredError:
-            self._lease_id = 0
+            self._lease = None
             raise
 
     async def async_renew_record(self) -> bool:
         """Renew the record's lease; return False if the lease has expired."""
-        if not self._lease_id:
-            return False
-        if await self._store.async_renew_lease(self._lease_id):
-            return True
-        self._lease_id = 0
+        lease = self._current(self._lease)
+        if lease is not None and await self._store.async_renew_lease(lease.lease_id):
+            # The reply may be of a later era, and so of another lease.
+            lease = self._current(lease)
+            if lease is not None:
+                return True
+        self._lease = None
         return False
 
     async def async_delete_record(self) -> None:
         """Delete this entry's record by revoking its lease, if it has one."""
-        if self._lease_id:
-            await self._store.async_revoke_lease(self._lease_id)
+        lease = self._current(self._lease)
+        if lease is not None:
+            await self._store.async_revoke_lease(lease.lease_id)
 
     async def async_write_crashes(
         self,
@@ -305,20 +308,40 @@
         ``CRASH_LEASE_REUSE_S`` sooner.
         """
         now_s = self._clock()
-        if not self._crash_lease_id or now_s >= self._crash_lease_until_s:
-            lease = await self._store.async_grant_lease(ttl_s)
-            self._crash_lease_id = lease.lease_id
+        lease = self._current(self._crash_lease)
+        if lease is None or now_s >= self._crash_lease_until_s:
+            lease = self._crash_lease = await self._store.async_grant_lease(ttl_s)
             self._crash_lease_until_s = now_s + CRASH_LEASE_REUSE_S
         try:
-            await self._store.async_put(
+            await self._async_put_under(
+                lease,
                 self._store_codec.crashes_key(name),
                 self._store_codec.encode_crashes(crashes, refutations),
-                lease_id=self._crash_lease_id,
             )
         except LeaseExpiredError:
-            self._crash_lease_id = 0
+            self._crash_lease = None
             raise
 
+    def _current(self, lease: Lease | None) -> Lease | None:
+        """Return the lease unless the store has come back from a copy since.
+
+        A restored store may have lost it and given its id to another lease.
+        """
+        if lease is not None and lease.era == self._store.era:
+            return lease
+        return None
+
+    async def _async_put_under(self, lease: Lease, key: str, value: bytes) -> None:
+        """Write a value under a lease.
+
+        Raises LeaseExpiredError if the lease has expired, or is lost.
+        """
+        await self._store.async_put(key, value, lease_id=lease.lease_id)
+        if self._current(lease) is None:
+            raise LeaseExpiredError(
+                "store write failed: the store has come back from a copy"
+            )
+
     async def async_report_rollout(self, rollout: Rollout, state: RolloutState) -> None:
         """Write the state of a rollout unless it is already stored.
 
--- a/tests/entry/relay/test_store_restore.py
+++ b/tests/entry/relay/test_store_restore.py
@@ -1,11 +1,15 @@
 """A store that comes back from a copy, while entries serve."""
 
+import asyncio
+
 import pytest
 
 from tests.fixtures.relay_system import API_KEY, WORKSPACE, document
 from tests.stand_ins.platform_upstream import plain
 
 TAKEN_KEY = "key-two"
+# Time in which an entry reads and writes several times, in seconds.
+PUBLISH_INTERVALS_S = 1.0
 
 
 def tenants(*keys):
@@ -57,3 +61,18 @@
         await entry.async_wait_for(lambda e=entry: e.entry.node.routes.version == 3)
     assert await statuses(entries, TAKEN_KEY) == [401] * 4
     assert await statuses(entries, API_KEY) == [200] * 4
+
+
+async def test_record_is_written_again_under_a_lease_of_its_own(relay):
+    """A lease of an earlier era is not used: its id may be another's by now."""
+    copy = relay.store.copy()
+    copy.items.pop("entries/entry-a-1", None)
+    last_lease = copy.last_lease
+    copy.last_lease = last_lease - 1
+    relay.store.restore(copy)
+    # The id of the entry's lease is given out again.
+    await relay.async_wait_for(
+        lambda: relay.store.value("entries/entry-a-1") is not None
+    )
+    await asyncio.sleep(PUBLISH_INTERVALS_S)
+    assert relay.store.value("entries/entry-a-1") is not None
