Follow rollout orders by their position, so a restored store's are not old

Callers saw, in the worst case: after the store had come back from a copy, an order of a rollout was ignored at the entries that had known an earlier one: its revision was lower than the number of the order before. The new version got no requests from them, or, as the old version of the order that they still followed, all of them.

Cause: orders, reports and states of rollouts were compared by bare revisions.

Change: the id of an order, and what a state is compared with, is a position. Records and datagrams state the era beside the revision; without it, as from an earlier build, it is 0. An order that has the same content in a later era is the same one: its rollout goes on with its statistics, and its state is reported again, since the store may have lost it. A final state of a rollout is not replaced by the state that an older copy has.

A test reaches into the stand-in for the leases; it follows their new place.

--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/changes.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/changes.py
@@ -2,6 +2,8 @@
 
 import attrs
 
+from cardamomnotch_protocol.store_position import StorePosition
+
 from .crash_detection import Crash
 from .crash_evidence import Refutation
 from .models import RolloutOrder, RouteDocument, Upstream
@@ -48,7 +50,7 @@
     """Operators have ordered a rollout; later orders have a larger id."""
 
     order: RolloutOrder
-    order_id: int
+    order_id: StorePosition
 
 
 @attrs.frozen(kw_only=True)
@@ -65,7 +67,7 @@
     service: str
     target: str
     state: RolloutState
-    revision: int
+    position: StorePosition
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/node.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/node.py
@@ -194,7 +194,7 @@
     @apply.register
     def _(self, change: changes.RolloutReported, now_s: float) -> None:
         self.versions.set_status(
-            change.service, change.target, change.state, change.revision
+            change.service, change.target, change.state, change.position
         )
 
     @apply.register
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/rollout.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/rollout.py
@@ -6,6 +6,8 @@
 
 import attrs
 
+from cardamomnotch_protocol.store_position import StorePosition
+
 from .answer_times import AnswerTimes, chance_of_slowness
 from .const import ROLLOUT_FIRST_STAGE_FACTOR, ROLLOUT_SECOND_STAGE_FACTOR
 from .limits import RelayLimits
@@ -90,7 +92,7 @@
     Field names are part of the stored entry record.
     """
 
-    order_id: int
+    order_id: StorePosition
     # Share of its requests that the entry sends to the new version; the
     # smallest one of the zone's entries.
     share: float
@@ -145,8 +147,8 @@
     """One rollout, with the answer statistics of all entries."""
 
     order: RolloutOrder
-    # Store revision of the order; larger for later orders of the service.
-    order_id: int
+    # Position in the store of the order; larger for later orders of the service.
+    order_id: StorePosition
     started_at_s: float
     state: RolloutState = RolloutState.IN_PROGRESS
     # Largest share of the service's requests during the rollout that the new
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/versions.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/versions.py
@@ -1,9 +1,13 @@
 """Choice of the service version for a request during a rollout."""
 
+from collections import deque
 from collections.abc import Sequence
 
+import attrs
 import xxhash
 
+from cardamomnotch_protocol.store_position import StorePosition
+
 from .const import ROLLOUT_FIRST_STAGE_FACTOR
 from .fleet import UpstreamState
 from .identity_cache import IdentityCache
@@ -14,10 +18,26 @@
 
 # Number of hash buckets that requests and sessions are divided into.
 _BUCKETS = 10_000
+# Earlier orders of a service that are known, by which an order of a copy of the store
+# is recognized.
+_KNOWN_EARLIER_ORDERS = 16
 
 _ByVersion = dict[str, tuple[Sequence[UpstreamState], Sequence[UpstreamState]]]
 
 
+@attrs.frozen
+class _Status:
+    """A state that was reported to the store."""
+
+    position: StorePosition
+    target: str
+    state: RolloutState
+
+    def is_of(self, rollout: Rollout) -> bool:
+        """Return whether it was written after the rollout's order, for its target."""
+        return self.position > rollout.order_id and self.target == rollout.order.target
+
+
 class VersionSelector:
     """Keeps the rollouts by service and chooses the version for each request.
 
@@ -42,8 +62,10 @@
         self._divided: IdentityCache[UpstreamState, _ByVersion] = IdentityCache(
             lambda candidates: {}
         )
-        # Store revision, target version and state last reported, by service.
-        self._statuses: dict[str, tuple[int, str, RolloutState]] = {}
+        # State last reported, by service.
+        self._statuses: dict[str, _Status] = {}
+        # Orders before the current one, by service.
+        self._earlier_orders: dict[str, deque[RolloutOrder]] = {}
 
     @property
     def rollouts(self) -> tuple[Rollout, ...]:
@@ -72,14 +94,46 @@
         """Return the service's newest rollout, or None."""
         return self._rollouts.get(service)
 
-    def order(self, order: RolloutOrder, order_id: int, now_s: float) -> None:
+    def has_replaced(self, order: RolloutOrder) -> bool:
+        """Return whether another order has replaced this one."""
+        current = self._rollouts.get(order.service)
+        return (
+            current is not None
+            and current.order != order
+            and order in self._earlier_orders.get(order.service, ())
+        )
+
+    def is_final_state_stored(self, rollout: Rollout) -> bool:
+        """Return whether the store has a final state of the rollout."""
+        status = self._statuses.get(rollout.order.service)
+        return (
+            status is not None
+            and status.is_of(rollout)
+            and status.state is not RolloutState.IN_PROGRESS
+        )
+
+    def order(self, order: RolloutOrder, order_id: StorePosition, now_s: float) -> None:
         """Start the rollout of an order, unless the current one is newer.
 
-        ``order_id`` is the store revision at which the order was written.
+        ``order_id`` is the position in the store at which the order was written. The
+        same order in a later era of the store continues its rollout.
         """
         current = self._rollouts.get(order.service)
         if current is not None and current.order_id >= order_id:
             return
+        if (
+            current is not None
+            and current.order == order
+            and current.order_id.era < order_id.era
+        ):
+            current.order_id = order_id
+            self._apply_status(order.service)
+            return
+        if current is not None:
+            earlier = self._earlier_orders.setdefault(
+                order.service, deque(maxlen=_KNOWN_EARLIER_ORDERS)
+            )
+            earlier.append(current.order)
         if current is not None and current.has_withdrawn(current.order.target):
             self._reverted.setdefault(order.service, set()).add(current.order.target)
         self._reverted.get(order.service, set()).discard(order.target)
@@ -99,14 +153,14 @@
             del self._rollouts[service]
 
     def set_status(
-        self, service: str, target: str, state: RolloutState, revision: int
+        self, service: str, target: str, state: RolloutState, position: StorePosition
     ) -> None:
-        """Apply a rollout state written at store revision ``revision``.
+        """Apply a rollout state written at ``position`` of the store.
 
         A state written before the current order belongs to an earlier one and
-        is ignored.
+        is ignored. Final states stay.
         """
-        self._statuses[service] = (revision, target, state)
+        self._statuses[service] = _Status(position, target, state)
         self._apply_status(service)
 
     def set_report(
@@ -226,11 +280,10 @@
     def _apply_status(self, service: str) -> None:
         rollout = self._rollouts.get(service)
         status = self._statuses.get(service)
-        if rollout is None or status is None:
+        if rollout is None or status is None or not status.is_of(rollout):
             return
-        revision, target, state = status
-        if revision > rollout.order_id and target == rollout.order.target:
-            rollout.state = state
+        if rollout.state is RolloutState.IN_PROGRESS:
+            rollout.state = status.state
 
 
 def _bucket_of(facts: RequestFacts) -> int:
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/coordinator.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/coordinator.py
@@ -25,6 +25,7 @@
     StoreConflictError,
     StoreError,
 )
+from cardamomnotch_protocol.store_position import StorePosition
 from cardamomnotch_runtime.structured_log import log_event
 
 from .const import (
@@ -78,8 +79,8 @@
         self._crash_reports = 0
         self._publish_after_s = -math.inf
         self._has_write_failed = False
-        self._reported_states: dict[str, tuple[int, RolloutState]] = {}
-        self._report_due_at_s: dict[tuple[str, int, RolloutState], float] = {}
+        self._reported_states: dict[str, tuple[StorePosition, RolloutState]] = {}
+        self._report_due_at_s: dict[tuple[str, StorePosition, RolloutState], float] = {}
 
     async def async_apply_changes(self) -> None:
         """Apply the changes of one store read, if one is due; called in a loop."""
@@ -431,9 +432,10 @@
         state = rollout.next_state(now_s)
         service = rollout.order.service
         reported = self._reported_states.get(service)
-        if reported == (rollout.order_id, state) or rollout.state is state is not (
-            RolloutState.IN_PROGRESS
-        ):
+        if reported == (
+            rollout.order_id,
+            state,
+        ) or self._node.versions.is_final_state_stored(rollout):
             return
         due_at_s = self._report_due_at_s.setdefault(
             (service, rollout.order_id, state),
@@ -461,7 +463,8 @@
         reports at once, then two, then four, and so on, if none has before.
         """
         name = self._node.identity.name
-        order = f"{rollout.order.service}\x00{rollout.order_id}"
+        order_id = rollout.order_id
+        order = f"{rollout.order.service}\x00{order_id.era}.{order_id.revision}"
         own = rendezvous_hash(order, name)
         before = sum(
             rendezvous_hash(order, entry) > own
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/peer_messages.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/peer_messages.py
@@ -182,7 +182,7 @@
     """Return the datagram with an entry's rollout statistics."""
     reports = {
         service: [
-            report.order_id,
+            report.order_id.revision,
             report.share,
             report.passed_s,
             *(
@@ -198,6 +198,10 @@
             "incarnation": message.incarnation,
             "resumed": message.resumed,
             "rollouts": reports,
+            "eras": {
+                service: report.order_id.era
+                for service, report in message.reports.items()
+            },
         }
     )
 
@@ -208,13 +212,15 @@
     Raises KeyError, ValueError, TypeError or AttributeError if the message is
     malformed.
     """
+    # Entries of an earlier build know no eras.
+    eras = message.get("eras", {})
     return RolloutsMessage(
         entry=str(message["entry"]),
         incarnation=str(message["incarnation"]),
         resumed=str(message["resumed"]),
         reports={
             service: RolloutReport(
-                order_id=int(order_id),
+                order_id=StorePosition(int(eras.get(service, 0)), int(order_id)),
                 share=float(share),
                 passed_s=float(passed_s),
                 new=_decode_stats(*new),
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/relay_store.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/relay_store.py
@@ -353,7 +353,7 @@
         current = await self._store.async_get(
             self._store_codec.status_key(order.service)
         )
-        if current.mod_revision > rollout.order_id:
+        if current.position > rollout.order_id:
             reported = self._decode_report(current)
             if reported is not None and (reported.target, reported.state) == (
                 order.target,
@@ -368,6 +368,7 @@
             current.key,
             self._store_codec.encode_status(order.target, state),
             current.mod_revision,
+            era=current.era,
         )
         if not write_result.succeeded:
             raise StoreConflictError("another entry reported on the rollout first")
--- a/tests/adapter/test_store_codec.py
+++ b/tests/adapter/test_store_codec.py
@@ -15,6 +15,7 @@
 from cardamomnotch_core.relay.rollout import AnswerStats, RolloutReport, RolloutState
 from cardamomnotch_platform.store.models import StoreEntry
 
+from tests.fixtures.positions import at
 from tests.fixtures.relay_system import document
 
 CODEC = PlatformStoreCodec()
@@ -168,7 +169,7 @@
         )
     )
     assert (order.order_id, order.order.target, order.order.duration_s) == (
-        12,
+        at(12),
         "v2",
         12.0,
     )
@@ -184,7 +185,7 @@
 def test_entry_record_round_trip():
     """A decoded record equals the record that was encoded."""
     own = RolloutReport(
-        order_id=3,
+        order_id=at(3, 2),
         share=0.3,
         new=AnswerStats(
             answers=4,
--- a/tests/core/relay/test_node.py
+++ b/tests/core/relay/test_node.py
@@ -19,6 +19,8 @@
 from cardamomnotch_core.relay.node import RelayIdentity, RelayNode
 from cardamomnotch_protocol.result_codes import ResultCode
 
+from tests.fixtures.positions import at
+
 # A deadline that leaves time for any wait.
 DEADLINE_S = 1_000.0
 
@@ -217,7 +219,7 @@
     """Bad answers make a record urgent, good answers alone do not."""
     order = changes.RolloutOrdered(
         order=RolloutOrder(service="drafts", target="v2", duration_s=20.0),
-        order_id=5,
+        order_id=at(5),
     )
     node.apply(order, 0.0)
     earlier = node.entry_record(1.0)
@@ -231,7 +233,8 @@
 def test_restarted_entry_restores_its_rollout(node, make_document):
     """After a restart, the rollout's age and statistics are restored once."""
     order = changes.RolloutOrdered(
-        order=RolloutOrder(service="drafts", target="v2", duration_s=20.0), order_id=5
+        order=RolloutOrder(service="drafts", target="v2", duration_s=20.0),
+        order_id=at(5),
     )
     node.apply(order, 0.0)
     node.versions.get("drafts").record_answer("v2", True)
--- a/tests/core/relay/test_rollout_reports.py
+++ b/tests/core/relay/test_rollout_reports.py
@@ -10,11 +10,13 @@
 from cardamomnotch_core.relay.models import RolloutOrder
 from cardamomnotch_core.relay.node import RelayIdentity, RelayNode
 
+from tests.fixtures.positions import at
+
 STEP_S = 0.1
 # Minimum intervals between two records of an entry, if they are urgent and if not.
 WRITE_INTERVAL_S, RENEWAL_INTERVAL_S = 0.7, 4.0
 ORDER = changes.RolloutOrdered(
-    order=RolloutOrder(service="drafts", target="v2", duration_s=24.0), order_id=5
+    order=RolloutOrder(service="drafts", target="v2", duration_s=24.0), order_id=at(5)
 )
 LARGE = (16, 14, 12, 12, 14)
 
@@ -50,7 +52,7 @@
             name=name, zone=zone, incarnation=f"{self.now_s}", address=f"{name}:1"
         )
         node = RelayNode(identity, RelayLimits())
-        node.feed.record_read(1, self.now_s)
+        node.feed.record_read(at(1), self.now_s)
         node.apply(ORDER, self.now_s)
         for other in self.nodes.values():
             if other.identity.name != name:
--- a/tests/core/relay/test_rollouts.py
+++ b/tests/core/relay/test_rollouts.py
@@ -16,6 +16,8 @@
 )
 from cardamomnotch_core.relay.versions import VersionSelector
 
+from tests.fixtures.positions import at
+
 ORDER = RolloutOrder(service="drafts", target="v2", duration_s=24.0)
 EXPOSURE_SHARE, EXPOSURE_SLACK = 0.15, 30
 RATE_PER_S = 25
@@ -38,7 +40,7 @@
 def selector():
     """Return a version selector with one rollout, ordered at second 0."""
     selector = VersionSelector()
-    selector.order(ORDER, 10, 0.0)
+    selector.order(ORDER, at(10), 0.0)
     return selector
 
 
@@ -204,7 +206,7 @@
 def test_session_keeps_its_version_in_the_first_stage(selector, fleet, make_facts):
     """All entries send a session to the same version throughout the stage."""
     other = VersionSelector()
-    other.order(ORDER, 10, 0.3)
+    other.order(ORDER, at(10), 0.3)
     for number in range(50):
         facts = [
             make_facts(f"request-{number}-{turn}", session=f"session-{number}")
@@ -272,7 +274,7 @@
     selector, fleet, make_facts, state, withdrawn, remaining
 ):
     """A withdrawn version gets no new requests, nor the rest of an answer."""
-    selector.set_status("drafts", "v2", state, 11)
+    selector.set_status("drafts", "v2", state, at(11))
     candidates = fleet.candidates("drafts", 1.0)
     allowed = selector.allowed("drafts", candidates, make_facts(), 1.0, withdrawn)
     assert {item.upstream.version for item in allowed} == {remaining}
@@ -293,7 +295,7 @@
 
 def test_reverted_version_gets_nothing(selector, fleet, make_facts):
     """A new version gets nothing after its rollout is reported as reverted."""
-    selector.set_status("drafts", "v2", RolloutState.REVERTED, 11)
+    selector.set_status("drafts", "v2", RolloutState.REVERTED, at(11))
     versions = {
         version_of(selector, fleet, make_facts(f"request-{n}"), 23.0) for n in range(50)
     }
@@ -302,9 +304,9 @@
 
 def test_report_older_than_the_order_is_ignored(selector, fleet, make_facts):
     """A report written before the order belongs to an earlier order."""
-    selector.set_status("drafts", "v2", RolloutState.REVERTED, 9)
+    selector.set_status("drafts", "v2", RolloutState.REVERTED, at(9))
     assert selector.get("drafts").state is RolloutState.IN_PROGRESS
-    selector.order(attrs.evolve(ORDER, target="v3"), 20, 30.0)
+    selector.order(attrs.evolve(ORDER, target="v3"), at(20), 30.0)
     assert selector.get("drafts").order.target == "v3"
 
 
@@ -333,17 +335,17 @@
 ):
     """A version that was reverted gets no requests while another one is rolled out."""
     if is_reported:
-        selector.set_status("drafts", "v2", RolloutState.REVERTED, 11)
+        selector.set_status("drafts", "v2", RolloutState.REVERTED, at(11))
     else:
         selector.get("drafts").is_bad = True
-    selector.order(attrs.evolve(ORDER, target="v3"), 20, 5.0)
+    selector.order(attrs.evolve(ORDER, target="v3"), at(20), 5.0)
     fleet.put(make_upstream("newer", version="v3"), 5.0)
     versions = {
         version_of(selector, fleet, make_facts(f"r{number}"), 5.1)
         for number in range(300)
     }
     assert versions == {"v1", "v3"}
-    selector.order(attrs.evolve(ORDER, target="v2"), 30, 6.0)
+    selector.order(attrs.evolve(ORDER, target="v2"), at(30), 6.0)
     versions = {
         state.upstream.version
         for number in range(300)
@@ -359,7 +361,7 @@
     rollout = selector.get("drafts")
     rollout.record_answer("v2", False)
     busy_report = RolloutReport(
-        order_id=10, share=1.0, new=AnswerStats(), old=AnswerStats(in_flight=1)
+        order_id=at(10), share=1.0, new=AnswerStats(), old=AnswerStats(in_flight=1)
     )
     rollout.reports["entry-b"] = busy_report
     assert rollout.next_state(21.0) is RolloutState.IN_PROGRESS
--- a/tests/entry/relay/test_coordinator.py
+++ b/tests/entry/relay/test_coordinator.py
@@ -209,7 +209,7 @@
 ):
     """The second entry reports only after its delay."""
     order = RolloutOrder(service="drafts", target="v2", duration_s=20.0)
-    node.apply(changes.RolloutOrdered(order=order, order_id=4), clock())
+    node.apply(changes.RolloutOrdered(order=order, order_id=at(4)), clock())
     await run_coordinator(coordinator, clock, 0.3)
     assert relay_store.reports == []
     await run_coordinator(coordinator, clock, 1.0)
@@ -229,7 +229,7 @@
             if other != name:
                 node.apply(changes.EntryReported(record=record), 100.0)
         order = RolloutOrder(service="drafts", target="v2", duration_s=20.0)
-        node.apply(changes.RolloutOrdered(order=order, order_id=5), 100.0)
+        node.apply(changes.RolloutOrdered(order=order, order_id=at(5)), 100.0)
         relay_store, started = RelayStoreStandIn(), Clock()
         writer = StoreCoordinator(node, relay_store, started)
         while not relay_store.reports:
@@ -247,9 +247,9 @@
 ):
     """A state that the store already has is not reported again."""
     order = RolloutOrder(service="drafts", target="v2", duration_s=20.0)
-    node.apply(changes.RolloutOrdered(order=order, order_id=5), clock())
+    node.apply(changes.RolloutOrdered(order=order, order_id=at(5)), clock())
     reverted = changes.RolloutReported(
-        service="drafts", target="v2", state=RolloutState.REVERTED, revision=6
+        service="drafts", target="v2", state=RolloutState.REVERTED, position=at(6)
     )
     node.apply(reverted, clock())
     await run_coordinator(coordinator, clock, 25.0)
@@ -261,10 +261,10 @@
 ):
     """Evidence after the end of a roll-out causes no record write."""
     order = RolloutOrder(service="drafts", target="v2", duration_s=20.0)
-    node.apply(changes.RolloutOrdered(order=order, order_id=5), clock())
+    node.apply(changes.RolloutOrdered(order=order, order_id=at(5)), clock())
     await run_coordinator(coordinator, clock, 1.0)
     completed = changes.RolloutReported(
-        service="drafts", target="v2", state=RolloutState.COMPLETED, revision=6
+        service="drafts", target="v2", state=RolloutState.COMPLETED, position=at(6)
     )
     node.apply(completed, clock())
     await run_coordinator(coordinator, clock, 5.0)
@@ -299,7 +299,7 @@
     """A write conflict with another entry is not logged as a failure."""
     caplog.set_level("INFO")
     order = RolloutOrder(service="drafts", target="v2", duration_s=20.0)
-    node.apply(changes.RolloutOrdered(order=order, order_id=5), clock())
+    node.apply(changes.RolloutOrdered(order=order, order_id=at(5)), clock())
     await run_coordinator(coordinator, clock, 0.2)
     relay_store.failure = StoreConflictError("another entry")
     await run_coordinator(coordinator, clock, 1.0)
--- a/tests/entry/relay/test_peers.py
+++ b/tests/entry/relay/test_peers.py
@@ -82,7 +82,7 @@
     """Encoded rollout statistics are decoded to equal ones."""
     times = AnswerTimes(counts=list(range(12)))
     report = RolloutReport(
-        order_id=5,
+        order_id=at(5, 2),
         share=0.3,
         passed_s=4.5,
         new=AnswerStats(answers=7, bad=2, in_flight=1, times=times),
--- a/tests/entry/relay/test_relay_store.py
+++ b/tests/entry/relay/test_relay_store.py
@@ -47,7 +47,7 @@
         "op/rollout/drafts", orjson.dumps(attrs.asdict(ORDER))
     )
     written = await store_harness.store.async_get("op/rollout/drafts")
-    return Rollout(ORDER, written.mod_revision, 0.0)
+    return Rollout(ORDER, written.position, 0.0)
 
 
 async def _async_read_status(store_harness):
--- a/tests/entry/relay/test_store_changes.py
+++ b/tests/entry/relay/test_store_changes.py
@@ -11,6 +11,7 @@
 from cardamomnotch_entry.relay.composition import boot_clock
 from cardamomnotch_entry.relay.settings import RelaySettings
 
+from tests.fixtures.positions import at
 from tests.fixtures.relay_system import RelaySystem, document, route
 from tests.stand_ins.platform_upstream import plain
 
@@ -173,7 +174,7 @@
 async def test_record_is_written_again_after_its_lease_expires(relay):
     """An entry whose record expired writes it again."""
     await relay.async_wait_for(lambda: relay.store.value("entries/entry-a-1"))
-    for lease in tuple(relay.store._leases):
+    for lease in tuple(relay.store._state.leases):
         relay.store.expire_lease(lease)
     assert relay.store.value("entries/entry-a-1") is None
     await relay.async_wait_for(lambda: relay.store.value("entries/entry-a-1"))
@@ -202,7 +203,7 @@
     entry.reload(settings)
     assert entry.node.limits == settings.limits
     order = RolloutOrder(service="drafts", target="v2", duration_s=20.0)
-    entry.node.apply(changes.RolloutOrdered(order=order, order_id=5), 0.0)
+    entry.node.apply(changes.RolloutOrdered(order=order, order_id=at(5)), 0.0)
     assert entry.node.versions.get("drafts").share(1.0) <= 0.01
     relay.store.faults.active["silent"] = True
     await relay.async_wait_for(lambda: not entry.is_ready)
--- a/tests/entry/relay/test_store_restore.py
+++ b/tests/entry/relay/test_store_restore.py
@@ -63,6 +63,20 @@
     assert await statuses(entries, API_KEY) == [200] * 4
 
 
+async def test_order_of_a_later_era_is_followed(relay):
+    """An order of the restored store is not older for its lower revision."""
+    rollouts = relay.entry.node.versions
+    copy = relay.store.copy()
+    for _ in range(20):
+        relay.store.put("op/other", {})
+    order = {"service": "drafts", "target": "v2", "duration_s": 60.0}
+    relay.store.put("op/rollout/drafts", order)
+    await relay.async_wait_for(lambda: rollouts.get("drafts") is not None)
+    relay.store.restore(copy)
+    relay.store.put("op/rollout/drafts", {**order, "target": "v3"})
+    await relay.async_wait_for(lambda: rollouts.get("drafts").order.target == "v3")
+
+
 async def test_record_is_written_again_under_a_lease_of_its_own(relay):
     """A lease of an earlier era is not used: its id may be another's by now."""
     copy = relay.store.copy()
