Keep in force what the store has lost in a restore

Callers saw: after the store had come back from a copy, requests went to upstreams in a zone that had been evacuated since the copy, to upstreams that were draining, and to the address of an upstream's earlier process; upstreams that had registered since were dropped at once, with 503 for want of another one; a rollout in progress was forgotten, so that its version got an unlimited share, and a reverted version could get requests again.

Cause: what a full listing lacks was taken for deleted, and what it has for newer than what is known. In a listing of a restored store both are wrong.

Change: after a restore, a zone's evacuation, a rollout's order and an entry's record that the listing lacks stay in force until they are written or deleted again, for 60 s at most (6 s for records, their lease time: until then the entry may use its parts of the shared limits). So does an order that is known to have been replaced. Upstreams have the time to register again that they have after an outage; those that were draining stay so, and a registration of an earlier process is not used. The log says that the store has come back from a copy, what is kept, and what is removed at the end.

--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/const.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/const.py
@@ -66,6 +66,12 @@
 # Time for which an upstream missing from the store is kept after a store
 # outage, in seconds: live upstreams register again within two seconds.
 REREGISTRATION_GRACE_S: Final = 2.5
+# Time for which an order of the operators that the store has lost in a restore stays
+# in force unless they write it again, in seconds.
+LOST_ORDER_RETENTION_S: Final = 60.0
+# The same for an entry's record: the lease time of records, after which an entry that
+# does not write its record again uses no part of a shared limit.
+LOST_RECORD_RETENTION_S: Final = 6.0
 
 # Upstream crashes that a request or a prompt part may have caused before it is
 # quarantined.
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/fleet.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/fleet.py
@@ -182,6 +182,21 @@
         """Start the grace period for upstreams that the store has lost."""
         self._store_returned_at_s = now_s
 
+    def record_store_restored(self, now_s: float) -> None:
+        """Keep what is known, since the store has come back from a copy.
+
+        Upstreams that it has lost have time to register again, and those that were
+        draining stay so, whatever the copy says of the same process.
+        """
+        self.record_store_returned(now_s)
+        for state in self:
+            state.is_leaving = state.is_draining
+
+    def knows_later_process(self, upstream: Upstream) -> bool:
+        """Return whether a registration is of an earlier run than the known one."""
+        state = self._states.get(upstream.upstream_id)
+        return state is not None and upstream.started_ms < state.upstream.started_ms
+
     def put(self, upstream: Upstream, now_s: float) -> None:
         """Add an upstream or update its registration."""
         cold_until_s = now_s + upstream.cold_left_s
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/node.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/node.py
@@ -13,13 +13,18 @@
 from . import changes
 from .attempt_tracker import AttemptTracker
 from .cascade import Cascade, PromptTimes
-from .const import ESCALATION_LATENCY_FRACTION
+from .const import (
+    ESCALATION_LATENCY_FRACTION,
+    LOST_ORDER_RETENTION_S,
+    LOST_RECORD_RETENTION_S,
+)
 from .crash_detection import CrashDetector
 from .exceptions import RefusalError
 from .fleet import Fleet
 from .isolation import RunIsolation
 from .limits import RelayLimits
 from .live_entries import LiveEntries
+from .lost_items import LostItems
 from .models import RequestFacts, Route, Service, Upstream
 from .notice_routes import NoticeRoutes
 from .partial_listing import PartialListing
@@ -95,6 +100,7 @@
         # Incarnations of the other entries by name.
         self._incarnations: dict[str, str] = {}
         self._listing = PartialListing()
+        self.lost_items = LostItems()
         # Incarnation of the previous process whose record was restored.
         self._resumed_incarnation = ""
         self.attempts = AttemptTracker(
@@ -149,55 +155,59 @@
             limits.retry_ratio, limits.retry_slack, limits.retry_window_s
         )
 
-    @singledispatchmethod
     def apply(self, change: object, now_s: float) -> None:
         """Apply a change that was read from the store.
 
         Raises TypeError for an object that is not a store change.
         """
+        self.lost_items.record_change(change)
+        self._apply(change, now_s)
+
+    @singledispatchmethod
+    def _apply(self, change: object, now_s: float) -> None:
         raise TypeError(f"unsupported store change: {type(change).__name__}")
 
-    @apply.register
+    @_apply.register
     def _(self, change: changes.DocumentWritten, now_s: float) -> None:
         self.routes.apply(change.document)
         self.cascade.forget_routes(
             frozenset(route.name for route in change.document.routes)
         )
 
-    @apply.register
+    @_apply.register
     def _(self, change: changes.UpstreamListed, now_s: float) -> None:
         self._listing.record_change(change.upstream.upstream_id)
         self.reachability.record_zone(change.upstream.zone)
         self.fleet.put(change.upstream, now_s)
 
-    @apply.register
+    @_apply.register
     def _(self, change: changes.UpstreamUnlisted, now_s: float) -> None:
         self._listing.record_change(change.upstream_id)
         self.fleet.remove(change.upstream_id, now_s)
 
-    @apply.register
+    @_apply.register
     def _(self, change: changes.ZoneDisabled, now_s: float) -> None:
         self.fleet.set_zone_disabled(change.zone, True)
 
-    @apply.register
+    @_apply.register
     def _(self, change: changes.ZoneEnabled, now_s: float) -> None:
         self.fleet.set_zone_disabled(change.zone, False)
 
-    @apply.register
+    @_apply.register
     def _(self, change: changes.RolloutOrdered, now_s: float) -> None:
         self.versions.order(change.order, change.order_id, now_s)
 
-    @apply.register
+    @_apply.register
     def _(self, change: changes.RolloutWithdrawn, now_s: float) -> None:
         self.versions.withdraw(change.service)
 
-    @apply.register
+    @_apply.register
     def _(self, change: changes.RolloutReported, now_s: float) -> None:
         self.versions.set_status(
             change.service, change.target, change.state, change.position
         )
 
-    @apply.register
+    @_apply.register
     def _(self, change: changes.EntryReported, now_s: float) -> None:
         record = change.record
         if record.entry == self._identity.name:
@@ -216,7 +226,7 @@
         for service, report in record.rollouts.items():
             self.versions.set_report(record.entry, service, report, now_s)
 
-    @apply.register
+    @_apply.register
     def _(self, change: changes.EntryExpired, now_s: float) -> None:
         if change.entry == self._identity.name:
             return
@@ -232,7 +242,7 @@
         for state in self.fleet:
             state.forget_entry(change.entry)
 
-    @apply.register
+    @_apply.register
     def _(self, change: changes.CrashesReported, now_s: float) -> None:
         self.apply_crash_report(change, now_s, is_stored=True)
 
@@ -266,12 +276,17 @@
         now_s: float,
         *,
         is_complete: bool = True,
+        is_restored: bool = False,
     ) -> None:
         """Apply the full content of the store, and remove what it lacks.
 
         If it is not complete, it lacks only upstreams, which ``apply_rest`` brings.
+        ``is_restored`` is whether the store has come back from a copy since it was
+        read before: what it lacks then stays in force for a while.
         """
-        self._listing = PartialListing(self.fleet.upstream_ids)
+        if is_restored:
+            self.fleet.record_store_restored(now_s)
+        self._listing = PartialListing(self.fleet.upstream_ids, is_restored=is_restored)
         zones, services = set(), set()
         entries = {self._identity.name}
         # Entry records refer to rollout orders, so they are applied last.
@@ -279,7 +294,7 @@
             if isinstance(change, changes.CrashesReported):
                 self.apply_crash_report(change, now_s, is_stored=True, is_recent=False)
                 continue
-            self.apply(change, now_s)
+            self._apply_listed(change, now_s)
             match change:
                 case changes.ZoneDisabled():
                     zones.add(change.zone)
@@ -287,21 +302,63 @@
                     services.add(change.order.service)
                 case changes.EntryReported():
                     entries.add(change.record.entry)
-        for missing in self.fleet.zones_out - zones:
-            self.apply(changes.ZoneEnabled(zone=missing), now_s)
-        for missing in self.versions.services - services:
-            self.apply(changes.RolloutWithdrawn(service=missing), now_s)
-        for missing in set(self._entries.names) - entries:
-            self.apply(changes.EntryExpired(entry=missing), now_s)
+        missing: list[changes.Change] = [
+            *(changes.ZoneEnabled(zone=zone) for zone in self.fleet.zones_out - zones),
+            *(
+                changes.RolloutWithdrawn(service=service)
+                for service in self.versions.services - services
+            ),
+            *(
+                changes.EntryExpired(entry=entry)
+                for entry in set(self._entries.names) - entries
+            ),
+        ]
+        for removal in missing:
+            if is_restored:
+                self._put_off(removal, now_s)
+            elif not self.lost_items.is_put_off(removal):
+                self.apply(removal, now_s)
         if is_complete:
             self._remove_unlisted(now_s)
 
+    def apply_lost(self, now_s: float) -> list[changes.Change]:
+        """Remove what a restored store has lost and nobody has written again.
+
+        Returns the changes that were applied.
+        """
+        due = self.lost_items.take_due(now_s)
+        for change in due:
+            self.apply(change, now_s)
+        return due
+
+    def _apply_listed(self, change: changes.Change, now_s: float) -> None:
+        """Apply a listed item, unless the store's copy is older than what is known."""
+        is_restored = self._listing.is_restored
+        match change:
+            case changes.UpstreamListed() if (
+                is_restored and self.fleet.knows_later_process(change.upstream)
+            ):
+                self._listing.record_change(change.upstream.upstream_id)
+            case changes.RolloutOrdered() if is_restored and self.versions.has_replaced(
+                change.order
+            ):
+                self._put_off(change, now_s)
+            case changes.RolloutOrdered() if change in self.lost_items.pending:
+                return
+            case _:
+                self.apply(change, now_s)
+
+    def _put_off(self, change: changes.Change, now_s: float) -> None:
+        is_record = isinstance(change, changes.EntryExpired)
+        retention_s = LOST_RECORD_RETENTION_S if is_record else LOST_ORDER_RETENTION_S
+        self.lost_items.put_off(change, now_s + retention_s)
+
     def apply_rest(
         self, listing: Iterable[changes.Change], now_s: float, *, is_complete: bool
     ) -> None:
         """Apply further upstreams of a listing, and at its end remove the others."""
         for change in self._listing.select(listing):
-            self.apply(change, now_s)
+            self._apply_listed(change, now_s)
         if is_complete:
             self._remove_unlisted(now_s)
 
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/partial_listing.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/partial_listing.py
@@ -12,7 +12,9 @@
     change has said of an upstream is not replaced by a page.
     """
 
-    def __init__(self, known: Iterable[str] = ()) -> None:
+    def __init__(self, known: Iterable[str] = (), *, is_restored: bool = False) -> None:
+        # Whether the store has come back from a copy since it was read before.
+        self.is_restored = is_restored
         self._unlisted = set(known)
         self._changed: set[str] = set()
 
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/coordinator.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/coordinator.py
@@ -70,6 +70,8 @@
         )
         self._woken = asyncio.Event()
         self._is_store_available = False
+        # Era of the store when everything was read last.
+        self._era: int | None = None
         # When the last call was sent that the store has answered itself.
         self._own_confirmed_at_s = -math.inf
         self._record: EntryRecord | None = None
@@ -192,9 +194,16 @@
         self._note_outage(self._outages.record_reply(reading.began_at_s, now_s))
         previous = self._node.routes.document
         self._value_reader.clear()
+        is_restored = self._era is not None and reading.position.era > self._era
+        self._era = reading.position.era
         self._node.apply_listing(
-            reading.changes, now_s, is_complete=reading.is_complete
+            reading.changes,
+            now_s,
+            is_complete=reading.is_complete,
+            is_restored=is_restored,
         )
+        if is_restored:
+            self._log_restore()
         self._log_full_read(reading)
         self._log_routes(previous)
         self._own_confirmed_at_s = reading.began_at_s
@@ -271,6 +280,8 @@
         Pauses after a failure, since the store also counts refused calls.
         """
         now_s = self._clock()
+        for change in self._node.apply_lost(now_s):
+            self._log_change(change, is_lost=True)
         for rollout in self._node.versions.rollouts:
             rollout.evaluate(now_s)
         if now_s < self._publish_after_s:
@@ -303,6 +314,14 @@
                 detail=error.detail,
             )
 
+    def _log_restore(self) -> None:
+        log_event(
+            _LOGGER,
+            "store has come back from a copy",
+            era=self._era,
+            kept=list(map(str, self._node.lost_items.pending)),
+        )
+
     def _log_full_read(self, reading: StoreReading) -> None:
         kinds = Counter(type(change).__name__ for change in reading.changes)
         log_event(
--- a/tests/entry/relay/test_store_restore.py
+++ b/tests/entry/relay/test_store_restore.py
@@ -4,10 +4,13 @@
 
 import pytest
 
+from cardamomnotch_core.relay.const import REREGISTRATION_GRACE_S
+
 from tests.fixtures.relay_system import API_KEY, WORKSPACE, document
-from tests.stand_ins.platform_upstream import plain
+from tests.stand_ins.platform_upstream import PlatformUpstreamStandIn, plain
 
 TAKEN_KEY = "key-two"
+STATUS = "status/rollout/drafts"
 # Time in which an entry reads and writes several times, in seconds.
 PUBLISH_INTERVALS_S = 1.0
 
@@ -63,6 +66,101 @@
     assert await statuses(entries, API_KEY) == [200] * 4
 
 
+async def restore_before(relay, change, is_known):
+    """Apply ``change``, then let the store come back from a copy without it."""
+    copy = relay.store.copy()
+    change()
+    await relay.async_wait_for(is_known)
+    relay.store.restore(copy)
+    await relay.async_wait_for(
+        lambda: (
+            relay.entry.node.feed.position is not None
+            and relay.entry.node.feed.position.era == relay.store.era
+        )
+    )
+
+
+async def test_evacuation_that_a_restore_lost_stays_in_force(relay):
+    """A zone stays out of service until the operators' next word of it."""
+    fleet = relay.entry.node.fleet
+    await restore_before(
+        relay,
+        lambda: relay.store.put("op/evacuate/zone-b", {}),
+        lambda: fleet.zones_out == {"zone-b"},
+    )
+    await asyncio.sleep(PUBLISH_INTERVALS_S)
+    assert fleet.zones_out == {"zone-b"}
+    relay.store.put("op/evacuate/zone-b", {})
+    relay.store.delete("op/evacuate/zone-b")
+    await relay.async_wait_for(lambda: not fleet.zones_out)
+
+
+async def test_draining_that_a_restore_lost_stays_in_force(relay):
+    """An upstream that is draining gets no requests, whatever the copy says."""
+    up = await relay.async_add_upstream("up", plain(b"done"), service="bookings")
+    fleet = relay.entry.node.fleet
+    await restore_before(
+        relay,
+        lambda: relay.register(up, service="bookings", state="draining"),
+        lambda: fleet.get("up").is_draining,
+    )
+    assert fleet.get("up").is_draining
+    assert (await relay.async_call("/book/x")).status == 503
+
+
+async def test_upstream_that_a_restore_lost_is_used_on(relay):
+    """An upstream whose registration was lost has time to register again."""
+    up = PlatformUpstreamStandIn("up", plain(b"done"))
+    await up.async_start()
+    relay.upstreams["up"] = up
+    fleet = relay.entry.node.fleet
+    await restore_before(
+        relay,
+        lambda: relay.register(up, service="bookings"),
+        lambda: fleet.get("up") is not None,
+    )
+    assert (await relay.async_call("/book/x")).status == 200
+    relay.register(up, service="bookings")
+    await asyncio.sleep(REREGISTRATION_GRACE_S + 0.5)
+    assert (await relay.async_call("/book/x")).status == 200
+
+
+async def test_registration_of_an_earlier_process_is_not_used(relay):
+    """An upstream that restarted after the copy is not replaced by its former run."""
+    up = await relay.async_add_upstream(
+        "up", plain(b"done"), service="bookings", born=1_000
+    )
+    fleet = relay.entry.node.fleet
+    await restore_before(
+        relay,
+        lambda: relay.register(up, service="bookings", born=2_000),
+        lambda: fleet.get("up").upstream.started_ms == 2_000,
+    )
+    assert fleet.get("up").upstream.started_ms == 2_000
+
+
+@pytest.mark.parametrize("is_order_lost", [True, False])
+async def test_final_state_that_a_restore_lost_is_reported_again(relay, is_order_lost):
+    """A reverted rollout stays reverted, and the store learns it again."""
+    order = {"service": "drafts", "target": "v2", "duration_s": 60.0}
+    rollouts = relay.entry.node.versions
+    copy = relay.store.copy()
+    relay.store.put("op/rollout/drafts", order)
+    if not is_order_lost:
+        copy = relay.store.copy()
+    await relay.async_wait_for(lambda: relay.store.value(STATUS) is not None)
+    rollouts.get("drafts").is_bad = True
+    await relay.async_wait_for(lambda: rollouts.get("drafts").state == "reverted")
+    relay.store.restore(copy)
+    if is_order_lost:
+        await asyncio.sleep(PUBLISH_INTERVALS_S)
+        relay.store.put("op/rollout/drafts", order)
+    await relay.async_wait_for(
+        lambda: relay.store.value(STATUS) == {"state": "reverted", "target": "v2"}
+    )
+    assert rollouts.get("drafts").state == "reverted"
+
+
 async def test_order_of_a_later_era_is_followed(relay):
     """An order of the restored store is not older for its lower revision."""
     rollouts = relay.entry.node.versions
