Serve no keys at an entry that starts from a copy without the last document

Callers saw nothing yet; found while looking for related paths: an entry that starts after the store has come back from a copy, and before the operators have written the route document again, read the older document and accepted the keys that the lost one had taken away.

Evidence: test_entry_that_starts_after_a_restore_accepts_no_key_taken_away failed before: 200 for a key that the other entry answered with 401.

Change: the record of an entry states the version of the route document that it uses. A document that is older than what another entry has used, while the store has nothing newer, is not confirmed: requests with a key get 503, and the entry is not ready. A change of the version alone is no reason to write a record; after a restore all entries write theirs again at once, spread by their number, since the store may have lost it, and read everything again spread by it. The log line of a request failed with a document that had never been confirmed; its age is -1 then.

--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/changes.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/changes.py
@@ -85,6 +85,9 @@
     rollouts: dict[str, RolloutReport] = attrs.field(factory=dict)
     # This entry's own part of its zone's statistics, for its next process.
     own_rollouts: dict[str, RolloutReport] = attrs.field(factory=dict)
+    # Version of the route document that was in force when the record was written; a
+    # change of it alone is no reason to write the record.
+    document_version: int = attrs.field(default=0, eq=False)
 
     @property
     def own_reports(self) -> dict[str, RolloutReport]:
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/node.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/node.py
@@ -210,6 +210,7 @@
     @_apply.register
     def _(self, change: changes.EntryReported, now_s: float) -> None:
         record = change.record
+        self.routes.require_version(record.document_version)
         if record.entry == self._identity.name:
             self._resume(record, now_s)
             return
@@ -399,6 +400,7 @@
             zone=self._identity.zone,
             rollouts=rollouts,
             own_rollouts=own_rollouts,
+            document_version=self.routes.version,
         )
 
     def admit(self, route: Route, facts: RequestFacts, now_s: float) -> Service:
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/routes.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/routes.py
@@ -26,6 +26,8 @@
         # By host, and by the length of the path prefix from the longest on.
         self._by_host: dict[str, dict[int, dict[str, Route]]] = {}
         self._confirmed_at_s = float("-inf")
+        # Version that some entry has had in force.
+        self._required_version = 0
 
     @property
     def document(self) -> RouteDocument | None:
@@ -67,8 +69,22 @@
         self._by_host = by_host
         return True
 
+    @property
+    def is_lost(self) -> bool:
+        """Return whether another entry has had a newer document in force.
+
+        If the store has nothing newer, it has lost that document in a restore.
+        """
+        return self.version < self._required_version
+
+    def require_version(self, version: int) -> None:
+        """Confirm no document that is older than ``version`` from now on."""
+        self._required_version = max(self._required_version, version)
+
     def confirm(self, asked_at_s: float) -> None:
         """Record that a query sent at ``asked_at_s`` found nothing newer."""
+        if self.is_lost:
+            return
         self._confirmed_at_s = max(self._confirmed_at_s, asked_at_s)
 
     def is_fresh(self, now_s: float) -> bool:
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/const.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/const.py
@@ -58,6 +58,12 @@
 # the lease is renewed, in seconds.
 RECORD_TTL_S: Final = 6.0
 RECORD_RENEWAL_INTERVAL_S: Final = 2.0
+# Time over which the entries spread their reads after the store has come back from
+# a copy, and the writes of their records, per entry and at most, in seconds.
+RESTORE_READ_SPREAD_PER_ENTRY_S: Final = 0.0015
+MAX_RESTORE_READ_SPREAD_S: Final = 1.0
+RESTORE_WRITE_SPREAD_PER_ENTRY_S: Final = 0.005
+MAX_RESTORE_WRITE_SPREAD_S: Final = 3.5
 # Minimum interval between two writes of the record, in seconds.
 RECORD_WRITE_INTERVAL_S: Final = 4.0
 # The same if the record has changes that may affect another entry's decision.
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/coordinator.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/coordinator.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 import math
+import random
 from collections import Counter
 from collections.abc import Callable, Sequence
 
@@ -24,6 +25,7 @@
     CompactedError,
     StoreConflictError,
     StoreError,
+    StoreRestoredError,
 )
 from cardamomnotch_protocol.store_position import StorePosition
 from cardamomnotch_runtime.structured_log import log_event
@@ -33,6 +35,8 @@
     LISTING_IDLE_INTERVAL_S,
     LISTING_PAUSE_PER_ENTRY_S,
     MAX_FEED_WAIT_S,
+    MAX_RESTORE_READ_SPREAD_S,
+    MAX_RESTORE_WRITE_SPREAD_S,
     MAX_WATCH_PAUSE_S,
     MIN_STORE_OUTAGE_S,
     MIN_WATCH_PAUSE_S,
@@ -43,6 +47,8 @@
     RECORD_TTL_S,
     RECORD_WRITE_INTERVAL_S,
     REPORT_DELAY_STEP_S,
+    RESTORE_READ_SPREAD_PER_ENTRY_S,
+    RESTORE_WRITE_SPREAD_PER_ENTRY_S,
     STORE_RETRY_DELAY_S,
     URGENT_RECORD_WRITE_INTERVAL_S,
     WATCH_PAUSE_PER_ENTRY_S,
@@ -70,6 +76,9 @@
         )
         self._woken = asyncio.Event()
         self._is_store_available = False
+        self._random = random.Random()
+        # Whether another entry has a newer route document than the store.
+        self._is_document_lost = False
         # Era of the store when everything was read last.
         self._era: int | None = None
         # When the last call was sent that the store has answered itself.
@@ -107,6 +116,12 @@
                 detail=error.detail,
             )
             feed.forget()
+            if isinstance(error, StoreRestoredError):
+                await asyncio.sleep(
+                    self._spread_s(
+                        RESTORE_READ_SPREAD_PER_ENTRY_S, MAX_RESTORE_READ_SPREAD_S
+                    )
+                )
             return
         except StoreError as error:
             self._mark_store_unavailable(error)
@@ -204,15 +219,42 @@
         )
         if is_restored:
             self._log_restore()
+            self._write_record_again(now_s)
         self._log_full_read(reading)
         self._log_routes(previous)
         self._own_confirmed_at_s = reading.began_at_s
         self._node.feed.record_read(reading.position, reading.began_at_s)
 
+    def _write_record_again(self, now_s: float) -> None:
+        """Write this entry's record soon, since a restored store may have lost it."""
+        self._record = None
+        self._record_written_at_s = -math.inf
+        self._publish_after_s = now_s + self._spread_s(
+            RESTORE_WRITE_SPREAD_PER_ENTRY_S, MAX_RESTORE_WRITE_SPREAD_S
+        )
+
+    def _spread_s(self, per_entry_s: float, most_s: float) -> float:
+        """Return a random pause, so that the entries do not call at the same time."""
+        return self._random.uniform(
+            0.0, min(most_s, per_entry_s * len(self._node.entries))
+        )
+
     def _confirm_routes(self, asked_at_s: float) -> None:
         """Confirm the route document, unless a newer one is yet to be read."""
-        if not self._value_reader.is_reading(self._relay_store.document_key):
-            self._node.routes.confirm(asked_at_s)
+        routes = self._node.routes
+        if self._value_reader.is_reading(self._relay_store.document_key):
+            return
+        routes.confirm(asked_at_s)
+        if routes.is_lost != self._is_document_lost:
+            self._is_document_lost = routes.is_lost
+            log_event(
+                _LOGGER,
+                "the store has lost the route document that another entry uses"
+                if routes.is_lost
+                else "the route document is as new as that of the other entries",
+                logging.WARNING if routes.is_lost else logging.INFO,
+                version=routes.version,
+            )
 
     def _apply_value(
         self, key: str, change: StoreChange | None, asked_at_s: float
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/server.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import math
 from collections.abc import Callable, Set
 
 from aiohttp import HttpVersion11, web
@@ -230,9 +231,7 @@
             ms=int(seconds * 1000),
             allowed_ms=forwarder.allowed_ms if forwarder else 0,
             document=self._node.routes.version,
-            document_age_ms=int((now_s - self._node.routes.confirmed_at_s) * 1000)
-            if self._node.routes.version
-            else -1,
+            document_age_ms=self._document_age_ms(now_s),
             session=request.facts.session if request else "",
             fingerprint=request.facts.fingerprint if request else "",
             prompt=[part.part_id for part in request.facts.prompt] if request else [],
@@ -240,6 +239,11 @@
             **_refused_request_fields(code, request),
         )
 
+    def _document_age_ms(self, now_s: float) -> int:
+        """Return the age of the route document's confirmation; -1 without one."""
+        age_s = now_s - self._node.routes.confirmed_at_s
+        return int(age_s * 1000) if math.isfinite(age_s) else -1
+
 
 def _refused_request_fields(
     code: ResultCode | None, request: CallerRequest | None
--- a/tests/entry/relay/test_store_restore.py
+++ b/tests/entry/relay/test_store_restore.py
@@ -188,3 +188,37 @@
     )
     await asyncio.sleep(PUBLISH_INTERVALS_S)
     assert relay.store.value("entries/entry-a-1") is not None
+
+
+async def test_entry_that_starts_after_a_restore_accepts_no_key_taken_away(relay):
+    """An entry that starts before the document is written again serves no keys.
+
+    The copy has the key, and the records of the other entries say that they use a
+    newer document.
+    """
+    await relay.async_add_upstream("up", plain(b"done"), service="bookings")
+    relay.store.put("op/config", document(2, tenants=tenants(API_KEY, TAKEN_KEY)))
+    await relay.async_wait_for(lambda: relay.entry.node.routes.version == 2)
+    copy = relay.store.copy()
+    await restore_before(
+        relay,
+        lambda: relay.store.put("op/config", document(3, tenants=tenants(API_KEY))),
+        lambda: relay.entry.node.routes.version == 3,
+    )
+    await relay.async_wait_for(
+        lambda: (
+            relay.store.revision("entries/entry-a-1")
+            > copy.items["entries/entry-a-1"].revision
+        )
+    )
+    other = await relay.async_add_entry("entry-a-2", waits_until_ready=False)
+    await other.async_wait_for(lambda: other.entry.node.routes.version == 2)
+    for _ in range(3):
+        assert (await other.async_call("/book/x", key=TAKEN_KEY)).status == 503
+        assert (await relay.async_call("/book/x", key=TAKEN_KEY)).status == 401
+        assert not other.entry.is_ready
+        await asyncio.sleep(PUBLISH_INTERVALS_S / 3)
+    relay.store.put("op/config", document(3, tenants=tenants(API_KEY)))
+    await other.async_wait_for(lambda: other.entry.is_ready)
+    assert (await other.async_call("/book/x", key=TAKEN_KEY)).status == 401
+    await other.async_leave()
