--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/metrics.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/metrics.py
@@ -130,6 +130,18 @@
             registry=self.registry,
         )
         age.set_function(lambda: clock() - node.feed.confirmed_at_s)
+        era = Gauge(
+            "cardamomnotch_relay_store_era",
+            "How often the store has come back from a copy, as it states it.",
+            registry=self.registry,
+        )
+        era.set_function(lambda: node.feed.position.era if node.feed.position else 0)
+        lost = Gauge(
+            "cardamomnotch_relay_lost_items",
+            "Items in force that the store has lost by coming back from a copy.",
+            registry=self.registry,
+        )
+        lost.set_function(lambda: len(node.lost_items.pending))
         source = Gauge(
             "cardamomnotch_relay_watches_store",
             "Whether this entry watches the store for its availability zone.",
