Name omitted values first, so readers of two sources skip none

The entry took an old route document for confirmed.

Cause: a source whose watch brings more than 64 KiB reads the changes by their keys, and omits the route document. It then knows only that the document was written by the last position that it has read, and gave that position to the change. The two sources of a zone read separately, so they name different positions. A reader that got a part of the changes from one source, before that position, and the rest from the other one, behind the position there, was never told of the document, while both confirmed its data.

Change: omitted values go first in each answer, so a reader knows of them before it gets past any change behind them.

--- a/packages/cardamomnotch-core/src/cardamomnotch_core/change_feed/change_log.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/change_feed/change_log.py
@@ -46,13 +46,18 @@
         while len(self._changes) > MAX_LOG_CHANGES or self._bytes > MAX_LOG_BYTES:
             oldest = self._changes.popleft()
             self._bytes -= oldest.size
-            self._floor = oldest.position
+            self._floor = max(self._floor, oldest.position)
 
     def since(self, position: StorePosition) -> tuple[StoreChange, ...] | None:
-        """Return the changes after ``position``.
+        """Return the changes after ``position``, those without a value first.
+
+        The position of an omitted value is only known to be not before its write. A
+        reader that gets the others up to any position therefore has to know of it,
+        since it may go on with the log of another entry.
 
         Returns None if some are not in the log, as for a position of another era.
         """
         if self._floor is None or not self._floor.is_continued_by(position):
             return None
-        return tuple(change for change in self._changes if change.position > position)
+        newer = (change for change in self._changes if change.position > position)
+        return tuple(sorted(newer, key=lambda change: not change.is_omitted))
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/change_feed/feed.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/change_feed/feed.py
@@ -208,7 +208,7 @@
         found = []
         for number, part in enumerate(parts):
             is_last = number == len(parts) - 1
-            position = max(after, self.position) if is_last else part[-1].position
+            position = max(after, self.position) if is_last else _end_of(part, after)
             found.append(
                 FeedPart(
                     token=reader.token,
@@ -241,6 +241,12 @@
                 del self._readers[name]
 
 
+def _end_of(part: Sequence[StoreChange], after: StorePosition) -> StorePosition:
+    """Return the position up to which a reader that gets ``part`` has all changes."""
+    positions = (change.position for change in part if not change.is_omitted)
+    return max(positions, default=after)
+
+
 def _split(changes: Iterable[StoreChange]) -> Iterator[list[StoreChange]]:
     """Yield the changes in groups that fit into a datagram; at least one group."""
     group: list[StoreChange] = []
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/change_feed/models.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/change_feed/models.py
@@ -38,7 +38,8 @@
     """One datagram with changes for an entry that has asked.
 
     The changes are all that the store has between the positions ``after`` and
-    ``position``, in order. All positions are of one era.
+    ``position``, in order, but omitted values first, which may be of a later position.
+    All positions are of one era.
     """
 
     # The last request of the receiver.
--- a/tests/core/change_feed/test_feed_state_machine.py
+++ b/tests/core/change_feed/test_feed_state_machine.py
@@ -1,5 +1,6 @@
 """Freshness and reach of store changes over entries with faults."""
 
+import pytest
 from hypothesis import HealthCheck, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
@@ -10,6 +11,7 @@
     rule,
 )
 
+from cardamomnotch_core.change_feed.const import MAX_INLINE_BYTES
 from cardamomnotch_core.change_feed.feed import ChangeFeed
 from cardamomnotch_core.change_feed.models import FeedPart, FeedRequest, StoreChange
 
@@ -118,7 +120,7 @@
             if simulation.now_s - stable_since_s < STABLE_S:
                 continue
             assert simulation.age_s(entry) < MAX_USED_AGE_S
-            assert order(entry.applied_position) >= order(needed)
+            assert order(entry.feed.position) >= order(needed)
 
 
 TestFeedMachine = FeedMachine.TestCase
@@ -174,3 +176,46 @@
         [StoreChange(key="key", position=at(11), value=b"v")], at(11), 0.1
     )
     assert [part.after for _, part in feed.pushes(0.2)] == [at(10)]
+
+
+def source_with(changes, position):
+    """Return a source of the zone that has watched ``changes``."""
+    feed = ChangeFeed("source", "a", MAX_AGE_S)
+    feed.record_read(at(10), 0.0)
+    feed.record_watched(changes, position, 0.0)
+    return feed
+
+
+def answer(source, reader, token):
+    """Return what a source sends to a reader for its current position."""
+    request = FeedRequest(token=token, position=reader.position)
+    return source.handle_request("reader", "h:1", request, 0.0)
+
+
+@pytest.mark.parametrize("early", [12, 14], ids=["at its write", "before the other's"])
+def test_omitted_value_is_known_whichever_source_a_reader_asks(early):
+    """A reader that changes its source midway does not skip an omitted value.
+
+    A source that reads many changes by their keys does not know at which position
+    the value was written, only the position up to which it has read.
+    """
+    small = [
+        StoreChange(key=f"key-{n}", position=at(n), value=b"v" * MAX_INLINE_BYTES)
+        for n in (11, 13, 15, 16, 17)
+    ]
+    known_early = StoreChange(key="document", position=at(early), is_omitted=True)
+    known_late = StoreChange(key="document", position=at(17), is_omitted=True)
+    first = source_with([*small, known_late], at(17))
+    second = source_with(
+        sorted([*small, known_early], key=lambda change: change.position), at(17)
+    )
+    reader = ChangeFeed("reader", "a", MAX_AGE_S)
+    reader.record_read(at(10), 0.0)
+    found = []
+    # The first source's later parts are lost.
+    for part in answer(first, reader, 1)[:4]:
+        found.extend(reader.handle_part("first", part).changes)
+    for part in answer(second, reader, 2):
+        found.extend(reader.handle_part("second", part).changes)
+    assert reader.position == at(17)
+    assert "document" in {change.key for change in found}
