Give up a stream whose bytes are no answer

Cause, of two: the size of one event was limited, not what comes between events with data.

Change: an event with data is what an answer consists of. A stream with more than 64 KiB since its last one is broken off (320), and resumed elsewhere if it may be; comments that keep a slow stream alive have less in an hour. A stream is resumed after the last id of an event with data: an id alone is not a part that the caller has.

--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/const.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/const.py
@@ -95,8 +95,21 @@
 # body: chunks of a single byte take six bytes.
 MAX_RESPONSE_HEAD_BYTES: Final = 65_536
 MAX_FRAMING_RATIO: Final = 16
+# Interval between two measurements of the event loop's lag, and the lag from which it
+# is logged, in seconds.
+LOOP_LAG_INTERVAL_S: Final = 0.25
+MAX_LOOP_LAG_S: Final = 0.25
+# Receive buffer of a connection to an upstream, in bytes: what has arrived is parsed
+# at once, and the event loop waits for it.
+RECEIVE_BUFFER_BYTES: Final = 32_768
+# Least number of bytes whose processing time is measured: parts of sound streams are
+# mostly smaller, and those of an upstream that sends too fast are larger.
+MIN_MEASURED_BYTES: Final = 512
 # Maximum size of one event of a stream, in bytes.
 MAX_EVENT_BYTES: Final = 1_048_576
+# Maximum number of bytes of a stream since its last event with data: a comment each
+# second, which keeps a slow stream alive, has less in an hour.
+MAX_BYTES_WITHOUT_DATA: Final = 65_536
 
 # Maximum number of characters that are logged of a path without a route.
 MAX_LOGGED_PATH_CHARS: Final = 80
--- a/tests/entry/relay/test_event_stream.py
+++ b/tests/entry/relay/test_event_stream.py
@@ -74,3 +74,39 @@
     await relay.async_add_upstream("up", lambda request: [Send(head(request) + body)])
     answer = await relay.async_call("/answer/x")
     assert (answer.body, answer.broken) == (body, False)
+
+
+@each_line_end
+@pytest.mark.parametrize(
+    ("text", "last_event_id"),
+    [
+        (b"id: 1\ndata: a\n\nid: 2\n\n", "1"),
+        (b"id: 1\ndata: a\n\nid: 2\ndata:\n\n", "1"),
+        (b"id: 1\ndata: a\n\ndata: b\n\n: comment\n\n", "1"),
+        (b"data: a\nid: 1\n\nid: 9\n\ndata: b\n\n", "1"),
+        (b"id: 1\nid: 2\ndata: a\n\n", "2"),
+        (b"id: 1\ndata: a\nid:\n\n", "1"),
+        (b"id: 1\ndata: a\n\n" + b"data: b\n\n" * 1_000, "1"),
+        (b"id: 1\nevent: x\ndata: a\n\nid: 2\nevent: y\n\n", "1"),
+        (b"xid: 1\ndata: a\n\n", ""),
+        (b": id: 1\ndata: a\n\n", ""),
+    ],
+    ids=[
+        "id alone",
+        "empty data",
+        "data without an id",
+        "data before its id",
+        "two ids",
+        "empty id",
+        "id far back",
+        "event without data",
+        "other field",
+        "comment",
+    ],
+)
+def test_id_without_data_is_not_resumed_from(line_end, text, last_event_id):
+    """A stream goes on after the last event with data, which the caller has."""
+    splitter = EventSplitter()
+    data = text.replace(b"\n", line_end)
+    assert splitter.feed(data) == data
+    assert splitter.last_event_id == last_event_id
