Limit the event loop's time that responses take

Cause, the second of two: a response is read and processed as fast as it arrives, whatever that costs; nothing bounds its share of the event loop. Where a body comes in chunks of one byte, the HTTP library starts its parser again for each chunk that is taken from its buffer (150 ms for 16 KB).

Change: LoopShares measures what each response takes of the loop. A small share is its own; what it uses beyond that is drawn from a fifth of the loop that all responses share, and once that is used up it is not read on for a while. Sound streams stay far below their share, however many there are. The receive buffer of an upstream's connection is smaller, so that what is parsed at once is; the parser is started again only after a pause.

--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/const.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/const.py
@@ -66,6 +66,16 @@
 # Time for which an upstream missing from the store is kept after a store
 # outage, in seconds: live upstreams register again within two seconds.
 REREGISTRATION_GRACE_S: Final = 2.5
+# Part of the event loop's time that a response may always use, and that all of them may
+# use beyond it; the time in seconds that may be used at once of each.
+LOOP_OWN_SHARE: Final = 0.002
+LOOP_OWN_BURST_S: Final = 0.02
+LOOP_EXCESS_SHARE: Final = 0.2
+LOOP_EXCESS_BURST_S: Final = 0.02
+# Longest pause of a response that uses more, in seconds.
+MAX_LOOP_PAUSE_S: Final = 5.0
+# Longest time that processing may take for each byte received, in seconds.
+MAX_PROCESSING_S_PER_BYTE: Final = 1e-6
 # Time for which an order of the operators that the store has lost in a restore stays
 # in force unless they write it again, in seconds.
 LOST_ORDER_RETENTION_S: Final = 60.0
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/attempts.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/attempts.py
@@ -185,6 +185,14 @@
             self.mark_broken()
             raise
 
+    def process_part(self, function: Callable[[bytes], bytes], data: bytes) -> bytes:
+        """Return ``function(data)`` for a part of the body that has arrived.
+
+        The time that it takes counts as the processing of the response.
+        """
+        assert self._response is not None
+        return self._client.process_part(self._response, function, data)
+
     async def async_read_body(self) -> bytes:
         """Return the complete response body.
 
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/composition.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/composition.py
@@ -30,6 +30,7 @@
 from .coordinator import StoreCoordinator
 from .diagnostics import diagnostics
 from .interfaces import MessageCodec, StoreCodec
+from .loop_lag import LoopLag
 from .metrics import RelayMetrics
 from .peers import PeerExchange
 from .relay_store import RelayStore
@@ -131,7 +132,7 @@
 
     async def async_setup(self, store: KeyValueStore) -> None:
         """Start serving."""
-        self._client = UpstreamClient()
+        self._client = UpstreamClient(self._metrics.count_response_pause)
         self._server = RelayServer(
             node=self._node,
             client=self._client,
@@ -177,6 +178,8 @@
         self._tasks.repeat(
             lambda: READINESS_CHECK_INTERVAL_S, self._async_log_lost_zones
         )
+        loop_lag = LoopLag(self._metrics.observe_loop_lag)
+        self._tasks.repeat(lambda: 0.0, loop_lag.async_measure)
         log_event(
             _LOGGER,
             "entry started",
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/forwarder.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/forwarder.py
@@ -271,7 +271,7 @@
         while True:
             try:
                 async for data in attempt.async_iter_body():
-                    complete_events = events.feed(data)
+                    complete_events = attempt.process_part(events.feed, data)
                     if complete_events:
                         await response.write(complete_events)
                 if events.is_within_event:
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/metrics.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/metrics.py
@@ -10,6 +10,7 @@
 from .models import AttemptLog
 
 _LATENCY_BUCKETS_S = (0.01, 0.03, 0.1, 0.3, 1.0, 3.0, 10.0)
+_LAG_BUCKETS_S = (0.003, 0.01, 0.03, 0.1, 0.3, 1.0)
 _REPLY_BUCKETS_BYTES = (1e3, 1e4, 1e5, 1e6)
 
 
@@ -81,6 +82,17 @@
             buckets=_LATENCY_BUCKETS_S,
             registry=self.registry,
         )
+        self._loop_lag_seconds = Histogram(
+            "cardamomnotch_relay_loop_lag_seconds",
+            "How late the event loop runs what is due.",
+            buckets=_LAG_BUCKETS_S,
+            registry=self.registry,
+        )
+        self._response_pauses = Counter(
+            "cardamomnotch_relay_response_pauses",
+            "Pauses in reading responses that take too much of the event loop.",
+            registry=self.registry,
+        )
         version = Gauge(
             "cardamomnotch_relay_document_version",
             "Version of the routes in force.",
@@ -177,6 +189,14 @@
         self._store_reply_bytes.labels(kind=kind).observe(size)
         self._store_reply_seconds.labels(kind=kind).observe(seconds)
 
+    def observe_loop_lag(self, seconds: float) -> None:
+        """Record how late the event loop was."""
+        self._loop_lag_seconds.observe(seconds)
+
+    def count_response_pause(self) -> None:
+        """Count a pause in reading a response."""
+        self._response_pauses.inc()
+
     def count_store_call(self, kind: str, outcome: str) -> None:
         """Count a call to the store."""
         self._store_calls.labels(kind=kind, outcome=outcome).inc()
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/upstream_client.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/upstream_client.py
@@ -1,8 +1,10 @@
 """HTTP client for upstreams with one connection per attempt."""
 
 import asyncio
+import functools
 import socket
-from collections.abc import AsyncIterator
+import time
+from collections.abc import AsyncIterator, Callable
 from typing import Any
 
 import aiohttp
@@ -10,6 +12,7 @@
 from yarl import URL
 
 from cardamomnotch_core.relay.const import CONNECT_TIMEOUT_S
+from cardamomnotch_core.relay.loop_share import LoopShares
 from cardamomnotch_runtime.upstream_session import (
     UpstreamResponseHandler,
     create_upstream_session,
@@ -23,7 +26,9 @@
     MAX_FRAMING_RATIO,
     MAX_LINE_BYTES,
     MAX_RESPONSE_HEAD_BYTES,
+    MIN_MEASURED_BYTES,
     REACHABILITY_TIMEOUT_S,
+    RECEIVE_BUFFER_BYTES,
     TCP_USER_TIMEOUT_MS,
 )
 from .exceptions import (
@@ -41,23 +46,67 @@
 
 
 class _LimitingResponseHandler(UpstreamResponseHandler):
-    """Limits the size of a response's head and framing.
+    """Limits the size of a response's head and framing, and its processing time.
 
     The parser limits single header lines only, not empty lines, interim
     responses or chunk extensions.
     """
 
-    _received_bytes = 0
+    def __init__(self, loop: asyncio.AbstractEventLoop, shares: LoopShares) -> None:
+        super().__init__(loop=loop)
+        self._received_bytes = 0
+        self._share = shares.open(time.monotonic())
+        # Ends a pause in reading, while there is one.
+        self._pause_timer: asyncio.TimerHandle | None = None
 
     def data_received(self, data: bytes) -> None:
         """Parse the data unless the response's framing is too large."""
         self._received_bytes += len(data)
-        super().data_received(data)
+        self._share.record_received(len(data))
+        if len(data) < MIN_MEASURED_BYTES:
+            super().data_received(data)
+        else:
+            began_at_s = time.monotonic()
+            super().data_received(data)
+            self.record_processing(began_at_s)
         body_bytes = self._payload.total_bytes if self._payload is not None else 0
         limit = MAX_RESPONSE_HEAD_BYTES + MAX_FRAMING_RATIO * body_bytes
         if self._received_bytes > limit:
             self._fail(_OversizeError("the head or framing exceeds its size limit"))
 
+    def record_processing(self, began_at_s: float) -> None:
+        """Record the processing of received bytes, which began at ``began_at_s``.
+
+        Reads no more for a while if the response uses too much of the loop's time.
+        """
+        now_s = time.monotonic()
+        pause_s = self._share.record_used(now_s - began_at_s, now_s)
+        if not pause_s or self.transport is None:
+            return
+        if self._pause_timer is not None:
+            self._pause_timer.cancel()
+        self._pause_timer = self._loop.call_later(pause_s, self._end_pause)
+        self._pause_transport_reading()
+
+    def resume_reading(self, resume_parser: bool = True) -> None:
+        """Read on if reading is paused.
+
+        The library calls this for each chunk that is taken from the buffer, and
+        starts its parser for it.
+        """
+        if self._reading_paused:
+            super().resume_reading(resume_parser)
+
+    def _end_pause(self) -> None:
+        self._pause_timer = None
+        if not self._reading_paused and not self._buffer_paused:
+            self._resume_transport_reading()
+
+    def _resume_transport_reading(self) -> None:
+        """Read on, unless the response has to pause."""
+        if self._pause_timer is None:
+            super()._resume_transport_reading()
+
     def _fail(self, error: aiohttp.ClientPayloadError) -> None:
         """Fail the response that is being received, and disconnect."""
         if self._payload is not None and not self._payload.is_eof():
@@ -80,6 +129,7 @@
     family, kind, protocol, _, _ = address
     created = socket.socket(family, kind, protocol)
     created.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    created.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
     for option, value in (
         (socket.TCP_NODELAY, 1),
         (socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
@@ -95,16 +145,18 @@
     """Sends attempts to upstreams, each over a new connection.
 
     A connection used once cannot deliver another attempt's response, and
-    cannot have been dropped silently while idle.
+    cannot have been dropped silently while idle. ``count_pause`` is called when a
+    response is not read on for a while, since it takes too much of the event loop.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, count_pause: Callable[[], None] = lambda: None) -> None:
         connector = aiohttp.TCPConnector(
             limit=0, force_close=True, socket_factory=_create_socket
         )
+        self._shares = LoopShares(count_pause)
         self._session = create_upstream_session(
             connector,
-            _LimitingResponseHandler,
+            functools.partial(_LimitingResponseHandler, shares=self._shares),
             skip_auto_headers=_DEFAULT_HEADERS,
             auto_decompress=False,
             timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
@@ -112,6 +164,26 @@
             max_field_size=MAX_LINE_BYTES,
         )
 
+    def process_part(
+        self,
+        response: aiohttp.ClientResponse,
+        function: Callable[[bytes], bytes],
+        data: bytes,
+    ) -> bytes:
+        """Return ``function(data)`` for a part of a response's body.
+
+        The time that it takes counts as the processing of the response.
+        """
+        if len(data) < MIN_MEASURED_BYTES:
+            return function(data)
+        began_at_s = time.monotonic()
+        try:
+            return function(data)
+        finally:
+            connection = response.connection
+            if connection is not None and connection.protocol is not None:
+                connection.protocol.record_processing(began_at_s)
+
     async def async_send(
         self,
         address: str,
--- a/packages/cardamomnotch-runtime/src/cardamomnotch_runtime/upstream_session.py
+++ b/packages/cardamomnotch-runtime/src/cardamomnotch_runtime/upstream_session.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import functools
+from collections.abc import Callable
 from typing import Any
 
 import aiohttp
@@ -25,7 +26,7 @@
 
 def create_upstream_session(
     connector: aiohttp.BaseConnector,
-    response_handler: type[UpstreamResponseHandler] = UpstreamResponseHandler,
+    response_handler: Callable[..., UpstreamResponseHandler] = UpstreamResponseHandler,
     **options: Any,
 ) -> aiohttp.ClientSession:
     """Return a session that sends each request at most once.
--- /dev/null
+++ b/tests/entry/relay/test_fast_upstreams.py
@@ -0,0 +1,84 @@
+"""Upstreams that send faster than an entry can process."""
+
+import asyncio
+import json
+import sys
+import time
+
+import pytest
+
+from tests.fixtures.relay_system import API_KEY, HOST
+from tests.stand_ins.fast_upstream import ANSWERS
+from tests.stand_ins.platform_upstream import plain
+
+# Streams that run at the same time at such an upstream.
+_STREAMS = 6
+# Time within which a booking is answered beside them, in seconds: the half second by
+# which a request may be late.
+_MAX_TIME_S = 0.5
+_BOOKINGS = 12
+
+
+@pytest.fixture
+async def start_fast_upstream(relay):
+    """Return a function that starts such an upstream, and streams from it."""
+    processes = []
+
+    async def start(answer):
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "tests.stand_ins.fast_upstream",
+            answer,
+            stdin=asyncio.subprocess.PIPE,
+            stdout=asyncio.subprocess.PIPE,
+        )
+        processes.append(process)
+        address = (await process.stdout.readline()).decode().strip()
+        registration = {
+            "service": "drafts",
+            "address": address,
+            "zone": "zone-a",
+            "version": "v1",
+            "slots": 64,
+            "state": "ready",
+            "cold_left_ms": 0,
+            "sequence": 1,
+        }
+        relay.store.put("servers/fast", registration)
+        await relay.async_wait_for(
+            lambda: relay.entry.node.fleet.get("fast") is not None
+        )
+        calls = {
+            "address": relay.caller_address,
+            "path": "/answer/x",
+            "count": _STREAMS,
+            "headers": {
+                "Host": HOST,
+                "Authorization": f"Token {API_KEY}",
+                "X-Model": "small",
+                "X-Deadline-Ms": "4000",
+            },
+        }
+        process.stdin.write(json.dumps(calls).encode() + b"\n")
+        state = relay.entry.node.fleet.get("fast")
+        await relay.async_wait_for(lambda: state.queue or state.in_flight)
+
+    yield start
+    for process in processes:
+        process.kill()
+        await process.wait()
+
+
+@pytest.mark.parametrize("answer", ANSWERS)
+async def test_fast_upstream_does_not_take_the_loop(relay, start_fast_upstream, answer):
+    """Bookings are answered in time beside streams that are sent too fast."""
+    await relay.async_add_upstream("book", plain(b"done"), service="bookings")
+    await start_fast_upstream(answer)
+    times_s = []
+    for _ in range(_BOOKINGS):
+        sent_at_s = time.monotonic()
+        assert (await relay.async_call("/book/x")).status == 200
+        times_s.append(time.monotonic() - sent_at_s)
+        await asyncio.sleep(0.05)
+    assert max(times_s) < _MAX_TIME_S
