--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/caller_connection.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/caller_connection.py
@@ -84,6 +84,15 @@
             self._start_timer(self._caller_limits().header_timeout_s)
         super().data_received(data)
 
+    def resume_reading(self, resume_parser: bool = True) -> None:
+        """Read on if reading is paused.
+
+        The library calls this for each chunk that is taken from the buffer, and
+        starts its parser for it.
+        """
+        if self._reading_paused:
+            super().resume_reading(resume_parser)
+
     def mark_head_received(self) -> None:
         """Cancel the timeout, since a complete request head has arrived."""
         self._stop_timer()
--- a/tests/entry/relay/test_bad_input.py
+++ b/tests/entry/relay/test_bad_input.py
@@ -5,6 +5,7 @@
 import pytest
 
 from cardamomnotch_core.relay.limits import RelayLimits
+from cardamomnotch_entry.relay.caller_connection import CallerConnection
 
 from tests.fixtures.relay_system import RelaySystem
 from tests.stand_ins.platform_upstream import Wait, plain
@@ -187,3 +188,30 @@
         rest = await reader.read()
     assert b"HTTP/1.1" not in rest
     writer.close()
+
+
+async def test_body_of_small_chunks_does_not_start_the_parser_for_each(
+    relay, monkeypatch
+):
+    """A body in chunks of one byte is parsed as it arrives, not chunk by chunk."""
+    upstream = await relay.async_add_upstream("up", plain(), service="bookings")
+    calls = []
+    data_received = CallerConnection.data_received
+
+    def counted(connection, data):
+        calls.append(len(data))
+        data_received(connection, data)
+
+    monkeypatch.setattr(CallerConnection, "data_received", counted)
+    size = 20_000
+    request = (
+        b"POST /book/x HTTP/1.1\r\n"
+        + _HEAD
+        + b"Transfer-Encoding: chunked\r\n\r\n"
+        + b"1\r\nx\r\n" * size
+        + b"0\r\n\r\n"
+    )
+    answer = await _async_send(relay, request)
+    assert answer.startswith(b"HTTP/1.1 200")
+    assert upstream.seen[0].body == b"x" * size
+    assert len(calls) < size / 100
