Forward a caller's encoded body as it was sent

Cause: the library decodes request bodies unless it is told not to. The client for upstreams was told, the server for callers was not.

Evidence: test_encoded_body_is_not_decoded, three of its four cases failed before; the fourth, an encoding without meaning to the library, passed.

Change: callers' connections decode nothing. The body's size limit now counts the bytes that are sent.

--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/composition.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/composition.py
@@ -253,6 +253,7 @@
             lambda: self._node.routes.caller_limits,
             loop=asyncio.get_running_loop(),
             access_log=None,
+            auto_decompress=False,
             keepalive_timeout=_CALLER_KEEPALIVE_TIMEOUT_S,
             lingering_time=_REFUSED_BODY_READ_TIMEOUT_S,
             max_line_size=MAX_LINE_BYTES,
--- a/tests/entry/relay/test_bad_input.py
+++ b/tests/entry/relay/test_bad_input.py
@@ -1,6 +1,7 @@
 """Responses to malformed, oversized and slow requests."""
 
 import asyncio
+import gzip
 
 import pytest
 
@@ -215,3 +216,20 @@
     assert answer.startswith(b"HTTP/1.1 200")
     assert upstream.seen[0].body == b"x" * size
     assert len(calls) < size / 100
+
+
+@pytest.mark.parametrize("encoding", ["gzip", "deflate", "br", "unknown"])
+async def test_encoded_body_is_not_decoded(relay, encoding):
+    """A body with a content encoding reaches the upstream as it was sent."""
+    upstream = await relay.async_add_upstream("up", plain(), service="bookings")
+    body = gzip.compress(b"a batch " * 20)
+    answer = await _async_send(
+        relay,
+        b"POST /book/x HTTP/1.1\r\n"
+        + _HEAD
+        + f"Content-Encoding: {encoding}\r\nContent-Length: {len(body)}\r\n\r\n".encode()
+        + body,
+    )
+    assert answer.startswith(b"HTTP/1.1 200")
+    (seen,) = upstream.seen
+    assert (seen.body, seen.headers["content-encoding"]) == (body, encoding)
