Use no upstream that a restored store lists again

Callers saw nothing yet; found when a soak with restores was planned: an upstream that was removed after the store's copy had been made was listed again, as ready, until its lease ended, and got requests (more than drain_ms after its end was known).

Evidence: test_upstream_that_a_restore_lists_again_is_not_used failed before (200 from the upstream).

Change: the processes of removed upstreams are known for a minute. One that a restored listing has is put off for 6 s, the other lost items' way; it is used at once if it is written again. An upstream that lives and was removed by mistake shortly before the restore is missing for that time.

--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/const.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/const.py
@@ -82,6 +82,11 @@
 # The same for an entry's record: the lease time of records, after which an entry that
 # does not write its record again uses no part of a shared limit.
 LOST_RECORD_RETENTION_S: Final = 6.0
+# Time for which an upstream that had been removed before a restore is not used although
+# the copy lists it, in seconds: the lease of its registration ends by then.
+REMOVED_UPSTREAM_RETENTION_S: Final = 6.0
+# Time for which the processes of removed upstreams are known, in seconds.
+REMOVED_UPSTREAM_MEMORY_S: Final = 60.0
 
 # Upstream crashes that a request or a prompt part may have caused before it is
 # quarantined.
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/fleet.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/fleet.py
@@ -10,6 +10,7 @@
     MAX_ATTEMPT_S,
     MAX_PENALTY_S,
     PENALTY_S,
+    REMOVED_UPSTREAM_MEMORY_S,
     REREGISTRATION_GRACE_S,
 )
 from .first_token import QueueEstimate
@@ -126,6 +127,8 @@
         self._states: dict[str, UpstreamState] = {}
         self._zones_out: set[str] = set()
         self._store_returned_at_s = float("-inf")
+        # When processes were removed, in the order of these times.
+        self._removed_at_s: dict[str, float] = {}
         # Cache of candidates by service; cleared with each change.
         self._candidates: dict[str, tuple[UpstreamState, ...]] = {}
         # When the next missing upstream is to be removed.
@@ -192,6 +195,14 @@
         for state in self:
             state.is_leaving = state.is_draining
 
+    def has_removed(self, upstream: Upstream, now_s: float) -> bool:
+        """Return whether this run of an upstream was removed lately."""
+        removed_at_s = self._removed_at_s.get(upstream.process)
+        return (
+            removed_at_s is not None
+            and now_s - removed_at_s < REMOVED_UPSTREAM_MEMORY_S
+        )
+
     def knows_later_process(self, upstream: Upstream) -> bool:
         """Return whether a registration is of an earlier run than the known one."""
         state = self._states.get(upstream.upstream_id)
@@ -291,8 +302,16 @@
     def _remove_state(self, upstream_id: str, now_s: float) -> None:
         state = self._states.pop(upstream_id)
         self._candidates.clear()
+        self._record_removed(state.upstream.process, now_s)
         self._report_end(state, now_s)
 
+    def _record_removed(self, process: str, now_s: float) -> None:
+        self._removed_at_s.pop(process, None)
+        self._removed_at_s[process] = now_s
+        oldest_s = now_s - REMOVED_UPSTREAM_MEMORY_S
+        while next(iter(self._removed_at_s.values())) < oldest_s:
+            del self._removed_at_s[next(iter(self._removed_at_s))]
+
     def _report_end(self, state: UpstreamState, now_s: float) -> None:
         upstream = attrs.evolve(state.upstream, is_draining=state.is_draining)
         self._on_ended(upstream, now_s)
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/lost_items.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/lost_items.py
@@ -17,6 +17,16 @@
     return "zone", change.zone
 
 
+@_item_of.register
+def _(change: changes.UpstreamListed) -> Hashable | None:
+    return "upstream", change.upstream.upstream_id
+
+
+@_item_of.register
+def _(change: changes.UpstreamUnlisted) -> Hashable | None:
+    return "upstream", change.upstream_id
+
+
 @_item_of.register
 def _(change: changes.RolloutOrdered) -> Hashable | None:
     return "rollout", change.order.service
@@ -41,8 +51,8 @@
     """Puts off what a restored store would take back.
 
     What its listing lacks may have been written after the copy was made, and its
-    writer writes it again. Until then, or until a time limit, it stays in force. All
-    times are in seconds.
+    writer writes it again; what is listed may have been deleted since. Until then, or
+    until a time limit, what was known stays in force. All times are in seconds.
     """
 
     def __init__(self) -> None:
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/node.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/node.py
@@ -17,6 +17,7 @@
     ESCALATION_LATENCY_FRACTION,
     LOST_ORDER_RETENTION_S,
     LOST_RECORD_RETENTION_S,
+    REMOVED_UPSTREAM_RETENTION_S,
 )
 from .crash_detection import CrashDetector
 from .exceptions import RefusalError
@@ -42,6 +43,12 @@
 
 # Leaves 53 bits of a hash, which every JSON number can hold.
 _TOKEN_SHIFT = 11
+# Time for which changes that a restored store would make are put off, in seconds; the
+# others are those of operators' orders.
+_RETENTION_S = {
+    changes.EntryExpired: LOST_RECORD_RETENTION_S,
+    changes.UpstreamListed: REMOVED_UPSTREAM_RETENTION_S,
+}
 # Least Retry-After time of a request that is quarantined, in seconds.
 _MIN_RETRY_QUARANTINED_S = 1.0
 
@@ -340,18 +347,23 @@
                 is_restored and self.fleet.knows_later_process(change.upstream)
             ):
                 self._listing.record_change(change.upstream.upstream_id)
+            case changes.UpstreamListed() if is_restored and self.fleet.has_removed(
+                change.upstream, now_s
+            ):
+                self._put_off(change, now_s)
             case changes.RolloutOrdered() if is_restored and self.versions.has_replaced(
                 change.order
             ):
                 self._put_off(change, now_s)
-            case changes.RolloutOrdered() if change in self.lost_items.pending:
+            case changes.RolloutOrdered() | changes.UpstreamListed() if (
+                self.lost_items.is_put_off(change) and change in self.lost_items.pending
+            ):
                 return
             case _:
                 self.apply(change, now_s)
 
     def _put_off(self, change: changes.Change, now_s: float) -> None:
-        is_record = isinstance(change, changes.EntryExpired)
-        retention_s = LOST_RECORD_RETENTION_S if is_record else LOST_ORDER_RETENTION_S
+        retention_s = _RETENTION_S.get(type(change), LOST_ORDER_RETENTION_S)
         self.lost_items.put_off(change, now_s + retention_s)
 
     def apply_rest(
--- a/tests/entry/relay/test_bad_input.py
+++ b/tests/entry/relay/test_bad_input.py
@@ -223,12 +223,9 @@
     """A body with a content encoding reaches the upstream as it was sent."""
     upstream = await relay.async_add_upstream("up", plain(), service="bookings")
     body = gzip.compress(b"a batch " * 20)
+    headers = f"Content-Encoding: {encoding}\r\nContent-Length: {len(body)}\r\n\r\n"
     answer = await _async_send(
-        relay,
-        b"POST /book/x HTTP/1.1\r\n"
-        + _HEAD
-        + f"Content-Encoding: {encoding}\r\nContent-Length: {len(body)}\r\n\r\n".encode()
-        + body,
+        relay, b"POST /book/x HTTP/1.1\r\n" + _HEAD + headers.encode() + body
     )
     assert answer.startswith(b"HTTP/1.1 200")
     (seen,) = upstream.seen
--- a/tests/entry/relay/test_store_restore.py
+++ b/tests/entry/relay/test_store_restore.py
@@ -4,7 +4,10 @@
 
 import pytest
 
-from cardamomnotch_core.relay.const import REREGISTRATION_GRACE_S
+from cardamomnotch_core.relay.const import (
+    REMOVED_UPSTREAM_RETENTION_S,
+    REREGISTRATION_GRACE_S,
+)
 
 from tests.fixtures.relay_system import API_KEY, WORKSPACE, document
 from tests.stand_ins.platform_upstream import PlatformUpstreamStandIn, plain
@@ -222,3 +225,21 @@
     await other.async_wait_for(lambda: other.entry.is_ready)
     assert (await other.async_call("/book/x", key=TAKEN_KEY)).status == 401
     await other.async_leave()
+
+
+async def test_upstream_that_a_restore_lists_again_is_not_used(relay):
+    """An upstream that was removed after the copy gets no more requests.
+
+    Its registration is deleted once its lease ends; one that stays is used again.
+    """
+    await relay.async_add_upstream("up", plain(b"done"), service="bookings")
+    fleet = relay.entry.node.fleet
+    await restore_before(
+        relay,
+        lambda: relay.store.delete("servers/up"),
+        lambda: fleet.get("up") is None,
+    )
+    assert relay.store.value("servers/up") is not None
+    assert (await relay.async_call("/book/x")).status == 503
+    await asyncio.sleep(REMOVED_UPSTREAM_RETENTION_S + PUBLISH_INTERVALS_S)
+    assert (await relay.async_call("/book/x")).status == 200
