Let the store come back from copies in the soak

Beside planned stops, changes of the document and leaving upstreams, in a case of its own: copies up to 3 s old, what was lost is written again within a second, and registrations that the copy lists again end after 3 s.

--- a/tests/entry/relay/test_soak.py
+++ b/tests/entry/relay/test_soak.py
@@ -1,4 +1,4 @@
-"""Planned stops, changes and leaving upstreams in series, under kept connections."""
+"""Stops, changes, leaving upstreams and restores in series, under kept connections."""
 
 import asyncio
 import contextlib
@@ -22,6 +22,11 @@
 # request may be on its way when its connection is closed, in seconds.
 LEAVE_S = 2.0
 LOSS_SLACK_S = 0.2
+# Greatest age of the copy that the store comes back from, the time until what was
+# lost is written again, and until a registration that is not renewed ends, in seconds.
+COPY_AGE_S = 3.0
+REWRITE_S = 1.0
+LEASE_S = 3.0
 
 
 class Soak:
@@ -31,6 +36,7 @@
         self.entries = entries
         self.random = random.Random(seed)
         self.numbers = itertools.count()
+        self.versions = itertools.count(2)
         self.runs = Counter()
         self.left_at_s = {}
         self.statuses = Counter()
@@ -38,6 +44,8 @@
         self.clock = asyncio.get_running_loop().time
         self.end_s = self.clock() + LENGTH_S
         self.stopping = set()
+        # What operators and upstreams have written last, by key; None if deleted.
+        self.written = {}
 
     def run(self, name):
         """Return the behavior of an upstream, which counts its requests."""
@@ -100,9 +108,37 @@
             await entry.async_restart_entry()
             self.stopping.remove(entry)
 
+    @property
+    def store(self):
+        """Return the store of all entries."""
+        return self.entries[0].store
+
+    def write(self, key, value):
+        """Write a value as operators and upstreams do, or delete it."""
+        self.written[key] = value
+        if value is None:
+            self.store.delete(key)
+        else:
+            self.store.put(key, value)
+
+    async def async_restore(self):
+        """Let the store come back from copies of itself, until the end."""
+        while self.clock() < self.end_s:
+            copy = self.store.copy()
+            await asyncio.sleep(self.random.uniform(0.1, COPY_AGE_S))
+            self.store.restore(copy)
+            await asyncio.sleep(self.random.uniform(0, REWRITE_S))
+            for key, value in tuple(self.written.items()):
+                if value is not None and self.store.value(key) != value:
+                    self.store.put(key, value)
+            await asyncio.sleep(LEASE_S - REWRITE_S)
+            for key, value in tuple(self.written.items()):
+                if value is None:
+                    self.store.delete(key)
+
     async def async_change(self):
         """Stop entries, change the document and replace upstreams, at any time."""
-        first, version, upstreams = self.entries[0], 2, []
+        first, upstreams = self.entries[0], []
         while self.clock() < self.end_s:
             await asyncio.sleep(self.random.uniform(0, 0.6))
             match self.random.choice(("stop", "document", "join", "leave", "delete")):
@@ -112,27 +148,32 @@
                     more = range(self.random.choice((0, 0, 1000)))
                     routes = (route(f"more-{name}", "idempotent") for name in more)
                     routes = [*document()["routes"], *routes]
-                    first.store.put("op/config", document(version, routes=routes))
-                    version += 1
+                    version = next(self.versions)
+                    self.write("op/config", document(version, routes=routes))
                 case "leave" | "delete" as kind if len(upstreams) > 1:
                     up = upstreams.pop(0)
                     self.left_at_s[up.upstream_id] = self.clock()
-                    if kind == "delete":
-                        first.store.delete(f"servers/{up.upstream_id}")
-                    else:
-                        first.register(up, service="bookings", state="draining")
+                    self.write(
+                        f"servers/{up.upstream_id}",
+                        None
+                        if kind == "delete"
+                        else up.entry(service="bookings", state="draining"),
+                    )
                 case _:
                     name = f"up-{next(self.numbers)}"
                     with contextlib.suppress(AssertionError):
-                        upstreams.append(
-                            await first.async_add_upstream(
-                                name, self.run(name), service="bookings"
-                            )
+                        up = await first.async_add_upstream(
+                            name, self.run(name), service="bookings"
                         )
+                        self.written[f"servers/{name}"] = up.entry(service="bookings")
+                        upstreams.append(up)
 
 
+@pytest.mark.parametrize("is_restored", [False, True], ids=["no restore", "restores"])
 @pytest.mark.parametrize("seed", SEEDS)
-async def test_request_is_lost_in_a_series_of_planned_changes(monkeypatch, seed):
+async def test_request_is_lost_in_a_series_of_planned_changes(
+    monkeypatch, seed, is_restored
+):
     """Every request gets a true response, and no upstream one after it has left."""
     monkeypatch.setattr(composition, "BALANCER_DETECTION_S", 0.3)
     first = RelaySystem(RelayLimits(grace_s=2.5), store_bytes_per_s=200_000.0)
@@ -142,6 +183,7 @@
     await asyncio.gather(
         *(soak.async_call() for _ in range(CALLERS)),
         *(soak.async_change() for _ in range(2)),
+        *([soak.async_restore()] if is_restored else []),
     )
     await entries[1].async_leave()
     await first.async_stop()
