Start a rollout anew if its order was deleted before a restore

Found while reading the change again: an order with the content of one that had ended, written in a later era, was taken for the same one that the restored store has again. If operators had deleted the first one, and ordered the version once more, the rollout stayed reverted, and was reported so at once.

Change: a deletion of an order is remembered after the rollout's end, too.

--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/versions.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/versions.py
@@ -64,6 +64,8 @@
         )
         # State last reported, by service.
         self._statuses: dict[str, _Status] = {}
+        # Services whose order has been deleted after its rollout had ended.
+        self._withdrawn: set[str] = set()
         # Orders before the current one, by service.
         self._earlier_orders: dict[str, deque[RolloutOrder]] = {}
 
@@ -116,7 +118,8 @@
         """Start the rollout of an order, unless the current one is newer.
 
         ``order_id`` is the position in the store at which the order was written. The
-        same order in a later era of the store continues its rollout.
+        same order in a later era of the store continues its rollout, unless it has
+        been deleted meanwhile.
         """
         current = self._rollouts.get(order.service)
         if current is not None and current.order_id >= order_id:
@@ -125,10 +128,12 @@
             current is not None
             and current.order == order
             and current.order_id.era < order_id.era
+            and order.service not in self._withdrawn
         ):
             current.order_id = order_id
             self._apply_status(order.service)
             return
+        self._withdrawn.discard(order.service)
         if current is not None:
             earlier = self._earlier_orders.setdefault(
                 order.service, deque(maxlen=_KNOWN_EARLIER_ORDERS)
@@ -149,8 +154,12 @@
     def withdraw(self, service: str) -> None:
         """Delete a rollout in progress whose order has been deleted."""
         rollout = self._rollouts.get(service)
-        if rollout and rollout.state is RolloutState.IN_PROGRESS:
+        if rollout is None:
+            return
+        if rollout.state is RolloutState.IN_PROGRESS:
             del self._rollouts[service]
+        else:
+            self._withdrawn.add(service)
 
     def set_status(
         self, service: str, target: str, state: RolloutState, position: StorePosition
--- a/tests/core/relay/test_rollouts.py
+++ b/tests/core/relay/test_rollouts.py
@@ -430,3 +430,26 @@
     rollout.record_ended("earlier", 2.0)
     _, old = rollout.combined_stats(2.0)
     assert old.in_flight == 1
+
+
+@pytest.mark.parametrize(
+    ("is_deleted", "era", "state"),
+    [
+        (False, 2, RolloutState.REVERTED),
+        (True, 2, RolloutState.IN_PROGRESS),
+        (False, 1, RolloutState.IN_PROGRESS),
+    ],
+    ids=["restored", "deleted and ordered again", "ordered again"],
+)
+def test_order_of_a_restored_store_starts_anew_only_if_it_was_deleted(
+    selector, is_deleted, era, state
+):
+    """An order that a restored store has again goes on as its rollout had ended."""
+    order = attrs.evolve(ORDER, service="other")
+    selector.order(order, at(10, 1), 0.0)
+    selector.set_status("other", "v2", RolloutState.REVERTED, at(11, 1))
+    assert selector.get("other").state is RolloutState.REVERTED
+    if is_deleted:
+        selector.withdraw("other")
+    selector.order(order, at(12 if era == 1 else 5, era), 1.0)
+    assert selector.get("other").state is state
