Pass omitted values on with the first change that has a value

Change: the first datagram of an answer has all omitted values, each key once, and at least one change with a value; an answer whose first datagram would be too large tells the reader to ask the store.

--- a/packages/cardamomnotch-core/src/cardamomnotch_core/change_feed/change_log.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/change_feed/change_log.py
@@ -59,5 +59,6 @@
         """
         if self._floor is None or not self._floor.is_continued_by(position):
             return None
-        newer = (change for change in self._changes if change.position > position)
-        return tuple(sorted(newer, key=lambda change: not change.is_omitted))
+        newer = [change for change in self._changes if change.position > position]
+        omitted = {change.key: change for change in newer if change.is_omitted}
+        return *omitted.values(), *(change for change in newer if not change.is_omitted)
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/change_feed/const.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/change_feed/const.py
@@ -24,9 +24,10 @@
 MAX_LOG_BYTES: Final = 262_144
 # Largest value that is passed on, in bytes: others are read from the store.
 MAX_INLINE_BYTES: Final = 900
-# Largest size of the changes in one datagram, in bytes, and the number of
-# datagrams beyond which an entry reads the store instead.
+# Largest size of the changes in one datagram, and in the first one of an answer, in
+# bytes, and the number of datagrams beyond which an entry reads the store instead.
 MAX_PART_BYTES: Final = 1_100
+MAX_FIRST_PART_BYTES: Final = 1_300
 MAX_PARTS: Final = 24
 # Bytes of a change beside its key and value.
 CHANGE_OVERHEAD_BYTES: Final = 32
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/change_feed/feed.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/change_feed/feed.py
@@ -9,6 +9,7 @@
 
 from .change_log import ChangeLog
 from .const import (
+    MAX_FIRST_PART_BYTES,
     MAX_PART_BYTES,
     MAX_PARTS,
     READER_EXPIRY_S,
@@ -194,7 +195,11 @@
             return ()
         changes = self._log.since(reader.position)
         parts = list(_split(changes)) if changes is not None else []
-        if changes is None or len(parts) > MAX_PARTS:
+        if (
+            changes is None
+            or len(parts) > MAX_PARTS
+            or _size(parts[0]) > MAX_FIRST_PART_BYTES
+        ):
             gap = FeedPart(
                 token=reader.token,
                 after=self.position,
@@ -248,13 +253,20 @@
 
 
 def _split(changes: Iterable[StoreChange]) -> Iterator[list[StoreChange]]:
-    """Yield the changes in groups that fit into a datagram; at least one group."""
+    """Yield the changes in groups that fit into a datagram; at least one group.
+
+    A group without a change that has a value would not move its reader on, so that
+    nobody would notice its loss. The first group may therefore be larger.
+    """
     group: list[StoreChange] = []
-    size = 0
     for change in changes:
-        if group and size + change.size > MAX_PART_BYTES:
+        is_full = _size(group) + change.size > MAX_PART_BYTES
+        if is_full and not all(other.is_omitted for other in group):
             yield group
-            group, size = [], 0
+            group = []
         group.append(change)
-        size += change.size
     yield group
+
+
+def _size(group: Iterable[StoreChange]) -> int:
+    return sum(change.size for change in group)
--- a/tests/core/change_feed/test_feed_state_machine.py
+++ b/tests/core/change_feed/test_feed_state_machine.py
@@ -1,5 +1,7 @@
 """Freshness and reach of store changes over entries with faults."""
 
+import random
+
 import pytest
 from hypothesis import HealthCheck, settings
 from hypothesis import strategies as st
@@ -219,3 +221,47 @@
         found.extend(reader.handle_part("second", part).changes)
     assert reader.position == at(17)
     assert "document" in {change.key for change in found}
+
+
+@pytest.mark.parametrize("seed", range(200))
+def test_omitted_values_are_known_whatever_parts_are_lost(seed):
+    """A reader of two sources knows each omitted value before it gets past it."""
+    random_source = random.Random(seed)
+    written = []
+    for number in range(11, 11 + random_source.randint(1, 30)):
+        is_large = random_source.random() < random_source.choice((0.1, 0.7))
+        key = random_source.choice(("document", f"key-{number}", "x" * 180))
+        size = 0 if is_large else random_source.choice((0, 300, MAX_INLINE_BYTES))
+        written.append((number, key, is_large, size))
+    last = written[-1][0]
+    sources = []
+    for _ in range(2):
+        found = []
+        for number, key, is_large, size in written:
+            # A source that reads by keys names a later position.
+            late = random_source.choice((number, number, last))
+            position = at(late if is_large else number)
+            value = None if is_large else b"v" * size
+            found.append(
+                StoreChange(
+                    key=key, position=position, value=value, is_omitted=is_large
+                )
+            )
+        found.sort(key=lambda change: change.position)
+        sources.append(source_with(found, at(last)))
+    reader = ChangeFeed("reader", "a", MAX_AGE_S)
+    reader.record_read(at(10), 0.0)
+    known = {}
+    for token in range(300):
+        for part in answer(random_source.choice(sources), reader, token):
+            if random_source.random() < 0.4:
+                continue
+            update = reader.handle_part("source", part)
+            for change in update.changes if update else ():
+                if change.is_omitted:
+                    known[change.key] = change.position
+            for number, key, is_large, _ in written:
+                if is_large and at(number) <= reader.position:
+                    assert known[key] >= at(number)
+    needs_store = reader.needs_store(0.0)
+    assert reader.position == at(last) or needs_store
