Count an unread leaving from its second writing in the soak with restores

What an upstream writes less than a second before a restore may have been read by no entry; nobody knows of it until it is written again.

--- a/tests/entry/relay/test_soak.py
+++ b/tests/entry/relay/test_soak.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import itertools
+import math
 import os
 import random
 from collections import Counter
@@ -26,6 +27,8 @@
 # lost is written again, and until a registration that is not renewed ends, in seconds.
 COPY_AGE_S = 3.0
 REWRITE_S = 1.0
+# Time within which an entry has read a change, in seconds.
+READ_S = 1.0
 LEASE_S = 3.0
 
 
@@ -121,20 +124,33 @@
         else:
             self.store.put(key, value)
 
+    def note_written_again(self, key, unread):
+        """Count from now on that an upstream has left, if that had not been read."""
+        name = key.rpartition("/")[2]
+        if name in unread:
+            self.left_at_s[name] = self.clock()
+
     async def async_restore(self):
         """Let the store come back from copies of itself, until the end."""
         while self.clock() < self.end_s:
             copy = self.store.copy()
             await asyncio.sleep(self.random.uniform(0.1, COPY_AGE_S))
             self.store.restore(copy)
+            # What an entry has not read before the restore it knows once it is written
+            # again.
+            since_s = self.clock() - READ_S
+            unread = {name for name, at_s in self.left_at_s.items() if at_s > since_s}
+            self.left_at_s.update(dict.fromkeys(unread, math.inf))
             await asyncio.sleep(self.random.uniform(0, REWRITE_S))
             for key, value in tuple(self.written.items()):
                 if value is not None and self.store.value(key) != value:
                     self.store.put(key, value)
+                    self.note_written_again(key, unread)
             await asyncio.sleep(LEASE_S - REWRITE_S)
             for key, value in tuple(self.written.items()):
                 if value is None:
                     self.store.delete(key)
+                    self.note_written_again(key, unread)
 
     async def async_change(self):
         """Stop entries, change the document and replace upstreams, at any time."""
