Count the processor's time of a response, not the clock's

What the process does not run for was counted as work of the response that it happened to process, up to 1 us a byte, so responses were paused for the machine's load.

Change: thread_time instead of monotonic, which also makes the bound for each byte needless.

--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/const.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/const.py
@@ -74,8 +74,6 @@
 LOOP_EXCESS_BURST_S: Final = 0.02
 # Longest pause of a response that uses more, in seconds.
 MAX_LOOP_PAUSE_S: Final = 5.0
-# Longest time that processing may take for each byte received, in seconds.
-MAX_PROCESSING_S_PER_BYTE: Final = 1e-6
 # Time for which an order of the operators that the store has lost in a restore stays
 # in force unless they write it again, in seconds.
 LOST_ORDER_RETENTION_S: Final = 60.0
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/loop_share.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/loop_share.py
@@ -15,7 +15,6 @@
     LOOP_OWN_BURST_S,
     LOOP_OWN_SHARE,
     MAX_LOOP_PAUSE_S,
-    MAX_PROCESSING_S_PER_BYTE,
 )
 
 
@@ -74,24 +73,16 @@
     def __init__(self, shares: LoopShares, own: _TimeBudget) -> None:
         self._shares = shares
         self._own = own
-        # Longest time that the bytes received so far may still take.
-        self._countable_s = 0.0
-
-    def record_received(self, size: int) -> None:
-        """Record that ``size`` bytes have arrived."""
-        self._countable_s += size * MAX_PROCESSING_S_PER_BYTE
 
     def record_used(self, used_s: float, now_s: float) -> float:
-        """Record that bytes that have arrived took ``used_s`` seconds to process.
+        """Record that received bytes took ``used_s`` seconds to process.
 
-        Returns how long no more bytes may be read, in seconds. The time counts up to
-        what the bytes may take at most, since the process may have been interrupted.
+        Returns how long no more bytes may be read, in seconds. The time is that of the
+        processor, which does not count while the process is interrupted.
         """
-        counted_s = min(used_s, self._countable_s)
-        self._countable_s -= counted_s
         own = self._own
         own.refill(now_s)
-        own.left_s -= counted_s
+        own.left_s -= used_s
         if own.left_s >= 0.0:
             return 0.0
         excess_s, own.left_s = -own.left_s, 0.0
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/upstream_client.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/upstream_client.py
@@ -62,25 +62,23 @@
     def data_received(self, data: bytes) -> None:
         """Parse the data unless the response's framing is too large."""
         self._received_bytes += len(data)
-        self._share.record_received(len(data))
         if len(data) < MIN_MEASURED_BYTES:
             super().data_received(data)
         else:
-            began_at_s = time.monotonic()
+            began_at_s = time.thread_time()
             super().data_received(data)
-            self.record_processing(began_at_s)
+            self.record_processing(time.thread_time() - began_at_s)
         body_bytes = self._payload.total_bytes if self._payload is not None else 0
         limit = MAX_RESPONSE_HEAD_BYTES + MAX_FRAMING_RATIO * body_bytes
         if self._received_bytes > limit:
             self._fail(_OversizeError("the head or framing exceeds its size limit"))
 
-    def record_processing(self, began_at_s: float) -> None:
-        """Record the processing of received bytes, which began at ``began_at_s``.
+    def record_processing(self, used_s: float) -> None:
+        """Record the processor time that received bytes took, in seconds.
 
         Reads no more for a while if the response uses too much of the loop's time.
         """
-        now_s = time.monotonic()
-        pause_s = self._share.record_used(now_s - began_at_s, now_s)
+        pause_s = self._share.record_used(used_s, time.monotonic())
         if not pause_s or self.transport is None:
             return
         if self._pause_timer is not None:
@@ -176,13 +174,13 @@
         """
         if len(data) < MIN_MEASURED_BYTES:
             return function(data)
-        began_at_s = time.monotonic()
+        began_at_s = time.thread_time()
         try:
             return function(data)
         finally:
             connection = response.connection
             if connection is not None and connection.protocol is not None:
-                connection.protocol.record_processing(began_at_s)
+                connection.protocol.record_processing(time.thread_time() - began_at_s)
 
     async def async_send(
         self,
