--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/composition.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/composition.py
@@ -141,7 +141,10 @@
             metrics=self._metrics,
         )
         self._coordinator = StoreCoordinator(
-            self._node, RelayStore(store, self._store_codec, boot_clock), boot_clock
+            self._node,
+            RelayStore(store, self._store_codec, boot_clock),
+            boot_clock,
+            self._metrics.observe_document_delay,
         )
         self._peers = PeerExchange(
             self._node,
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/coordinator.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/coordinator.py
@@ -65,9 +65,15 @@
     """Watches the store; writes this entry's record and rollout reports."""
 
     def __init__(
-        self, node: RelayNode, relay_store: RelayStore, clock: Callable[[], float]
+        self,
+        node: RelayNode,
+        relay_store: RelayStore,
+        clock: Callable[[], float],
+        observe_document_delay: Callable[[float], None] = lambda seconds: None,
     ) -> None:
         self._node = node
+        # Called with the longest time that a new document may have waited, in seconds.
+        self._observe_document_delay = observe_document_delay
         self._relay_store = relay_store
         self._clock = clock
         self._outages = OutageDetector()
@@ -395,11 +401,16 @@
         document = self._node.routes.document
         if document is None or document is previous:
             return
+        # The store had nothing newer when it confirmed the previous document.
+        delay_s = self._clock() - self._node.routes.confirmed_at_s
+        if previous is not None:
+            self._observe_document_delay(delay_s)
         log_event(
             _LOGGER,
             "routes in force",
             version=document.version,
             before=previous.version if previous else 0,
+            delay_ms=int(delay_s * 1000) if previous is not None else -1,
             **(describe_difference(previous, document) if previous else {}),
         )
 
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/metrics.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/metrics.py
@@ -1,6 +1,7 @@
 """Metrics of a relaying entry."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Mapping
+from functools import partial
 
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 
@@ -12,6 +13,16 @@
 _LATENCY_BUCKETS_S = (0.01, 0.03, 0.1, 0.3, 1.0, 3.0, 10.0)
 _LAG_BUCKETS_S = (0.003, 0.01, 0.03, 0.1, 0.3, 1.0)
 _REPLY_BUCKETS_BYTES = (1e3, 1e4, 1e5, 1e6)
+_DOCUMENT_AGE_BUCKETS_S = (0.3, 0.6, 1.0, 1.5, 2.0, 3.0, 4.0)
+# Refusals that the route document is the reason for.
+_DOCUMENT_REFUSALS = frozenset(
+    {
+        ResultCode.MISSING_KEY,
+        ResultCode.NOT_READY,
+        ResultCode.UNKNOWN_KEY,
+        ResultCode.UNKNOWN_ROUTE,
+    }
+)
 
 
 class RelayMetrics:
@@ -51,6 +62,25 @@
             buckets=_LATENCY_BUCKETS_S,
             registry=self.registry,
         )
+        self._store_calls_left = Gauge(
+            "cardamomnotch_relay_store_calls_left",
+            "Calls to the store that this entry's own limit allows now, by kind.",
+            ["kind"],
+            registry=self.registry,
+        )
+        self._document_delay_seconds = Histogram(
+            "cardamomnotch_relay_document_delay_seconds",
+            "Longest time that a new version of the routes may have waited to be used.",
+            buckets=_DOCUMENT_AGE_BUCKETS_S,
+            registry=self.registry,
+        )
+        self._refusal_age_seconds = Histogram(
+            "cardamomnotch_relay_refusal_document_age_seconds",
+            "Age of the routes' confirmation behind refusals, by result.",
+            ["result"],
+            buckets=_DOCUMENT_AGE_BUCKETS_S,
+            registry=self.registry,
+        )
         self._attempts = Counter(
             "cardamomnotch_relay_attempts",
             "Attempts at upstreams that ended, by what they were for and outcome.",
@@ -161,10 +191,27 @@
         )
         source.set_function(lambda: node.feed.is_source(clock()))
 
-    def count_request(self, code: ResultCode, seconds: float) -> None:
+    def count_request(
+        self, code: ResultCode, seconds: float, document_age_s: float
+    ) -> None:
         """Count a request that has ended."""
-        self._requests_ended.labels(result=code.name.lower()).inc()
+        result = code.name.lower()
+        self._requests_ended.labels(result=result).inc()
         self._request_seconds.observe(seconds)
+        if code in _DOCUMENT_REFUSALS:
+            self._refusal_age_seconds.labels(result=result).observe(document_age_s)
+
+    def observe_document_delay(self, seconds: float) -> None:
+        """Record how long a new version of the routes may have waited at most."""
+        self._document_delay_seconds.observe(seconds)
+
+    def watch_call_limits(
+        self, kinds: Iterable[str], calls_left: Callable[[], Mapping[str, float]]
+    ) -> None:
+        """Show what is left of the limits on store calls of each kind."""
+        for kind in kinds:
+            gauge = self._store_calls_left.labels(kind=kind)
+            gauge.set_function(partial(_value_of, calls_left, kind))
 
     def count_attempt(self, route: str, log: AttemptLog) -> None:
         """Count an attempt that has ended."""
@@ -200,3 +247,7 @@
     def count_store_call(self, kind: str, outcome: str) -> None:
         """Count a call to the store."""
         self._store_calls.labels(kind=kind, outcome=outcome).inc()
+
+
+def _value_of(values: Callable[[], Mapping[str, float]], name: str) -> float:
+    return values()[name]
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/server.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/server.py
@@ -213,7 +213,8 @@
         now_s = self._clock()
         seconds = now_s - arrived_at_s
         route = forwarder.route if forwarder else None
-        self._metrics.count_request(code, seconds)
+        document_age_s = now_s - self._node.routes.confirmed_at_s
+        self._metrics.count_request(code, seconds, document_age_s)
         for log in forwarder.attempts if forwarder else ():
             self._metrics.count_attempt(route.name if route else "", log)
         log_event(
@@ -231,7 +232,7 @@
             ms=int(seconds * 1000),
             allowed_ms=forwarder.allowed_ms if forwarder else 0,
             document=self._node.routes.version,
-            document_age_ms=self._document_age_ms(now_s),
+            document_age_ms=_document_age_ms(document_age_s),
             session=request.facts.session if request else "",
             fingerprint=request.facts.fingerprint if request else "",
             prompt=[part.part_id for part in request.facts.prompt] if request else [],
@@ -239,10 +240,10 @@
             **_refused_request_fields(code, request),
         )
 
-    def _document_age_ms(self, now_s: float) -> int:
-        """Return the age of the route document's confirmation; -1 without one."""
-        age_s = now_s - self._node.routes.confirmed_at_s
-        return int(age_s * 1000) if math.isfinite(age_s) else -1
+
+def _document_age_ms(age_s: float) -> int:
+    """Return an age in milliseconds; -1 without a confirmed route document."""
+    return int(age_s * 1000) if math.isfinite(age_s) else -1
 
 
 def _refused_request_fields(
--- a/packages/cardamomnotch-platform/src/cardamomnotch_platform/store/budget.py
+++ b/packages/cardamomnotch-platform/src/cardamomnotch_platform/store/budget.py
@@ -40,12 +40,16 @@
     tokens: float
     refilled_at_s: float
 
+    def refill(self, now_s: float) -> float:
+        """Add what has accrued since the last call; return the number of tokens."""
+        accrued = (now_s - self.refilled_at_s) * self.rate.per_s
+        self.tokens = min(self.rate.burst, self.tokens + accrued)
+        self.refilled_at_s = now_s
+        return self.tokens
+
     def try_take(self, now_s: float) -> bool:
         """Take one token if available; return whether there was one."""
-        refill = (now_s - self.refilled_at_s) * self.rate.per_s
-        self.tokens = min(self.rate.burst, self.tokens + refill)
-        self.refilled_at_s = now_s
-        if self.tokens < 1:
+        if self.refill(now_s) < 1:
             return False
         self.tokens -= 1
         return True
@@ -74,6 +78,12 @@
         """Return the number of calls over the limit, by kind."""
         return dict(self._refused)
 
+    @property
+    def calls_left(self) -> dict[str, float]:
+        """Return the number of calls that each limit allows now, by kind."""
+        now_s = self._clock()
+        return {kind: bucket.refill(now_s) for kind, bucket in self._buckets.items()}
+
     def spend(self, kind: str) -> None:
         """Count one call; raise StoreBudgetError if it is over the limit."""
         bucket = self._buckets.get(kind)
