Show with failing tests that frequent changes stop an entry's watch for good

A step of nine watches that finds fewer left spends these, fails, and is made again before enough are left.

--- a/tests/adapter/test_store.py
+++ b/tests/adapter/test_store.py
@@ -1,7 +1,9 @@
 """Tests of the platform's store client against a stand-in with faults."""
 
+import asyncio
 import inspect
 import re
+import time
 
 import pytest
 
@@ -9,7 +11,7 @@
 from cardamomnotch_adapter.const import CALL_RATES
 from cardamomnotch_adapter.store import PlatformStoreClient
 from cardamomnotch_platform.exceptions import CompactedError, StoreError
-from cardamomnotch_platform.store.budget import StoreBudget, StoreBudgetError
+from cardamomnotch_platform.store.budget import CallRate, StoreBudget, StoreBudgetError
 
 from tests.fixtures.positions import at
 from tests.stand_ins.platform_store import PlatformStoreStandIn
@@ -61,6 +63,21 @@
     await store.async_get("key")
 
 
+async def test_step_of_more_calls_than_are_left_fails_for_good(
+    stand_in, serve_app, http_session
+):
+    """Calls of one step succeed although the limit allows few of them at once."""
+    url = await serve_app(stand_in.create_app())
+    budget = StoreBudget(time.monotonic, {"kv-watch": CallRate(20.0, 2.0)})
+    store = PlatformStoreClient(
+        http_session, url.removeprefix("http://"), budget=budget
+    )
+    position = at(stand_in.put("key", b"value"), stand_in.era)
+    for _ in range(2):
+        calls = (store.async_wait_for_changes("", position, 0.0) for _ in range(6))
+        assert len(await asyncio.gather(*calls)) == 6
+
+
 def test_every_call_has_a_rate_limit():
     """Every call of the store protocol has a rate in CALL_RATES."""
     call_kinds = re.findall(r'"/(kv-[a-z-]+)', inspect.getsource(store_module))
