Let store calls over an entry's own limit wait for their turn

Cause: a call over the limit failed at once. A step of nine watches that found fewer left spent these, failed as a whole, and was made again 0.25 s later, when five more were left: it never succeeded. The failure was also handled as a store that does not answer.

Change: a call over the limit waits for its turn, in the order of arrival, and is not made only if that takes more than 5 s. The rates are as before. A call that is not made is no sign of an unavailable store any more.

--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/coordinator.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/coordinator.py
@@ -27,6 +27,7 @@
     StoreError,
     StoreRestoredError,
 )
+from cardamomnotch_platform.store.budget import StoreBudgetError
 from cardamomnotch_protocol.store_position import StorePosition
 from cardamomnotch_runtime.structured_log import log_event
 
@@ -129,6 +130,16 @@
                     )
                 )
             return
+        except StoreBudgetError as error:
+            # The store was not asked, so nothing is known of its availability.
+            log_event(
+                _LOGGER,
+                "store not read: this entry's own limit on calls is used up",
+                logging.WARNING,
+                detail=error.detail,
+            )
+            await asyncio.sleep(self._store_retry_delay_s)
+            return
         except StoreError as error:
             self._mark_store_unavailable(error)
             await asyncio.sleep(self._store_retry_delay_s)
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/metrics.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/metrics.py
@@ -64,7 +64,7 @@
         )
         self._store_calls_left = Gauge(
             "cardamomnotch_relay_store_calls_left",
-            "Calls to the store that this entry's own limit allows now, by kind.",
+            "Calls that this entry's limits allow now, by kind; negative: they wait.",
             ["kind"],
             registry=self.registry,
         )
--- a/packages/cardamomnotch-platform/src/cardamomnotch_platform/store/budget.py
+++ b/packages/cardamomnotch-platform/src/cardamomnotch_platform/store/budget.py
@@ -1,5 +1,6 @@
 """Rate limits on the calls that one process makes to the store."""
 
+import asyncio
 import random
 from collections.abc import Callable, Mapping
 from typing import Final
@@ -30,6 +31,11 @@
 }
 
 
+# Longest time that a call may wait until the rate allows it, in seconds: longer than a
+# step of several calls takes.
+MAX_CALL_WAIT_S: Final = 5.0
+
+
 class StoreBudgetError(StoreError):
     """The call was not made; it would exceed this process's call rate."""
 
@@ -37,6 +43,7 @@
 @attrs.define
 class _TokenBucket:
     rate: CallRate
+    # Below zero: minus the number of calls that wait.
     tokens: float
     refilled_at_s: float
 
@@ -47,18 +54,28 @@
         self.refilled_at_s = now_s
         return self.tokens
 
-    def try_take(self, now_s: float) -> bool:
-        """Take one token if available; return whether there was one."""
-        if self.refill(now_s) < 1:
-            return False
+    def try_reserve(self, now_s: float) -> float | None:
+        """Take one token; return after how many seconds it may be used.
+
+        Takes none, and returns None, if that is more than ``MAX_CALL_WAIT_S``.
+        """
+        wait_s = max(0.0, 1 - self.refill(now_s)) / self.rate.per_s
+        if wait_s > MAX_CALL_WAIT_S:
+            return None
         self.tokens -= 1
-        return True
+        return wait_s
+
+    def give_back(self) -> None:
+        """Return a token that was not used."""
+        self.tokens += 1
 
 
 class StoreBudget:
     """Limits calls to the store by one token bucket for each kind of call.
 
-    Kinds of calls without a rate are not limited.
+    A call over the limit waits for its turn, in the order of arrival, so that a step of
+    several calls is completed however few calls are left. Kinds of calls without a rate
+    are not limited.
     """
 
     def __init__(
@@ -75,24 +92,39 @@
 
     @property
     def refused(self) -> dict[str, int]:
-        """Return the number of calls over the limit, by kind."""
+        """Return the number of calls that were not made, by kind."""
         return dict(self._refused)
 
     @property
     def calls_left(self) -> dict[str, float]:
-        """Return the number of calls that each limit allows now, by kind."""
+        """Return the number of calls that each limit allows now, by kind.
+
+        Below zero, that many calls wait.
+        """
         now_s = self._clock()
         return {kind: bucket.refill(now_s) for kind, bucket in self._buckets.items()}
 
-    def spend(self, kind: str) -> None:
-        """Count one call; raise StoreBudgetError if it is over the limit."""
+    async def async_spend(self, kind: str) -> float:
+        """Wait until the limit allows one more call; return how long, in seconds.
+
+        Raises StoreBudgetError at once if that takes more than ``MAX_CALL_WAIT_S``.
+        """
         bucket = self._buckets.get(kind)
-        if bucket is None or bucket.try_take(self._clock()):
-            return
-        self._refused[kind] = self._refused.get(kind, 0) + 1
-        raise StoreBudgetError(
-            f"store call {kind} not made: over this process's call rate"
-        )
+        if bucket is None:
+            return 0.0
+        wait_s = bucket.try_reserve(self._clock())
+        if wait_s is None:
+            self._refused[kind] = self._refused.get(kind, 0) + 1
+            raise StoreBudgetError(
+                f"store call {kind} not made: over this process's call rate"
+            )
+        if wait_s > 0:
+            try:
+                await asyncio.sleep(wait_s)
+            except asyncio.CancelledError:
+                bucket.give_back()
+                raise
+        return wait_s
 
 
 class BackOff:
--- a/packages/cardamomnotch-platform/src/cardamomnotch_platform/store/client.py
+++ b/packages/cardamomnotch-platform/src/cardamomnotch_platform/store/client.py
@@ -242,7 +242,7 @@
         self, key_range: dict[str, str], from_revision: int
     ) -> AsyncIterator[tuple[StoreEntry, ...]]:
         body = {"create_request": {**key_range, "start_revision": str(from_revision)}}
-        self._count_call("watch")
+        await self._async_count_call("watch")
         timeout = aiohttp.ClientTimeout(total=None, connect=2.0)
         try:
             async with self._session.post(
@@ -283,7 +283,7 @@
         return WriteResult(succeeded=False, revision=revision, current=current)
 
     async def _async_call(self, path: str, body: dict[str, Any]) -> dict[str, Any]:
-        self._count_call(path)
+        await self._async_count_call(path)
         try:
             async with self._session.post(
                 f"{self._url}/v3/{path}", data=orjson.dumps(body), timeout=self._timeout
@@ -307,9 +307,9 @@
                 f"store call {path} failed: the reply is not JSON"
             ) from error
 
-    def _count_call(self, kind: str) -> None:
+    async def _async_count_call(self, kind: str) -> None:
         if self._budget is not None:
-            self._budget.spend(kind)
+            await self._budget.async_spend(kind)
         self._calls[kind] = self._calls.get(kind, 0) + 1
 
 
--- a/tests/entry/relay/test_coordinator.py
+++ b/tests/entry/relay/test_coordinator.py
@@ -17,6 +17,7 @@
 from cardamomnotch_entry.relay.coordinator import StoreCoordinator
 from cardamomnotch_entry.relay.relay_store import StoreReading
 from cardamomnotch_platform.exceptions import StoreConflictError, StoreError
+from cardamomnotch_platform.store.budget import StoreBudgetError
 
 from tests.fixtures.positions import at
 
@@ -328,6 +329,21 @@
     ]
 
 
+async def test_own_limit_on_calls_counts_as_an_unavailable_store(
+    coordinator, relay_store, monkeypatch, caplog
+):
+    """A call that was not made says nothing of the store: watches wait as before."""
+    monkeypatch.setattr(module, "STORE_RETRY_DELAY_S", 0.0)
+    await coordinator.async_apply_changes()
+    relay_store.failure = StoreBudgetError("over the rate")
+    await coordinator.async_apply_changes()
+    relay_store.failure = None
+    await coordinator.async_apply_changes()
+    assert all(wait_s > 0 for wait_s in relay_store.waits_s)
+    assert "store is unavailable" not in caplog.text
+    assert "limit on calls is used up" in caplog.text
+
+
 @pytest.fixture
 async def reader(coordinator, clock, node):
     """Return a coordinator whose entry is not one of its zone's sources."""
