Refuse no route or key by a document that a newer one must have replaced

Cause: 404 and 401 were given up to the age up to which known keys are accepted, 3.8 s. That age guards the withdrawal of keys; what has been added must be in force sooner.

Change: what the document lacks is refused as unknown only while the document's confirmation is younger than activation_ms, a new setting, less 0.05 s; after that with 503 and Retry-After. Known keys are accepted as long as before.

--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/limits.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/limits.py
@@ -19,6 +19,8 @@
 class RelayLimits:
     """Settings table ``limits``; the limits apply across all entries."""
 
+    # Longest time until a written routes document must be in force.
+    activation_ms: float = _limit_field(2_000.0, _POSITIVE)
     # Longest time for which a revoked API key may still be accepted.
     revocation_ms: float = _limit_field(5_000.0, _POSITIVE)
     # Retries allowed within the window, as a ratio of the requests.
@@ -48,14 +50,35 @@
         revocation_s = self.revocation_ms / 1000
         return max(_DOCUMENT_MIN_AGE_S, revocation_s - _DOCUMENT_AGE_MARGIN_S)
 
+    @property
+    def refusal_max_age_s(self) -> float:
+        """Return the maximum age at which routes and keys are refused as unknown.
+
+        A document that has them may have been written, and have to be in force, since
+        an older confirmation.
+        """
+        activation_s = self.activation_ms / 1000
+        return min(
+            self.document_max_age_s,
+            max(_REFUSAL_MIN_AGE_S, activation_s - _REFUSAL_AGE_MARGIN_S),
+        )
+
+    @property
+    def ready_max_age_s(self) -> float:
+        """Return the age of the routes document above which the entry is not ready."""
+        return self.document_max_age_s * READY_AGE_FRACTION
+
     @property
     def feed_max_age_s(self) -> float:
         """Return the age of the routes document at which the store is asked.
 
         Another entry's confirmation may be as old; an entry of a somewhat older
-        document is no longer ready.
+        document is no longer ready, or no longer refuses what it does not know.
         """
-        return self.document_max_age_s * READY_AGE_FRACTION * _FEED_AGE_FRACTION
+        return min(
+            self.ready_max_age_s * _FEED_AGE_FRACTION,
+            self.refusal_max_age_s - _STORE_QUERY_S,
+        )
 
 
 # Covers the time for which a watch may miss changes that are being made, and
@@ -64,5 +87,12 @@
 # Fraction of the age at which an entry stops being ready that a confirmation from
 # another entry may reach; the rest is for a query to the store.
 _FEED_AGE_FRACTION = 0.8
+# Covers different rates of the clocks, in seconds.
+_REFUSAL_AGE_MARGIN_S = 0.05
+# Time for one query to the store, in seconds.
+_STORE_QUERY_S = 0.1
+# Smallest age at which an entry may refuse: its data has that age while nothing
+# changes, in seconds.
+_REFUSAL_MIN_AGE_S = 1.0
 # Smallest maximum age that leaves time for one query to the store, in seconds.
 _DOCUMENT_MIN_AGE_S = 0.5
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/node.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/node.py
@@ -71,7 +71,7 @@
     def __init__(self, identity: RelayIdentity, limits: RelayLimits) -> None:
         self._identity = identity
         self._limits = limits
-        self.routes = RouteTable(limits.document_max_age_s)
+        self.routes = RouteTable(limits.document_max_age_s, limits.refusal_max_age_s)
         self.feed = ChangeFeed(
             identity.name,
             identity.zone,
@@ -153,7 +153,7 @@
     def apply_limits(self, limits: RelayLimits) -> None:
         """Apply changed limits."""
         self._limits = limits
-        self.routes.set_max_age(limits.document_max_age_s)
+        self.routes.set_max_age(limits.document_max_age_s, limits.refusal_max_age_s)
         self.feed.set_max_age(limits.feed_max_age_s)
         self.versions.set_exposure_share(limits.exposure_share)
         self.versions.sessions.set_ttl(limits.session_ttl_s)
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/routes.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/routes.py
@@ -15,13 +15,16 @@
 class RouteTable:
     """Finds routes and checks API keys by the newest routes document.
 
-    The document may be used for ``max_age_s`` seconds after the store query
-    that confirmed it was sent. ``now_s`` is read from a clock that continues
-    while the machine is suspended.
+    The document's keys may be used for ``max_age_s`` seconds after the store query
+    that confirmed it was sent, and what it lacks is refused as unknown for
+    ``refusal_max_age_s`` seconds. ``now_s`` is read from a clock that continues while
+    the machine is suspended.
     """
 
-    def __init__(self, max_age_s: float) -> None:
-        self._max_age_s = max_age_s
+    def __init__(
+        self, max_age_s: float, refusal_max_age_s: float = float("inf")
+    ) -> None:
+        self.set_max_age(max_age_s, refusal_max_age_s)
         self._document: RouteDocument | None = None
         # By host, and by the length of the path prefix from the longest on.
         self._by_host: dict[str, dict[int, dict[str, Route]]] = {}
@@ -49,9 +52,12 @@
         """Return when the last query that confirmed the document was sent."""
         return self._confirmed_at_s
 
-    def set_max_age(self, max_age_s: float) -> None:
-        """Set the maximum age at which the document may be used."""
+    def set_max_age(
+        self, max_age_s: float, refusal_max_age_s: float = float("inf")
+    ) -> None:
+        """Set the maximum ages at which its keys are used, and others refused."""
         self._max_age_s = max_age_s
+        self._refusal_max_age_s = min(max_age_s, refusal_max_age_s)
 
     def apply(self, document: RouteDocument) -> bool:
         """Use ``document`` if it is newer; return whether it is."""
@@ -89,10 +95,10 @@
 
     def is_fresh(self, now_s: float) -> bool:
         """Return whether the document is recent enough to be used."""
-        return (
-            self._document is not None
-            and now_s - self._confirmed_at_s <= self._max_age_s
-        )
+        return self._is_confirmed(now_s, self._max_age_s)
+
+    def _is_confirmed(self, now_s: float, max_age_s: float) -> bool:
+        return self._document is not None and now_s - self._confirmed_at_s <= max_age_s
 
     def is_recently_confirmed(self, now_s: float) -> bool:
         """Return whether the document was confirmed recently.
@@ -100,10 +106,7 @@
         Turns false some time before the document must no longer be used, so
         that callers can be sent to other entries before that.
         """
-        age_s = now_s - self._confirmed_at_s
-        return (
-            self._document is not None and age_s <= self._max_age_s * READY_AGE_FRACTION
-        )
+        return self._is_confirmed(now_s, self._max_age_s * READY_AGE_FRACTION)
 
     def find(self, host: str, path: str, now_s: float) -> Route:
         """Return the route with the longest matching path prefix.
@@ -116,7 +119,7 @@
             route = routes.get(path[:length])
             if route is not None:
                 return route
-        self._require_confirmed(now_s)
+        self._require_confirmed(now_s, self._refusal_max_age_s)
         raise RefusalError(
             ResultCode.UNKNOWN_ROUTE, "no route matches the request's host and path"
         )
@@ -139,16 +142,17 @@
         workspaces = self._document.workspaces
         if workspaces is None or route.is_public:
             return workspaces.get(key) if workspaces and key else None
-        self._require_confirmed(now_s)
+        workspace = workspaces.get(key) if key is not None else None
+        if workspace is not None:
+            self._require_confirmed(now_s, self._max_age_s)
+            return workspace
+        self._require_confirmed(now_s, self._refusal_max_age_s)
         if key is None:
             raise RefusalError(ResultCode.MISSING_KEY, "the request has no API key")
-        workspace = workspaces.get(key)
-        if workspace is None:
-            raise RefusalError(ResultCode.UNKNOWN_KEY, "the API key is unknown")
-        return workspace
+        raise RefusalError(ResultCode.UNKNOWN_KEY, "the API key is unknown")
 
-    def _require_confirmed(self, now_s: float) -> None:
-        if not self.is_fresh(now_s):
+    def _require_confirmed(self, now_s: float, max_age_s: float) -> None:
+        if not self._is_confirmed(now_s, max_age_s):
             raise RefusalError(
                 ResultCode.NOT_READY,
                 "the routes document is out of date: the store is unreachable",
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/coordinator.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/coordinator.py
@@ -336,7 +336,7 @@
         """
         if not self._is_store_available:
             return 0.0
-        max_age_s = self._node.limits.document_max_age_s
+        max_age_s = self._node.limits.refusal_max_age_s
         return min(WATCH_WAIT_S, max_age_s / MIN_WATCHES_PER_MAX_AGE)
 
     async def async_publish(self) -> None:
--- a/tests/core/relay/test_routes.py
+++ b/tests/core/relay/test_routes.py
@@ -89,6 +89,28 @@
     assert error.value.retry_after_s
 
 
+@pytest.mark.parametrize(
+    ("path", "key"),
+    [("/none/x", "key-one"), ("/a/x", "key-other"), ("/a/x", None)],
+    ids=["unknown route", "unknown key", "missing key"],
+)
+def test_outdated_document_refuses_what_a_newer_one_may_have(table, path, key):
+    """What the document lacks is refused as unknown only while it must be the newest.
+
+    Keys that it has are accepted for longer.
+    """
+    table.set_max_age(MAX_AGE_S, 2.0)
+
+    def decide(key, path, now_s):
+        return table.authorize(table.find("calls.example", path, now_s), key, now_s)
+
+    for now_s, is_outdated in ((101.9, False), (102.1, True)):
+        with pytest.raises(RefusalError) as error:
+            decide(key, path, now_s)
+        assert (error.value.code is ResultCode.NOT_READY) == is_outdated
+        assert decide("key-one", "/a/x", now_s) is not None
+
+
 def test_public_route_needs_no_key(table):
     """A public route accepts a caller without a key."""
     route = table.find("calls.example", "/open/x", 100.0)
--- a/tests/entry/relay/test_store_changes.py
+++ b/tests/entry/relay/test_store_changes.py
@@ -41,6 +41,29 @@
     assert (await short_max_age_relay.async_call("/read/x")).status == 200
 
 
+@pytest.mark.parametrize(
+    ("path", "key"),
+    [("/added/x", "key-one"), ("/read/x", "key-added")],
+    ids=["route", "key"],
+)
+async def test_outdated_document_refuses_what_has_been_added(relay, path, key):
+    """A 404 or 401 is not given by a document that a newer one must have replaced."""
+    await relay.async_add_upstream("up", service="bookings")
+    status_before = (await relay.async_call(path, key=key)).status
+    relay.store.faults.active["busy"] = True
+    # A document with the route or key may have to be in force by now.
+    await asyncio.sleep(2.0)
+    response = await relay.async_call(path, key=key)
+    assert (response.status, response.error_code) == (503, 108)
+    assert float(response.headers["Retry-After"]) > 0
+    assert (await relay.async_call("/read/x")).status == 200
+    relay.store.faults.active["busy"] = False
+    returned_at_s = boot_clock()
+    routes = relay.entry.node.routes
+    await relay.async_wait_for(lambda: routes.confirmed_at_s > returned_at_s)
+    assert (await relay.async_call(path, key=key)).status == status_before
+
+
 async def test_idle_connections_close_when_the_entry_stays_unready(
     short_max_age_relay, monkeypatch
 ):
