Limit heads and framing of the sidecar's upstreams as the relay does

Another operator reported an engine that sent bytes that were no answer without end, in a head or a body. The relay gives such responses up. The sidecar of own installations read empty lines, interim responses and chunk extensions until the call's deadline.

The fault functions are shared fixtures.

--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/const.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/const.py
@@ -99,10 +99,6 @@
 # Maximum size of a request line and of a single header line, in bytes.
 MAX_LINE_BYTES: Final = 16_384
 
-# Maximum size of a response's head, and of its framing for each byte of its
-# body: chunks of a single byte take six bytes.
-MAX_RESPONSE_HEAD_BYTES: Final = 65_536
-MAX_FRAMING_RATIO: Final = 16
 # Interval between two measurements of the event loop's lag, and the lag from which it
 # is logged, in seconds.
 LOOP_LAG_INTERVAL_S: Final = 0.25
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/upstream_client.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/upstream_client.py
@@ -14,6 +14,7 @@
 from cardamomnotch_core.relay.const import CONNECT_TIMEOUT_S
 from cardamomnotch_core.relay.loop_share import LoopShares
 from cardamomnotch_runtime.upstream_session import (
+    OversizeError,
     UpstreamResponseHandler,
     create_upstream_session,
     is_connection_refused,
@@ -23,9 +24,7 @@
     KEEPALIVE_IDLE_S,
     KEEPALIVE_INTERVAL_S,
     KEEPALIVE_PROBES,
-    MAX_FRAMING_RATIO,
     MAX_LINE_BYTES,
-    MAX_RESPONSE_HEAD_BYTES,
     MIN_MEASURED_BYTES,
     REACHABILITY_TIMEOUT_S,
     RECEIVE_BUFFER_BYTES,
@@ -41,37 +40,23 @@
 _DEFAULT_HEADERS = ("Accept", "Accept-Encoding", "Content-Type", "User-Agent")
 
 
-class _OversizeError(aiohttp.ClientPayloadError):
-    """A response whose head or framing exceeds its size limit."""
-
-
 class _LimitingResponseHandler(UpstreamResponseHandler):
-    """Limits the size of a response's head and framing, and its processing time.
-
-    The parser limits single header lines only, not empty lines, interim
-    responses or chunk extensions.
-    """
+    """Limits the processing time of a response as well as its head and framing."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop, shares: LoopShares) -> None:
         super().__init__(loop=loop)
-        self._received_bytes = 0
         self._share = shares.open(time.monotonic())
         # Ends a pause in reading, while there is one.
         self._pause_timer: asyncio.TimerHandle | None = None
 
     def data_received(self, data: bytes) -> None:
-        """Parse the data unless the response's framing is too large."""
-        self._received_bytes += len(data)
+        """Parse the data, and record how long that took."""
         if len(data) < MIN_MEASURED_BYTES:
             super().data_received(data)
         else:
             began_at_s = time.thread_time()
             super().data_received(data)
             self.record_processing(time.thread_time() - began_at_s)
-        body_bytes = self._payload.total_bytes if self._payload is not None else 0
-        limit = MAX_RESPONSE_HEAD_BYTES + MAX_FRAMING_RATIO * body_bytes
-        if self._received_bytes > limit:
-            self._fail(_OversizeError("the head or framing exceeds its size limit"))
 
     def record_processing(self, used_s: float) -> None:
         """Record the processor time that received bytes took, in seconds.
@@ -105,14 +90,6 @@
         if self._pause_timer is None:
             super()._resume_transport_reading()
 
-    def _fail(self, error: aiohttp.ClientPayloadError) -> None:
-        """Fail the response that is being received, and disconnect."""
-        if self._payload is not None and not self._payload.is_eof():
-            self._payload.set_exception(error)
-        self.set_exception(error)
-        if self.transport is not None:
-            self.transport.abort()
-
 
 def response_framing(response: aiohttp.ClientResponse) -> ResponseFraming:
     """Return how the end of the response's body is recognized."""
@@ -208,7 +185,7 @@
             raise UpstreamUnreachableError(
                 type(error).__name__, is_refused=is_connection_refused(error)
             ) from error
-        except _OversizeError as error:
+        except OversizeError as error:
             raise ResponseTooLargeError(str(error)) from error
         except (aiohttp.ClientError, OSError, ValueError) as error:
             raise ResponseLostError(f"{type(error).__name__}: {error}") from error
@@ -223,7 +200,7 @@
         try:
             async for data in response.content.iter_any():
                 yield data
-        except _OversizeError as error:
+        except OversizeError as error:
             raise ResponseTooLargeError(str(error)) from error
         except (aiohttp.ClientError, OSError) as error:
             raise ResponseLostError(f"{type(error).__name__}: {error}") from error
--- a/packages/cardamomnotch-runtime/src/cardamomnotch_runtime/upstream_session.py
+++ b/packages/cardamomnotch-runtime/src/cardamomnotch_runtime/upstream_session.py
@@ -3,18 +3,55 @@
 import asyncio
 import functools
 from collections.abc import Callable
-from typing import Any
+from typing import Any, Final
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
 
+# Maximum size of a response's head, and of its framing for each byte of its
+# body: chunks of a single byte take six bytes.
+MAX_RESPONSE_HEAD_BYTES: Final = 65_536
+MAX_FRAMING_RATIO: Final = 16
+
+
+class OversizeError(aiohttp.ClientPayloadError):
+    """A response whose head or framing exceeds its size limit."""
+
 
 class UpstreamResponseHandler(ResponseHandler):
-    """Fails a body without a length if its connection was reset.
+    """Fails oversize heads and framing, and a body without a length after a reset.
 
-    aiohttp takes any end of the connection for the end of such a body.
+    aiohttp limits single header lines only, not empty lines, interim responses or
+    chunk extensions, and takes any end of the connection for the end of such a body.
     """
 
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        super().__init__(loop=loop)
+        # Bytes of the response that is being received.
+        self._received_bytes = 0
+
+    def set_response_params(self, **params: Any) -> None:
+        """Begin a response; called by the library for each request."""
+        self._received_bytes = 0
+        super().set_response_params(**params)
+
+    def data_received(self, data: bytes) -> None:
+        """Parse the data unless the response's head or framing is too large."""
+        self._received_bytes += len(data)
+        super().data_received(data)
+        body_bytes = self._payload.total_bytes if self._payload is not None else 0
+        limit = MAX_RESPONSE_HEAD_BYTES + MAX_FRAMING_RATIO * body_bytes
+        if self._received_bytes > limit:
+            self._fail(OversizeError("the head or framing exceeds its size limit"))
+
+    def _fail(self, error: aiohttp.ClientPayloadError) -> None:
+        """Fail the response that is being received, and disconnect."""
+        if self._payload is not None and not self._payload.is_eof():
+            self._payload.set_exception(error)
+        self.set_exception(error)
+        if self.transport is not None:
+            self.transport.abort()
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Set an error on an unfinished body if the connection failed."""
         payload = self._payload
--- a/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/upstream/transport.py
+++ b/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/upstream/transport.py
@@ -6,6 +6,7 @@
 import aiohttp
 
 from cardamomnotch_protocol.result_codes import ResultCode
+from cardamomnotch_runtime.upstream_session import OversizeError
 
 from ..const import MAX_RESPONSE_BYTES
 from .models import UpstreamError
@@ -23,6 +24,12 @@
             started=False,
             connection_lost=True,
         ) from error
+    except OversizeError as error:
+        raise UpstreamError(
+            str(error),
+            code=ResultCode.UPSTREAM_RESPONSE_TOO_LARGE,
+            connection_lost=True,
+        ) from error
     except aiohttp.ClientPayloadError as error:
         raise UpstreamError(
             str(error), code=ResultCode.SHORT_ANSWER, connection_lost=True
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,5 +1,6 @@
 """Fixtures of all tests, and the handling of tests that are known to fail."""
 
+import tracemalloc
 from collections.abc import AsyncIterator, Awaitable, Callable
 
 import aiohttp
@@ -73,3 +74,11 @@
 ) -> StoreHarness:
     """Return a client of each supported store, connected to its stand-in."""
     return await STORES[request.param](serve_app, http_session)
+
+
+@pytest.fixture
+def memory_peak():
+    """Return a function that returns the peak of the memory taken meanwhile."""
+    tracemalloc.start()
+    yield lambda: tracemalloc.get_traced_memory()[1]
+    tracemalloc.stop()
--- a/tests/entry/relay/test_endless_bytes.py
+++ b/tests/entry/relay/test_endless_bytes.py
@@ -1,13 +1,18 @@
 """Upstreams that send bytes without end, in a head or a body."""
 
 import asyncio
-import tracemalloc
 
 import orjson
 import pytest
 
 from cardamomnotch_entry.relay.const import MAX_BYTES_WITHOUT_DATA
 
+from tests.fixtures.endless_responses import (
+    FAULTS,
+    FILL,
+    MAX_MEMORY_BYTES,
+    MAX_TIME_S,
+)
 from tests.stand_ins.platform_upstream import (
     Send,
     SendWithoutEnd,
@@ -18,101 +23,18 @@
     stream,
 )
 
-_FILL = b"x" * 16_384
-# Time within which the entry must give such an upstream up, in seconds: well
-# before the deadline of four seconds.
-_MAX_TIME_S = 2.0
-# Memory that one response may take in the test's process, in bytes.
-_MAX_MEMORY_BYTES = 24 * 2**20
-
-
-def header_line(request):
-    """Send a header line without an end."""
-    return [Send(b"HTTP/1.1 200 OK\r\nX-Fill: "), SendWithoutEnd(_FILL)]
-
-
-def header_lines(request):
-    """Send header lines without an end."""
-    return [Send(b"HTTP/1.1 200 OK\r\n"), SendWithoutEnd(b"X-Fill: 1\r\n" * 100)]
-
-
-def interim_responses(request):
-    """Send interim responses without an end."""
-    return [SendWithoutEnd(b"HTTP/1.1 100 Continue\r\n\r\n" * 100)]
-
-
-def empty_lines(request):
-    """Send empty lines instead of a status line."""
-    return [SendWithoutEnd(b"\r\n" * 1_000)]
-
-
-def no_http(request):
-    """Send bytes that are no HTTP."""
-    return [SendWithoutEnd(b"\x00" * 16_384)]
-
-
-def body_with_length(request):
-    """Send a body whose stated length is never reached."""
-    return [Send(head(request, Content_Length=str(10**15))), SendWithoutEnd(_FILL)]
-
-
-def body_without_length(request):
-    """Send a body that only the end of the connection would end."""
-    return [Send(head(request)), SendWithoutEnd(_FILL)]
-
-
-def body_of_chunks(request):
-    """Send chunks without a last one."""
-    response_head = head(request, Transfer_Encoding="chunked")
-    return [Send(response_head), SendWithoutEnd(chunk(_FILL))]
-
-
-def chunk_extension(request):
-    """Send a chunk extension without an end."""
-    response_head = head(request, Transfer_Encoding="chunked")
-    return [Send(response_head + b"5;"), SendWithoutEnd(_FILL)]
-
-
-def trailers(request):
-    """Send trailer lines without an end."""
-    response_head = head(request, Transfer_Encoding="chunked")
-    return [Send(response_head + b"0\r\n"), SendWithoutEnd(b"X-Fill: 1\r\n" * 100)]
-
-
-# The result code by fault. The HTTP library refuses some of them as malformed.
-FAULTS = {
-    header_line: 304,
-    header_lines: 304,
-    interim_responses: 320,
-    empty_lines: 320,
-    no_http: 304,
-    body_with_length: 320,
-    body_without_length: 320,
-    body_of_chunks: 320,
-    chunk_extension: 320,
-    trailers: 304,
-}
-
-
-@pytest.fixture
-def memory_peak():
-    """Return a function that returns the peak of the memory taken meanwhile."""
-    tracemalloc.start()
-    yield lambda: tracemalloc.get_traced_memory()[1]
-    tracemalloc.stop()
-
 
 @pytest.mark.parametrize("fault", FAULTS, ids=lambda fault: fault.__name__)
 async def test_endless_response_is_given_up(relay, memory_peak, fault):
     """A response without an end ends in a numbered error, and its connection."""
     upstream = await relay.async_add_upstream("up", fault, service="bookings")
-    async with asyncio.timeout(_MAX_TIME_S):
+    async with asyncio.timeout(MAX_TIME_S):
         answer = await relay.async_call("/book/x")
     assert answer.status == 502
     assert orjson.loads(answer.body)["error"]["code"] == FAULTS[fault]
     assert "Retry-After" not in answer.headers
     await relay.async_wait_for(lambda: not upstream.endless_connections)
-    assert memory_peak() < _MAX_MEMORY_BYTES
+    assert memory_peak() < MAX_MEMORY_BYTES
 
 
 @pytest.mark.parametrize("fault", FAULTS, ids=lambda fault: fault.__name__)
@@ -120,7 +42,7 @@
     """A repeatable request is sent to another upstream instead."""
     bad = await relay.async_add_upstream("up-bad", fault, service="bookings")
     await relay.async_add_upstream("up-good", plain(b"good"), service="bookings")
-    async with asyncio.timeout(2 * _MAX_TIME_S):
+    async with asyncio.timeout(2 * MAX_TIME_S):
         answers = [await relay.async_call("/read/x", method="GET") for _ in range(6)]
     assert {answer.body for answer in answers} == {b"good"}
     assert bad.seen
@@ -130,14 +52,14 @@
 async def test_event_without_end_truncates_the_stream(relay, memory_peak):
     """An event that never ends breaks the stream after the events before it."""
     upstream = await relay.async_add_upstream(
-        "up", stream(1, 2, then=[SendWithoutEnd(chunk(_FILL))])
+        "up", stream(1, 2, then=[SendWithoutEnd(chunk(FILL))])
     )
-    async with asyncio.timeout(_MAX_TIME_S):
+    async with asyncio.timeout(MAX_TIME_S):
         answer = await relay.async_call("/answer/x", X_Model="small")
     assert answer.broken
     assert answer.body == event(1) + event(2)
     await relay.async_wait_for(lambda: not upstream.endless_connections)
-    assert memory_peak() < _MAX_MEMORY_BYTES
+    assert memory_peak() < MAX_MEMORY_BYTES
 
 
 async def test_event_without_end_is_resumed_elsewhere(relay):
@@ -146,11 +68,11 @@
     def respond(request):
         if "last-event-id" in request.headers:
             return stream(3, 4)(request)
-        return stream(1, 2, then=[SendWithoutEnd(chunk(_FILL))])(request)
+        return stream(1, 2, then=[SendWithoutEnd(chunk(FILL))])(request)
 
     for number in range(2):
         await relay.async_add_upstream(f"up-{number}", respond)
-    async with asyncio.timeout(_MAX_TIME_S):
+    async with asyncio.timeout(MAX_TIME_S):
         answer = await relay.async_call("/draft/x", X_Model="small")
     assert not answer.broken
     assert answer.body == b"".join(event(number) for number in range(1, 5))
@@ -195,7 +117,7 @@
         return stream(1, 1, then=[SendWithoutEnd(chunk(fill))])(request)
 
     upstream = await relay.async_add_upstream("up", respond)
-    async with asyncio.timeout(_MAX_TIME_S):
+    async with asyncio.timeout(MAX_TIME_S):
         answer = await relay.async_call("/answer/x", X_Model="small")
     assert answer.broken
     assert answer.body.startswith(event(1))
@@ -214,7 +136,7 @@
 
     for number in range(2):
         await relay.async_add_upstream(f"up-{number}", respond)
-    async with asyncio.timeout(_MAX_TIME_S):
+    async with asyncio.timeout(MAX_TIME_S):
         answer = await relay.async_call("/draft/x", X_Model="small")
     assert not answer.broken
     assert answer.body.startswith(event(1))
