Write documents in quick succession in the soak

It writes up to 30 documents 0.08 s apart, too, and requires that all entries have the last one at the end.

--- a/tests/entry/relay/test_soak.py
+++ b/tests/entry/relay/test_soak.py
@@ -12,6 +12,7 @@
 
 from cardamomnotch_core.relay.limits import RelayLimits
 from cardamomnotch_entry.relay import composition
+from cardamomnotch_runtime.tasks import async_wait_until
 
 from tests.fixtures.relay_system import RelaySystem, document, route
 from tests.stand_ins.platform_upstream import Wait, plain
@@ -30,6 +31,10 @@
 # Time within which an entry has read a change, in seconds.
 READ_S = 1.0
 LEASE_S = 3.0
+# Time within which all entries have the last document, behind their slow links, in
+# seconds.
+DOCUMENT_S = 5.0
+CHANGES = ("stop", "document", "documents", "join", "leave", "delete")
 
 
 class Soak:
@@ -131,6 +136,12 @@
         else:
             self.store.put(key, value)
 
+    def write_document(self, more):
+        """Write the next version of the document, with ``more`` routes."""
+        routes = (route(f"more-{number}", "idempotent") for number in range(more))
+        routes = [*document()["routes"], *routes]
+        self.write("op/config", document(next(self.versions), routes=routes))
+
     def excuse(self, names):
         """Count that upstreams have left only once it is written again."""
         self.excused |= names
@@ -172,15 +183,15 @@
         first, upstreams = self.entries[0], []
         while self.clock() < self.end_s:
             await asyncio.sleep(self.random.uniform(0, 0.6))
-            match self.random.choice(("stop", "document", "join", "leave", "delete")):
+            match self.random.choice(CHANGES):
                 case "stop":
                     await self.async_restart(self.random.choice(self.entries))
                 case "document":
-                    more = range(self.random.choice((0, 0, 1000)))
-                    routes = (route(f"more-{name}", "idempotent") for name in more)
-                    routes = [*document()["routes"], *routes]
-                    version = next(self.versions)
-                    self.write("op/config", document(version, routes=routes))
+                    self.write_document(self.random.choice((0, 0, 1000)))
+                case "documents":
+                    for _ in range(self.random.randrange(30)):
+                        self.write_document(100)
+                        await asyncio.sleep(0.08)
                 case "leave" | "delete" as kind if len(upstreams) > 1:
                     up = upstreams.pop(0)
                     self.left_at_s[up.upstream_id] = self.clock()
@@ -216,6 +227,11 @@
         *(soak.async_change() for _ in range(2)),
         *([soak.async_restore()] if is_restored else []),
     )
+    last = soak.store.value("op/config")["version"]
+    assert await async_wait_until(
+        lambda: min(entry.entry.node.routes.version for entry in entries) >= last,
+        DOCUMENT_S,
+    )
     await entries[1].async_leave()
     await first.async_stop()
     assert not soak.errors
