Pass the activation time on in the environment, not in the settings template

Change: the deploy file passes the platform's value on in CARDAMOMNOTCH_ACTIVATION_MS, which sets limits.activation_ms. An empty value is the default, one that is no positive number a numbered settings error.

--- a/tests/adapter/test_settings.py
+++ b/tests/adapter/test_settings.py
@@ -6,11 +6,15 @@
 
 import pytest
 
+from cardamomnotch_adapter.const import ENV_ACTIVATION_MS
+from cardamomnotch_adapter.main import read_environment
 from cardamomnotch_core.relay.limits import RelayLimits
 from cardamomnotch_entry.relay.settings import RelaySettings
 from cardamomnotch_runtime.settings import SettingsError, load_settings
 
-_TEMPLATE = (Path(__file__).parents[2] / "platform" / "entry.toml").read_text("utf-8")
+_ROOT = Path(__file__).parents[2]
+_DEPLOYMENT = tomllib.loads((_ROOT / "deploy" / "system.toml").read_text("utf-8"))
+_TEMPLATE = (_ROOT / "platform" / "entry.toml").read_text("utf-8")
 _PLATFORM_FIELDS = """
 node_name = "edge-a-1"
 zone = "zone-a"
@@ -135,3 +139,24 @@
     """The error for a missing settings file names the file."""
     with pytest.raises(SettingsError, match=r"none\.toml"):
         load_settings(tmp_path / "none.toml", RelaySettings)
+
+
+def test_activation_time_of_the_environment_is_used(load):
+    """The deploy file passes the platform's value on; an empty one is the default."""
+    environment = _DEPLOYMENT["roles"]["entry"]["env"]
+    assert environment == {ENV_ACTIVATION_MS: "{{bounds.config_apply_ms}}"}
+    settings = load(render_template())
+    set_by_platform = read_environment(settings, {ENV_ACTIVATION_MS: "13000"})
+    assert set_by_platform.limits.activation_ms == 13_000.0
+    assert (
+        set_by_platform.limits.refusal_max_age_s == settings.limits.document_max_age_s
+    )
+    assert read_environment(settings, {ENV_ACTIVATION_MS: ""}) == settings
+    assert read_environment(settings, {}) == settings
+
+
+@pytest.mark.parametrize("text", ["soon", "0", "-1", "nan"])
+def test_unusable_activation_time_is_refused(load, text):
+    """A value that is no positive number is a numbered settings error."""
+    with pytest.raises(SettingsError, match=ENV_ACTIVATION_MS):
+        read_environment(load(render_template()), {ENV_ACTIVATION_MS: text})
