Log a new document after one that was never confirmed

Cause: the delay that is logged with a new document was counted from the confirmation of the one before. If that was never confirmed, since the store had lost a newer one, the delay is infinite, and its conversion to milliseconds stopped the step of the watch (OverflowError).

Change: such a delay is logged as -1 and not observed, nor is the age behind refusals before the first confirmation. The age up to which routes are refused stays below activation_ms for small values, too; it was at least one second.

test_document_after_an_unconfirmed_one_stops_the_watch and two of four cases of test_refusal_outlives_the_activation_time failed before.

--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/limits.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/limits.py
@@ -60,7 +60,7 @@
         activation_s = self.activation_ms / 1000
         return min(
             self.document_max_age_s,
-            max(_REFUSAL_MIN_AGE_S, activation_s - _REFUSAL_AGE_MARGIN_S),
+            max(activation_s / 2, activation_s - _REFUSAL_AGE_MARGIN_S),
         )
 
     @property
@@ -77,7 +77,7 @@
         """
         return min(
             self.ready_max_age_s * _FEED_AGE_FRACTION,
-            self.refusal_max_age_s - _STORE_QUERY_S,
+            max(self.refusal_max_age_s / 2, self.refusal_max_age_s - _STORE_QUERY_S),
         )
 
 
@@ -91,8 +91,5 @@
 _REFUSAL_AGE_MARGIN_S = 0.05
 # Time for one query to the store, in seconds.
 _STORE_QUERY_S = 0.1
-# Smallest age at which an entry may refuse: its data has that age while nothing
-# changes, in seconds.
-_REFUSAL_MIN_AGE_S = 1.0
 # Smallest maximum age that leaves time for one query to the store, in seconds.
 _DOCUMENT_MIN_AGE_S = 0.5
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/coordinator.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/coordinator.py
@@ -438,14 +438,15 @@
             return
         # The store had nothing newer when it confirmed the previous document.
         delay_s = self._clock() - self._node.routes.confirmed_at_s
-        if previous is not None:
+        is_delay_known = previous is not None and math.isfinite(delay_s)
+        if is_delay_known:
             self._observe_document_delay(delay_s)
         log_event(
             _LOGGER,
             "routes in force",
             version=document.version,
             before=previous.version if previous else 0,
-            delay_ms=int(delay_s * 1000) if previous is not None else -1,
+            delay_ms=int(delay_s * 1000) if is_delay_known else -1,
             **(describe_difference(previous, document) if previous else {}),
         )
 
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/metrics.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/metrics.py
@@ -1,5 +1,6 @@
 """Metrics of a relaying entry."""
 
+import math
 from collections.abc import Callable, Iterable, Mapping
 from functools import partial
 
@@ -198,7 +199,7 @@
         result = code.name.lower()
         self._requests_ended.labels(result=result).inc()
         self._request_seconds.observe(seconds)
-        if code in _DOCUMENT_REFUSALS:
+        if code in _DOCUMENT_REFUSALS and math.isfinite(document_age_s):
             self._refusal_age_seconds.labels(result=result).observe(document_age_s)
 
     def observe_document_delay(self, seconds: float) -> None:
--- a/tests/core/relay/test_routes.py
+++ b/tests/core/relay/test_routes.py
@@ -3,6 +3,7 @@
 import pytest
 
 from cardamomnotch_core.relay.exceptions import RefusalError
+from cardamomnotch_core.relay.limits import RelayLimits
 from cardamomnotch_core.relay.routes import RouteTable
 from cardamomnotch_protocol.result_codes import ResultCode
 
@@ -142,3 +143,12 @@
     table.confirm(99.0)
     assert table.confirmed_at_s == 100.0
     assert not table.is_fresh(103.6)
+
+
+@pytest.mark.parametrize("activation_ms", [100.0, 500.0, 2_000.0, 13_000.0])
+def test_refusal_outlives_the_activation_time(activation_ms):
+    """No age up to which routes are refused reaches the time to be in force."""
+    limits = RelayLimits(activation_ms=activation_ms)
+    assert 0 < limits.refusal_max_age_s < activation_ms / 1000
+    assert 0 < limits.feed_max_age_s < limits.refusal_max_age_s
+    assert limits.refusal_max_age_s <= limits.document_max_age_s
--- a/tests/entry/relay/test_coordinator.py
+++ b/tests/entry/relay/test_coordinator.py
@@ -10,7 +10,7 @@
 from cardamomnotch_core.relay.crash_detection import Crash
 from cardamomnotch_core.relay.crash_evidence import Refutation
 from cardamomnotch_core.relay.limits import RelayLimits
-from cardamomnotch_core.relay.models import RolloutOrder, Upstream
+from cardamomnotch_core.relay.models import RolloutOrder, RouteDocument, Upstream
 from cardamomnotch_core.relay.node import RelayIdentity, RelayNode
 from cardamomnotch_core.relay.rollout import RolloutState
 from cardamomnotch_entry.relay import coordinator as module
@@ -347,6 +347,28 @@
     assert "limit on calls is used up" in caplog.text
 
 
+async def test_document_after_an_unconfirmed_one_stops_the_watch(
+    coordinator, relay_store, node, clock, caplog
+):
+    """The delay of a document is unknown if the one before was never confirmed."""
+    caplog.set_level("INFO")
+    node.routes.require_version(3)
+    await coordinator.async_apply_changes()
+    for version in (2, 3):
+        document = RouteDocument(
+            version=version, routes=(), services={}, workspaces=None
+        )
+        relay_store.found = [changes.DocumentWritten(document=document)]
+        clock.now_s += 1.0
+        await coordinator.async_apply_changes()
+    delays = [
+        record.fields["delay_ms"]
+        for record in caplog.records
+        if record.message == "routes in force"
+    ]
+    assert delays == [-1, -1]
+
+
 @pytest.fixture
 async def reader(coordinator, clock, node):
     """Return a coordinator whose entry is not one of its zone's sources."""
