Divide the relay's decisions into folders by concern

The folder held 37 modules that shared one file of constants, so a new part had no place of its own and its constants mixed with all others.

Moves only: crashes, rollouts, placement, rates, store_changes, notices and model_choice, each with the constants that it alone uses; tests in the same shape. Names in logs, metrics and on the wire are unchanged.

--- a/packages/cardamomnotch-core/src/cardamomnotch_core/load_model/simulation.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/load_model/simulation.py
@@ -7,9 +7,8 @@
 
 import attrs
 
-from ..relay import changes
 from ..relay.const import CONNECT_TIMEOUT_S
-from ..relay.crash_detection import AttemptEnd
+from ..relay.crashes.detection import AttemptEnd
 from ..relay.exceptions import RefusalError
 from ..relay.limits import RelayLimits
 from ..relay.models import (
@@ -22,7 +21,8 @@
     Upstream,
 )
 from ..relay.node import RelayIdentity, RelayNode
-from ..relay.placement import Placement
+from ..relay.placement.placer import Placement
+from ..relay.store_changes import changes
 from .const import (
     BYTES_PER_TOKEN,
     CONFIDENT,
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/attempt_tracker.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/attempt_tracker.py
@@ -11,17 +11,17 @@
     RETRY_OTHER_ENTRY_S,
     RETRY_STORE_OUTAGE_S,
 )
-from .crash_detection import AttemptEnd, CrashDetector
+from .crashes.detection import AttemptEnd, CrashDetector
+from .crashes.isolation import RunIsolation
+from .crashes.quarantine import Quarantine
 from .fleet import Fleet, UpstreamState
-from .isolation import RunIsolation
 from .live_entries import LiveEntries
 from .models import RequestFacts
-from .notices import LoadKind, LoadNotice
-from .placement import Placement, Placer, concurrent_starts
-from .quarantine import Quarantine
+from .notices.models import LoadKind, LoadNotice
+from .placement.placer import Placement, Placer, concurrent_starts
+from .rates.upstream_rates import UpstreamRates
 from .reachability import Reachability
-from .upstream_rates import UpstreamRates
-from .versions import VersionSelector
+from .rollouts.versions import VersionSelector
 
 
 class AttemptTracker:
--- /dev/null
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/crashes/__init__.py
@@ -0,0 +1,1 @@
+"""Which requests and prompt parts crash upstreams, and how they are kept apart."""
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/crash_detection.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/crashes/detection.py
@@ -6,7 +6,8 @@
 
 import attrs
 
-from .const import CRASH_NOTICE_S, CRASH_ONSET_S, MAX_ATTEMPT_S
+from ..const import MAX_ATTEMPT_S
+from .const import CRASH_NOTICE_S, CRASH_ONSET_S
 from .process_ends import ProcessEnds
 
 
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/crash_evidence.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/crashes/evidence.py
@@ -5,7 +5,7 @@
 import attrs
 
 from .const import CRASH_RETENTION_S, MAX_SUSPECTS
-from .crash_detection import Crash, Suspicion
+from .detection import Crash, Suspicion
 
 
 @attrs.frozen
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/isolation.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/crashes/isolation.py
@@ -6,11 +6,8 @@
 
 import attrs
 
-from ..membership.rendezvous import rendezvous_hash
-from .const import (
-    CRASH_ONSET_S,
-    ISOLATED_RUN_EXPIRY_S,
-)
+from ...membership.rendezvous import rendezvous_hash
+from .const import CRASH_ONSET_S, ISOLATED_RUN_EXPIRY_S
 
 # Key of the order in which a service's processes are reserved.
 _RESERVED = "reserved"
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/quarantine.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/crashes/quarantine.py
@@ -4,8 +4,9 @@
 
 import attrs
 
+from ..models import is_prompt_part
+from ..store_changes.changes import CrashesReported
 from .answered_suspects import AnsweredSuspects
-from .changes import CrashesReported
 from .const import (
     CRASH_REPORT_SPREAD_S,
     MAX_CRASHES,
@@ -14,12 +15,11 @@
     QUARANTINE_GROWTH,
     QUARANTINE_S,
 )
-from .crash_detection import OPEN_SUSPICIONS, Crash, Suspicion
-from .crash_evidence import CrashEvidence, Refutation
-from .crash_weight import CrashWeighing, CrashWeight
+from .detection import OPEN_SUSPICIONS, Crash, Suspicion
+from .evidence import CrashEvidence, Refutation
 from .isolation import Isolation
-from .models import is_prompt_part
 from .process_ends import ProcessEnds
+from .weight import CrashWeighing, CrashWeight
 
 # Suspicions that are refuted by an answer that arrives for a while.
 _REFUTED_BY_ONSET = frozenset(Suspicion) - {Suspicion.ANSWERING}
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/suspect_runs.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/crashes/suspect_runs.py
@@ -4,10 +4,10 @@
 
 from cardamomnotch_protocol.result_codes import ResultCode
 
-from .exceptions import RefusalError
-from .fleet import UpstreamState
+from ..exceptions import RefusalError
+from ..fleet import UpstreamState
+from ..models import RequestFacts
 from .isolation import Isolation, RunIsolation
-from .models import RequestFacts
 from .quarantine import Decision, Quarantine
 
 # Retry-After of a request that has to wait for an upstream, in seconds.
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/crash_weight.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/crashes/weight.py
@@ -12,8 +12,8 @@
     MAX_UNRELATED_ENDS,
     OUTSIDE_ENDS_WINDOW_S,
 )
-from .crash_detection import OPEN_SUSPICIONS, Suspicion
-from .crash_evidence import CrashEvidence
+from .detection import OPEN_SUSPICIONS, Suspicion
+from .evidence import CrashEvidence
 from .process_ends import EndMoment, ProcessEnds
 
 
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/fleet.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/fleet.py
@@ -13,8 +13,8 @@
     REMOVED_UPSTREAM_MEMORY_S,
     REREGISTRATION_GRACE_S,
 )
-from .first_token import QueueEstimate
 from .models import Upstream
+from .placement.first_token import QueueEstimate
 
 
 @attrs.define
--- /dev/null
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/model_choice/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of the model for a request."""
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/cascade.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/model_choice/cascade.py
@@ -8,17 +8,17 @@
 
 import attrs
 
+from ..const import ESCALATION_LATENCY_FRACTION
+from ..models import Route
+from ..placement.placer import Placement
 from .const import (
     CONFIDENCE_SHARE_STEP,
     DEFAULT_CONFIDENCE_FLOOR,
     DEFAULT_LOW_CONFIDENCE_SHARE,
-    ESCALATION_LATENCY_FRACTION,
     IDLE_TIME_FRACTION,
     MAX_WAIT_OF_LARGEST_MS,
     MIN_LOW_CONFIDENCE_SHARE,
 )
-from .models import Route
-from .placement import Placement
 
 # Returns where a model would be asked now; None if no upstream can take the request.
 PlacementOf = Callable[[str], Placement | None]
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/node.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/node.py
@@ -10,36 +10,36 @@
 
 from ..change_feed.feed import ChangeFeed
 from ..membership.rendezvous import rendezvous_hash
-from . import changes
 from .attempt_tracker import AttemptTracker
-from .cascade import Cascade, PromptTimes
 from .const import (
     ESCALATION_LATENCY_FRACTION,
     LOST_ORDER_RETENTION_S,
     LOST_RECORD_RETENTION_S,
     REMOVED_UPSTREAM_RETENTION_S,
 )
-from .crash_detection import CrashDetector
+from .crashes.detection import CrashDetector
+from .crashes.isolation import RunIsolation
+from .crashes.process_ends import ProcessEnds
+from .crashes.quarantine import Quarantine
+from .crashes.suspect_runs import SuspectRuns
 from .exceptions import RefusalError
 from .fleet import Fleet
-from .isolation import RunIsolation
 from .limits import RelayLimits
 from .live_entries import LiveEntries
-from .lost_items import LostItems
+from .model_choice.cascade import Cascade, PromptTimes
 from .models import RequestFacts, Route, Service, Upstream
-from .notice_routes import NoticeRoutes
-from .partial_listing import PartialListing
-from .placement import Placement, Placer
-from .process_ends import ProcessEnds
-from .quarantine import Quarantine
+from .notices.routes import NoticeRoutes
+from .placement.placer import Placement, Placer
+from .placement.selector import Constraints, UpstreamSelector
+from .rates.retries import RetryBudget
+from .rates.upstream_rates import UpstreamRates
 from .reachability import Reachability
-from .retries import RetryBudget
-from .rollout_reports import RolloutReports
-from .routes import RouteTable
-from .suspect_runs import SuspectRuns
-from .upstream_rates import UpstreamRates
-from .upstream_selector import Constraints, UpstreamSelector
-from .versions import VersionSelector
+from .rollouts.reports import RolloutReports
+from .rollouts.versions import VersionSelector
+from .store_changes import changes
+from .store_changes.lost_items import LostItems
+from .store_changes.partial_listing import PartialListing
+from .store_changes.routes import RouteTable
 
 # Leaves 53 bits of a hash, which every JSON number can hold.
 _TOKEN_SHIFT = 11
--- /dev/null
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/notices/__init__.py
@@ -0,0 +1,1 @@
+"""Load notices between entries, and the paths that they take."""
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/notices.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/notices/models.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from .models import PromptPart
+from ..models import PromptPart
 
 
 class LoadKind(StrEnum):
--- /dev/null
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of the upstream for a request."""
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/placement.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/placement/placer.py
@@ -5,7 +5,10 @@
 
 import attrs
 
-from ..membership.rendezvous import rendezvous_hash
+from ...membership.rendezvous import rendezvous_hash
+from ..fleet import UpstreamState
+from ..identity_cache import IdentityCache
+from ..models import PromptPart, RequestFacts, Upstream
 from .const import (
     CACHED_PROMPT_TOKENS,
     CROSS_ZONE_MS_PER_KB,
@@ -15,9 +18,6 @@
     RUNNING_REQUEST_DELAY_MS,
 )
 from .first_token import FirstTokenModel
-from .fleet import UpstreamState
-from .identity_cache import IdentityCache
-from .models import PromptPart, RequestFacts, Upstream
 
 
 class PromptCacheEstimate:
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/upstream_selector.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/placement/selector.py
@@ -6,13 +6,13 @@
 
 from cardamomnotch_protocol.result_codes import ResultCode
 
-from .exceptions import RefusalError
-from .fleet import Fleet
-from .models import RequestFacts, Service
-from .placement import Placement, Placer
-from .suspect_runs import SuspectRuns
-from .upstream_rates import UpstreamRates
-from .versions import VersionSelector
+from ..crashes.suspect_runs import SuspectRuns
+from ..exceptions import RefusalError
+from ..fleet import Fleet
+from ..models import RequestFacts, Service
+from ..rates.upstream_rates import UpstreamRates
+from ..rollouts.versions import VersionSelector
+from .placer import Placement, Placer
 
 # Retry-After time if no upstream can take a request, in seconds.
 _RETRY_NO_UPSTREAM_S = 0.3
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/rate_limits.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/rates/rate_limits.py
@@ -6,13 +6,13 @@
 
 import attrs
 
+from ..live_entries import LiveEntries
 from .const import (
     COLD_RATE_FRACTION,
     MAX_RATE_WINDOW_S,
     MIN_NAMED_RATE,
     NAMED_RATE_WINDOW_S,
 )
-from .live_entries import LiveEntries
 
 _COLD_WINDOW_S = 1.0
 
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/upstream_rates.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/rates/upstream_rates.py
@@ -7,11 +7,11 @@
 
 from cardamomnotch_protocol.result_codes import ResultCode
 
-from .exceptions import RefusalError
-from .fleet import Fleet, UpstreamState
-from .limits import RelayLimits
-from .live_entries import LiveEntries
-from .models import Service, UpstreamHints
+from ..exceptions import RefusalError
+from ..fleet import Fleet, UpstreamState
+from ..limits import RelayLimits
+from ..live_entries import LiveEntries
+from ..models import Service, UpstreamHints
 from .rate_limits import (
     RateLimit,
     UpstreamRateLimiter,
--- /dev/null
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/rollouts/__init__.py
@@ -0,0 +1,1 @@
+"""Rollouts of new versions: shares, statistics, sessions and states."""
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/rollout_reports.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/rollouts/reports.py
@@ -9,7 +9,7 @@
 
 import attrs
 
-from ..change_feed.feed import ChangeFeed
+from ...change_feed.feed import ChangeFeed
 from .const import (
     MIN_REPORT_INTERVAL_S,
     REPORT_INTERVAL_PER_MEMBER_S,
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/rollout.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/rollouts/rollout.py
@@ -8,10 +8,10 @@
 
 from cardamomnotch_protocol.store_position import StorePosition
 
+from ..limits import RelayLimits
+from ..models import RolloutOrder
 from .answer_times import AnswerTimes, chance_of_slowness
 from .const import ROLLOUT_FIRST_STAGE_FACTOR, ROLLOUT_SECOND_STAGE_FACTOR
-from .limits import RelayLimits
-from .models import RolloutOrder
 
 # Fractions of the rollout's duration at which the new version's share grows.
 _SECOND_STAGE_START = 0.55
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/sessions.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/rollouts/sessions.py
@@ -2,8 +2,9 @@
 
 from collections import OrderedDict
 
-from .const import MAX_ATTEMPT_S, MAX_SESSIONS, SESSION_END_MARGIN_S
-from .models import Upstream
+from ..const import MAX_ATTEMPT_S
+from ..models import Upstream
+from .const import MAX_SESSIONS, SESSION_END_MARGIN_S
 
 
 class SessionVersions:
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/versions.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/rollouts/versions.py
@@ -8,11 +8,11 @@
 
 from cardamomnotch_protocol.store_position import StorePosition
 
+from ..fleet import UpstreamState
+from ..identity_cache import IdentityCache
+from ..limits import RelayLimits
+from ..models import RequestFacts, RolloutOrder
 from .const import ROLLOUT_FIRST_STAGE_FACTOR
-from .fleet import UpstreamState
-from .identity_cache import IdentityCache
-from .limits import RelayLimits
-from .models import RequestFacts, RolloutOrder
 from .rollout import Rollout, RolloutReport, RolloutState
 from .sessions import SessionVersions
 
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/changes.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/store_changes/changes.py
@@ -4,10 +4,10 @@
 
 from cardamomnotch_protocol.store_position import StorePosition
 
-from .crash_detection import Crash
-from .crash_evidence import Refutation
-from .models import RolloutOrder, RouteDocument, Upstream
-from .rollout import RolloutReport, RolloutState
+from ..crashes.detection import Crash
+from ..crashes.evidence import Refutation
+from ..models import RolloutOrder, RouteDocument, Upstream
+from ..rollouts.rollout import RolloutReport, RolloutState
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/routes.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/store_changes/routes.py
@@ -2,9 +2,9 @@
 
 from cardamomnotch_protocol.result_codes import ResultCode
 
-from .const import READY_AGE_FRACTION
-from .exceptions import RefusalError
-from .models import CallerLimits, Route, RouteDocument, Workspace
+from ..const import READY_AGE_FRACTION
+from ..exceptions import RefusalError
+from ..models import CallerLimits, Route, RouteDocument, Workspace
 
 # Retry-After time while the routes document is missing or out of date, in
 # seconds.
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/attempts.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/attempts.py
@@ -5,10 +5,10 @@
 
 from aiohttp import ClientResponse
 
-from cardamomnotch_core.relay.const import CRASH_ONSET_S
-from cardamomnotch_core.relay.crash_detection import AttemptEnd
+from cardamomnotch_core.relay.crashes.const import CRASH_ONSET_S
+from cardamomnotch_core.relay.crashes.detection import AttemptEnd
 from cardamomnotch_core.relay.node import RelayNode
-from cardamomnotch_core.relay.placement import Placement
+from cardamomnotch_core.relay.placement.placer import Placement
 from cardamomnotch_runtime.structured_log import log_event
 
 from .const import MIN_SERVER_ERROR_STATUS
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/composition.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/composition.py
@@ -8,7 +8,7 @@
 import attrs
 from aiohttp import web
 
-from cardamomnotch_core.relay.crash_detection import Crash
+from cardamomnotch_core.relay.crashes.detection import Crash
 from cardamomnotch_core.relay.node import RelayIdentity, RelayNode
 from cardamomnotch_platform.store.interface import KeyValueStore
 from cardamomnotch_runtime.admin import create_admin_app, create_metrics_app
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/coordinator.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/coordinator.py
@@ -10,17 +10,17 @@
 from cardamomnotch_core.change_feed.models import FeedPart, StoreChange
 from cardamomnotch_core.change_feed.outages import OutageDetector
 from cardamomnotch_core.membership.rendezvous import rendezvous_hash
-from cardamomnotch_core.relay.changes import (
+from cardamomnotch_core.relay.crashes.const import CRASH_RETENTION_S
+from cardamomnotch_core.relay.models import RouteDocument
+from cardamomnotch_core.relay.node import RelayNode
+from cardamomnotch_core.relay.rollouts.rollout import Rollout, RolloutState
+from cardamomnotch_core.relay.store_changes.changes import (
     Change,
     DocumentWritten,
     EntryRecord,
     EntryReported,
     UpstreamUnlisted,
 )
-from cardamomnotch_core.relay.const import CRASH_RETENTION_S
-from cardamomnotch_core.relay.models import RouteDocument
-from cardamomnotch_core.relay.node import RelayNode
-from cardamomnotch_core.relay.rollout import Rollout, RolloutState
 from cardamomnotch_platform.exceptions import (
     CompactedError,
     StoreConflictError,
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/interfaces.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/interfaces.py
@@ -5,10 +5,10 @@
 
 from multidict import CIMultiDict, CIMultiDictProxy
 
-from cardamomnotch_core.relay.changes import Change, EntryRecord
-from cardamomnotch_core.relay.crash_detection import Crash
-from cardamomnotch_core.relay.crash_evidence import Refutation
-from cardamomnotch_core.relay.rollout import RolloutState
+from cardamomnotch_core.relay.crashes.detection import Crash
+from cardamomnotch_core.relay.crashes.evidence import Refutation
+from cardamomnotch_core.relay.rollouts.rollout import RolloutState
+from cardamomnotch_core.relay.store_changes.changes import Change, EntryRecord
 from cardamomnotch_platform.store.models import StoreEntry
 
 from .models import AttemptParameters, CallerRequest, ResponseHead
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/peers.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/peers.py
@@ -10,10 +10,10 @@
 import orjson
 
 from cardamomnotch_core.change_feed.models import FeedPart
-from cardamomnotch_core.relay.changes import CrashesReported
-from cardamomnotch_core.relay.isolation import RunNotice
+from cardamomnotch_core.relay.crashes.isolation import RunNotice
 from cardamomnotch_core.relay.node import RelayNode
-from cardamomnotch_core.relay.notices import LoadNotice
+from cardamomnotch_core.relay.notices.models import LoadNotice
+from cardamomnotch_core.relay.store_changes.changes import CrashesReported
 from cardamomnotch_runtime.settings import host_and_port
 from cardamomnotch_runtime.structured_log import log_event
 
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/relay_store.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/relay_store.py
@@ -9,10 +9,14 @@
 from cardamomnotch_core.change_feed.listing import ListingOrder
 from cardamomnotch_core.change_feed.models import StoreChange
 from cardamomnotch_core.change_feed.watch_scope import WatchScope
-from cardamomnotch_core.relay.changes import Change, EntryRecord, RolloutReported
-from cardamomnotch_core.relay.crash_detection import Crash
-from cardamomnotch_core.relay.crash_evidence import Refutation
-from cardamomnotch_core.relay.rollout import Rollout, RolloutState
+from cardamomnotch_core.relay.crashes.detection import Crash
+from cardamomnotch_core.relay.crashes.evidence import Refutation
+from cardamomnotch_core.relay.rollouts.rollout import Rollout, RolloutState
+from cardamomnotch_core.relay.store_changes.changes import (
+    Change,
+    EntryRecord,
+    RolloutReported,
+)
 from cardamomnotch_platform.exceptions import (
     LeaseExpiredError,
     ReplyTooLargeError,
--- a/script/benchmarks/relay_decision.py
+++ b/script/benchmarks/relay_decision.py
@@ -3,8 +3,7 @@
 import statistics
 import time
 
-from cardamomnotch_core.relay import changes
-from cardamomnotch_core.relay.crash_detection import AttemptEnd
+from cardamomnotch_core.relay.crashes.detection import AttemptEnd
 from cardamomnotch_core.relay.exceptions import RefusalError
 from cardamomnotch_core.relay.limits import RelayLimits
 from cardamomnotch_core.relay.models import (
@@ -18,6 +17,7 @@
     Upstream,
 )
 from cardamomnotch_core.relay.node import RelayIdentity, RelayNode
+from cardamomnotch_core.relay.store_changes import changes
 
 from .decision_time import SimulatedCaller
 from .report import Report, Row
--- a/tests/adapter/test_store_codec.py
+++ b/tests/adapter/test_store_codec.py
@@ -7,12 +7,16 @@
 import pytest
 
 from cardamomnotch_adapter.store_codec import PlatformStoreCodec, decode_record
-from cardamomnotch_core.relay import changes
-from cardamomnotch_core.relay.answer_times import AnswerTimes
-from cardamomnotch_core.relay.crash_detection import Crash, Suspicion
-from cardamomnotch_core.relay.crash_evidence import Refutation
+from cardamomnotch_core.relay.crashes.detection import Crash, Suspicion
+from cardamomnotch_core.relay.crashes.evidence import Refutation
 from cardamomnotch_core.relay.models import RepeatRule
-from cardamomnotch_core.relay.rollout import AnswerStats, RolloutReport, RolloutState
+from cardamomnotch_core.relay.rollouts.answer_times import AnswerTimes
+from cardamomnotch_core.relay.rollouts.rollout import (
+    AnswerStats,
+    RolloutReport,
+    RolloutState,
+)
+from cardamomnotch_core.relay.store_changes import changes
 from cardamomnotch_platform.store.models import StoreEntry
 
 from tests.fixtures.positions import at
--- a/tests/core/relay/test_crash_detection.py
+++ b/tests/core/relay/crashes/test_detection.py
@@ -2,8 +2,9 @@
 
 import pytest
 
-from cardamomnotch_core.relay.const import CRASH_NOTICE_S, CRASH_ONSET_S, MAX_ATTEMPT_S
-from cardamomnotch_core.relay.crash_detection import (
+from cardamomnotch_core.relay.const import MAX_ATTEMPT_S
+from cardamomnotch_core.relay.crashes.const import CRASH_NOTICE_S, CRASH_ONSET_S
+from cardamomnotch_core.relay.crashes.detection import (
     AttemptEnd,
     CrashDetector,
     Suspicion,
--- a/tests/core/relay/test_isolation.py
+++ b/tests/core/relay/crashes/test_isolation.py
@@ -2,11 +2,8 @@
 
 import pytest
 
-from cardamomnotch_core.relay.const import (
-    CRASH_ONSET_S,
-    ISOLATED_RUN_EXPIRY_S,
-)
-from cardamomnotch_core.relay.isolation import Isolation, RunIsolation
+from cardamomnotch_core.relay.crashes.const import CRASH_ONSET_S, ISOLATED_RUN_EXPIRY_S
+from cardamomnotch_core.relay.crashes.isolation import Isolation, RunIsolation
 
 PROCESSES = [f"up-{number}@1" for number in range(4)]
 
--- a/tests/core/relay/test_quarantine.py
+++ b/tests/core/relay/crashes/test_quarantine.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from cardamomnotch_core.relay.const import (
+from cardamomnotch_core.relay.crashes.const import (
     CRASH_REPORT_SPREAD_S,
     CRASH_RETENTION_S,
     END_MOMENT_S,
@@ -10,11 +10,11 @@
     QUARANTINE_GROWTH,
     QUARANTINE_S,
 )
-from cardamomnotch_core.relay.crash_detection import Crash, Suspicion
-from cardamomnotch_core.relay.crash_evidence import Refutation
-from cardamomnotch_core.relay.isolation import Isolation
-from cardamomnotch_core.relay.process_ends import ProcessEnds
-from cardamomnotch_core.relay.quarantine import Decision, Quarantine
+from cardamomnotch_core.relay.crashes.detection import Crash, Suspicion
+from cardamomnotch_core.relay.crashes.evidence import Refutation
+from cardamomnotch_core.relay.crashes.isolation import Isolation
+from cardamomnotch_core.relay.crashes.process_ends import ProcessEnds
+from cardamomnotch_core.relay.crashes.quarantine import Decision, Quarantine
 
 # A time by which all reports have arrived.
 LATER_S = 10.0
--- a/tests/core/relay/test_cascade.py
+++ b/tests/core/relay/model_choice/test_cascade.py
@@ -5,9 +5,9 @@
 
 from cardamomnotch_core.load_model.models import LoadCase, ModelSpec, RequestClass
 from cardamomnotch_core.load_model.simulation import LoadSimulation
-from cardamomnotch_core.relay.cascade import Cascade, PromptTimes
+from cardamomnotch_core.relay.model_choice.cascade import Cascade, PromptTimes
 from cardamomnotch_core.relay.models import RepeatRule
-from cardamomnotch_core.relay.placement import Placement
+from cardamomnotch_core.relay.placement.placer import Placement
 
 TARGET_S = 3.0
 LONG = PromptTimes(smallest_s=0.5, largest_s=2.2)
--- a/tests/core/relay/test_notices.py
+++ b/tests/core/relay/notices/test_notices.py
@@ -2,12 +2,12 @@
 
 import pytest
 
-from cardamomnotch_core.relay import changes
 from cardamomnotch_core.relay.const import ENDED_NOTICE_DELAY_S, MAX_ATTEMPT_S
-from cardamomnotch_core.relay.crash_detection import AttemptEnd
+from cardamomnotch_core.relay.crashes.detection import AttemptEnd
 from cardamomnotch_core.relay.limits import RelayLimits
 from cardamomnotch_core.relay.models import PromptPart
 from cardamomnotch_core.relay.node import RelayIdentity, RelayNode
+from cardamomnotch_core.relay.store_changes import changes
 
 
 @pytest.fixture
--- a/tests/core/relay/test_placement.py
+++ b/tests/core/relay/placement/test_placer.py
@@ -3,10 +3,13 @@
 import attrs
 import pytest
 
-from cardamomnotch_core.relay.first_token import FirstTokenModel, QueueEstimate
 from cardamomnotch_core.relay.fleet import Fleet
 from cardamomnotch_core.relay.models import PromptPart
-from cardamomnotch_core.relay.placement import (
+from cardamomnotch_core.relay.placement.first_token import (
+    FirstTokenModel,
+    QueueEstimate,
+)
+from cardamomnotch_core.relay.placement.placer import (
     Placer,
     PromptCacheEstimate,
     list_prefixes,
--- a/tests/core/relay/test_shared_bounds.py
+++ b/tests/core/relay/rates/test_shared_bounds.py
@@ -17,13 +17,13 @@
     Share,
     Workspace,
 )
-from cardamomnotch_core.relay.rate_limits import (
+from cardamomnotch_core.relay.rates.rate_limits import (
     UpstreamRateLimiter,
     cold_rate_limit,
 )
-from cardamomnotch_core.relay.retries import RetryBudget
-from cardamomnotch_core.relay.rollout import Rollout
-from cardamomnotch_core.relay.routes import RouteTable
+from cardamomnotch_core.relay.rates.retries import RetryBudget
+from cardamomnotch_core.relay.rollouts.rollout import Rollout
+from cardamomnotch_core.relay.store_changes.routes import RouteTable
 
 OVERSHOOT, SLACK = 1.5, 5.0
 
--- a/tests/core/relay/test_upstream_rates.py
+++ b/tests/core/relay/rates/test_upstream_rates.py
@@ -7,12 +7,12 @@
 import attrs
 import pytest
 
-from cardamomnotch_core.relay import changes
-from cardamomnotch_core.relay.crash_detection import AttemptEnd
+from cardamomnotch_core.relay.crashes.detection import AttemptEnd
 from cardamomnotch_core.relay.exceptions import RefusalError
 from cardamomnotch_core.relay.limits import RelayLimits
 from cardamomnotch_core.relay.models import Service, UpstreamHints
 from cardamomnotch_core.relay.node import RelayIdentity, RelayNode
+from cardamomnotch_core.relay.store_changes import changes
 from cardamomnotch_protocol.result_codes import ResultCode
 
 # The rule's bound, from this time after the limit was first named on.
--- a/tests/core/relay/test_answer_times.py
+++ b/tests/core/relay/rollouts/test_answer_times.py
@@ -2,7 +2,10 @@
 
 import pytest
 
-from cardamomnotch_core.relay.answer_times import AnswerTimes, chance_of_slowness
+from cardamomnotch_core.relay.rollouts.answer_times import (
+    AnswerTimes,
+    chance_of_slowness,
+)
 
 
 def times(*ratios):
--- a/tests/core/relay/test_rollout_reports.py
+++ b/tests/core/relay/rollouts/test_reports.py
@@ -5,10 +5,10 @@
 import attrs
 import pytest
 
-from cardamomnotch_core.relay import changes
 from cardamomnotch_core.relay.limits import RelayLimits
 from cardamomnotch_core.relay.models import RolloutOrder
 from cardamomnotch_core.relay.node import RelayIdentity, RelayNode
+from cardamomnotch_core.relay.store_changes import changes
 
 from tests.fixtures.positions import at
 
--- a/tests/core/relay/test_rollouts.py
+++ b/tests/core/relay/rollouts/test_rollouts.py
@@ -8,13 +8,13 @@
 
 from cardamomnotch_core.relay.fleet import Fleet
 from cardamomnotch_core.relay.models import RolloutOrder
-from cardamomnotch_core.relay.rollout import (
+from cardamomnotch_core.relay.rollouts.rollout import (
     AnswerStats,
     Rollout,
     RolloutReport,
     RolloutState,
 )
-from cardamomnotch_core.relay.versions import VersionSelector
+from cardamomnotch_core.relay.rollouts.versions import VersionSelector
 
 from tests.fixtures.positions import at
 
--- a/tests/core/relay/test_routes.py
+++ b/tests/core/relay/store_changes/test_routes.py
@@ -4,7 +4,7 @@
 
 from cardamomnotch_core.relay.exceptions import RefusalError
 from cardamomnotch_core.relay.limits import RelayLimits
-from cardamomnotch_core.relay.routes import RouteTable
+from cardamomnotch_core.relay.store_changes.routes import RouteTable
 from cardamomnotch_protocol.result_codes import ResultCode
 
 MAX_AGE_S = 3.5
--- a/tests/core/relay/test_node.py
+++ b/tests/core/relay/test_node.py
@@ -5,18 +5,15 @@
 import pytest
 
 from cardamomnotch_core.membership.rendezvous import rendezvous_hash
-from cardamomnotch_core.relay import changes, live_entries, rate_limits
-from cardamomnotch_core.relay.const import MAX_COMPARED_UPSTREAMS
-from cardamomnotch_core.relay.crash_detection import AttemptEnd, Crash, Suspicion
+from cardamomnotch_core.relay import live_entries
+from cardamomnotch_core.relay.crashes.detection import AttemptEnd, Crash, Suspicion
 from cardamomnotch_core.relay.exceptions import RefusalError
 from cardamomnotch_core.relay.limits import RelayLimits
-from cardamomnotch_core.relay.models import (
-    PromptPart,
-    RolloutOrder,
-    Service,
-    Share,
-)
+from cardamomnotch_core.relay.models import PromptPart, RolloutOrder, Service, Share
 from cardamomnotch_core.relay.node import RelayIdentity, RelayNode
+from cardamomnotch_core.relay.placement.const import MAX_COMPARED_UPSTREAMS
+from cardamomnotch_core.relay.rates import rate_limits
+from cardamomnotch_core.relay.store_changes import changes
 from cardamomnotch_protocol.result_codes import ResultCode
 
 from tests.fixtures.positions import at
--- a/tests/entry/relay/test_coordinator.py
+++ b/tests/entry/relay/test_coordinator.py
@@ -6,13 +6,13 @@
 import pytest
 
 from cardamomnotch_core.change_feed.models import FeedPart, StoreChange
-from cardamomnotch_core.relay import changes
-from cardamomnotch_core.relay.crash_detection import Crash
-from cardamomnotch_core.relay.crash_evidence import Refutation
+from cardamomnotch_core.relay.crashes.detection import Crash
+from cardamomnotch_core.relay.crashes.evidence import Refutation
 from cardamomnotch_core.relay.limits import RelayLimits
 from cardamomnotch_core.relay.models import RolloutOrder, RouteDocument, Upstream
 from cardamomnotch_core.relay.node import RelayIdentity, RelayNode
-from cardamomnotch_core.relay.rollout import RolloutState
+from cardamomnotch_core.relay.rollouts.rollout import RolloutState
+from cardamomnotch_core.relay.store_changes import changes
 from cardamomnotch_entry.relay import coordinator as module
 from cardamomnotch_entry.relay.coordinator import StoreCoordinator
 from cardamomnotch_entry.relay.relay_store import StoreReading
--- a/tests/entry/relay/test_crashing_parts.py
+++ b/tests/entry/relay/test_crashing_parts.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from cardamomnotch_core.relay.const import CRASH_ONSET_S
+from cardamomnotch_core.relay.crashes.const import CRASH_ONSET_S
 from cardamomnotch_protocol.result_codes import ResultCode
 
 from tests.fixtures.relay_system import RelaySystem
--- a/tests/entry/relay/test_peers.py
+++ b/tests/entry/relay/test_peers.py
@@ -8,17 +8,17 @@
 import pytest
 
 from cardamomnotch_core.change_feed.models import FeedPart, FeedRequest, StoreChange
-from cardamomnotch_core.relay import changes
-from cardamomnotch_core.relay.answer_times import AnswerTimes
-from cardamomnotch_core.relay.crash_detection import Crash, Suspicion
-from cardamomnotch_core.relay.crash_evidence import Refutation
-from cardamomnotch_core.relay.isolation import RunNotice
+from cardamomnotch_core.relay.crashes.detection import Crash, Suspicion
+from cardamomnotch_core.relay.crashes.evidence import Refutation
+from cardamomnotch_core.relay.crashes.isolation import RunNotice
 from cardamomnotch_core.relay.limits import RelayLimits
 from cardamomnotch_core.relay.models import PromptPart, Upstream, UpstreamHints
 from cardamomnotch_core.relay.node import RelayIdentity, RelayNode
-from cardamomnotch_core.relay.notices import LoadKind, LoadNotice
-from cardamomnotch_core.relay.rollout import AnswerStats, RolloutReport
-from cardamomnotch_core.relay.rollout_reports import RolloutsMessage
+from cardamomnotch_core.relay.notices.models import LoadKind, LoadNotice
+from cardamomnotch_core.relay.rollouts.answer_times import AnswerTimes
+from cardamomnotch_core.relay.rollouts.reports import RolloutsMessage
+from cardamomnotch_core.relay.rollouts.rollout import AnswerStats, RolloutReport
+from cardamomnotch_core.relay.store_changes import changes
 from cardamomnotch_entry.relay.peer_messages import (
     decode_feed_part,
     decode_feed_request,
--- a/tests/entry/relay/test_relay_store.py
+++ b/tests/entry/relay/test_relay_store.py
@@ -6,10 +6,10 @@
 
 from cardamomnotch_adapter.store import PlatformStoreClient
 from cardamomnotch_adapter.store_codec import PlatformStoreCodec
-from cardamomnotch_core.relay import changes
-from cardamomnotch_core.relay.crash_detection import Crash
+from cardamomnotch_core.relay.crashes.detection import Crash
 from cardamomnotch_core.relay.models import RolloutOrder
-from cardamomnotch_core.relay.rollout import Rollout, RolloutState
+from cardamomnotch_core.relay.rollouts.rollout import Rollout, RolloutState
+from cardamomnotch_core.relay.store_changes import changes
 from cardamomnotch_entry.relay.const import CRASH_LEASE_REUSE_S
 from cardamomnotch_entry.relay.relay_store import RelayStore
 from cardamomnotch_platform.exceptions import (
--- a/tests/entry/relay/test_store_changes.py
+++ b/tests/entry/relay/test_store_changes.py
@@ -4,9 +4,9 @@
 
 import pytest
 
-from cardamomnotch_core.relay import changes
 from cardamomnotch_core.relay.limits import RelayLimits
 from cardamomnotch_core.relay.models import RolloutOrder
+from cardamomnotch_core.relay.store_changes import changes
 from cardamomnotch_entry.relay import composition
 from cardamomnotch_entry.relay.composition import boot_clock
 from cardamomnotch_entry.relay.settings import RelaySettings
--- a/tests/entry/relay/test_value_reader.py
+++ b/tests/entry/relay/test_value_reader.py
@@ -5,9 +5,9 @@
 import pytest
 
 from cardamomnotch_core.change_feed.models import StoreChange
-from cardamomnotch_core.relay import changes
 from cardamomnotch_core.relay.limits import RelayLimits
 from cardamomnotch_core.relay.node import RelayIdentity, RelayNode
+from cardamomnotch_core.relay.store_changes import changes
 from cardamomnotch_entry.relay.composition import boot_clock
 from cardamomnotch_entry.relay.coordinator import StoreCoordinator
 from cardamomnotch_entry.relay.value_reader import ValueReader
