Keep a low-confidence answer unless the retry budget allows the larger model

An answer with low confidence was dropped first, and the retry budget asked after that.

The budget grants the next attempt before the answer is dropped. Ruled out: the attempts of the route (two were left) and the placement (an upstream was free). Before: 502 in the new test; after: the answer of the small model.

--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/forwarder.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/forwarder.py
@@ -79,6 +79,8 @@
         self._ended_upstreams = 0
         self._unreachable_count = 0
         self._has_failed_attempt = False
+        # Whether the retry budget has granted the next attempt already.
+        self._is_retry_granted = False
         self._failure_code = ResultCode.UPSTREAM_FAILED
         self._tried_upstreams: set[str] = set()
         self._failure_response: web.Response | None = None
@@ -224,7 +226,7 @@
         if self._unreachable_count >= _MAX_UNREACHABLE_UPSTREAMS:
             self._raise_no_attempts_left()
         now_s = self._clock()
-        if self._sent_count and not self._node.allow_retry(self._service.name, now_s):
+        if self._sent_count and not self._take_retry(now_s):
             self._raise_no_attempts_left()
         try:
             await self._placer.async_wait_in_quarantine()
@@ -333,8 +335,10 @@
             now_s - self._arrived_at_s,
             now_s,
         )
-        if not in_time:
+        # Without a grant the answer would be dropped, and no attempt would follow.
+        if not in_time or not self._node.allow_retry(self._service.name, now_s):
             return False
+        self._is_retry_granted = True
         self._model = larger_model
         self._tried_upstreams -= {self._attempt.upstream_id}
         return True
@@ -368,6 +372,13 @@
         uncounted = min(self._ended_upstreams, MAX_ENDED_UPSTREAMS)
         return self._route.max_attempts - self._run_count + uncounted
 
+    def _take_retry(self, now_s: float) -> bool:
+        """Return whether the retry budget allows another attempt."""
+        if self._is_retry_granted:
+            self._is_retry_granted = False
+            return True
+        return self._node.allow_retry(self._service.name, now_s)
+
     def _elapsed_ms(self) -> int:
         return int((self._clock() - self._arrived_at_s) * 1000)
 
--- a/tests/entry/relay/test_streams.py
+++ b/tests/entry/relay/test_streams.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import attrs
 import pytest
 
 from tests.fixtures.relay_system import MODELS, document, route
@@ -143,6 +144,16 @@
     assert (answer.status, answer.body) == (200, events_between(1, 2))
 
 
+async def test_low_confidence_is_kept_without_a_retry_budget(relay):
+    """An answer is not dropped for a larger model that the budget does not allow."""
+    relay.entry.node.apply_limits(
+        attrs.evolve(relay.entry.node.limits, retry_ratio=0.0, retry_slack=0.0)
+    )
+    await relay.async_add_upstream("up", stream(1, 2, X_Confidence="10"))
+    answer = await relay.async_call("/draft/x", X_Model="*")
+    assert (answer.status, answer.body) == (200, events_between(1, 2))
+
+
 @pytest.mark.parametrize(
     ("model", "confidence", "expected"),
     [("*", "90", ["small"]), ("middle", "1", ["middle"])],
