Decode the guessed output length, and what services and routes say of capacity

The decisions under load need the caller's guess of the output length, the longest pause of a stream, and an upstream's memory in tokens, tokens per event and prices of its models. They were on the wire and not decoded. Nothing uses them yet.

--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/models.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/models.py
@@ -1,5 +1,6 @@
 """Data types of the relay: routes, services, upstreams and requests."""
 
+from collections.abc import Mapping
 from enum import StrEnum
 
 import attrs
@@ -51,6 +52,9 @@
     # Models that the relay chooses from, smallest first; empty if the caller
     # names the model.
     models: tuple[str, ...] = ()
+    # Longest pause between two events of a stream that is still on time; 0 if the
+    # operators state none.
+    max_pause_s: float = 0.0
 
 
 @attrs.frozen(kw_only=True)
@@ -60,6 +64,13 @@
     name: str
     # Requests per second that one cold upstream tolerates; 0 for no limit.
     cold_rate: float = 0.0
+    # Tokens that an upstream can hold for running requests and cached prompts; 0 if
+    # not stated.
+    token_capacity: int = 0
+    # Tokens in one event of a stream; 0 if not stated.
+    tokens_per_event: int = 0
+    # Price of 1,000 generated tokens by model; a prompt token counts a quarter.
+    model_costs: Mapping[str, float] = attrs.field(factory=dict)
 
 
 @attrs.frozen(kw_only=True)
@@ -165,6 +176,8 @@
     prompt: tuple[PromptPart, ...] = ()
     prompt_tokens: int = 0
     max_output_tokens: int = 0
+    # The caller's guess of the number of output tokens, often far off; 0 if none.
+    expected_output_tokens: int = 0
     session: str = ""
     # True if the relay chooses the model.
     chooses_model: bool = False
--- a/tests/adapter/test_message_codec.py
+++ b/tests/adapter/test_message_codec.py
@@ -107,6 +107,16 @@
     assert (facts.session, facts.chooses_model) == ("s-1", True)
 
 
+@pytest.mark.parametrize(
+    ("value", "expected"),
+    [("40", 40), ("", 0), ("-3", 0), ("4.5", 0), ("many", 0)],
+    ids=["number", "empty", "negative", "fraction", "word"],
+)
+def test_guessed_output_length_is_decoded(value, expected):
+    """A guess that is no whole number counts as none."""
+    assert decode({"X-Length-Hint": value}).facts.expected_output_tokens == expected
+
+
 @pytest.mark.parametrize("value", ["", "x", "1,2,3", ":", "a:b,c:-1", "1460"])
 def test_malformed_token_counts_are_ignored(value):
     """Malformed token counts and prompt prefixes count as unknown."""
--- a/tests/adapter/test_store_codec.py
+++ b/tests/adapter/test_store_codec.py
@@ -9,7 +9,7 @@
 from cardamomnotch_adapter.store_codec import PlatformStoreCodec, decode_record
 from cardamomnotch_core.relay.crashes.detection import Crash, Suspicion
 from cardamomnotch_core.relay.crashes.evidence import Refutation
-from cardamomnotch_core.relay.models import RepeatRule
+from cardamomnotch_core.relay.models import RepeatRule, Service
 from cardamomnotch_core.relay.rollouts.answer_times import AnswerTimes
 from cardamomnotch_core.relay.rollouts.rollout import (
     AnswerStats,
@@ -20,7 +20,7 @@
 from cardamomnotch_platform.store.models import StoreEntry
 
 from tests.fixtures.positions import at
-from tests.fixtures.relay_system import document
+from tests.fixtures.relay_system import document, route, service
 
 CODEC = PlatformStoreCodec()
 
@@ -128,6 +128,28 @@
     assert decoded.limits.max_body_bytes == 100_000
 
 
+def test_capacity_of_a_service_is_decoded():
+    """Memory, tokens per event, prices and the longest pause are decoded."""
+    engine = {
+        "kv_capacity": 90_000,
+        "stride": 5,
+        "models": [{"name": "small", "cost": 0.01}, {"name": "large"}],
+    }
+    value = document(
+        routes=[route("draft", "streaming", gap_target_ms=1_200)],
+        services=[service("drafts", engine=engine), service("bookings")],
+    )
+    decoded = CODEC.decode(store_entry("op/config", value)).document
+    assert decoded.routes[0].max_pause_s == 1.2
+    assert decoded.services["drafts"] == Service(
+        name="drafts",
+        token_capacity=90_000,
+        tokens_per_event=5,
+        model_costs={"small": 0.01, "large": 0.0},
+    )
+    assert decoded.services["bookings"] == Service(name="bookings")
+
+
 def test_document_without_workspaces_needs_no_key():
     """A route document without tenants requires no API keys."""
     value = document()
