--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/placement/placer.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/placement/placer.py
@@ -156,9 +156,11 @@
             for placement, cost_ms in zip(placements, costs_ms, strict=True)
             if cost_ms == lowest_ms
         ]
-        chosen = max(
-            best, key=lambda placement: _affinity(facts, model, placement.state)
-        )
+        chosen = best[0]
+        if len(best) > 1:
+            chosen = max(
+                best, key=lambda placement: _affinity(facts, model, placement.state)
+            )
         chosen.end_ms = self.estimates.end_ms(
             chosen.state, model, facts.likely_output_tokens, now_s
         )
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/upstream_estimates/const.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/upstream_estimates/const.py
@@ -25,11 +25,12 @@
 # Standard deviation of the relative error of one observation, and the relative error
 # beyond which an observation has only limited weight.
 OBSERVATION_DEVIATION: Final = 0.3
-MAX_TRUSTED_ERROR: Final = 0.4
+MAX_TRUSTED_ERROR: Final = 0.3
+EXCESS_EXPONENT: Final = 2
 
 # Variance that a coefficient regains with each observation, as a share of its variance
 # before there are samples: observations older than some hundred others are forgotten.
-FORGETTING_SHARE: Final = 0.002
+FORGETTING_SHARE: Final = 0.0005
 
 # Upper limits of the load classes' expected waits, in milliseconds; there is one class
 # more than limits.
@@ -41,8 +42,8 @@
 
 # Step of the quantiles of the logarithm of that ratio, and its start: the n-th step is
 # at least the start divided by n.
-QUANTILE_STEP: Final = 0.04
-QUANTILE_FIRST_STEP: Final = 0.4
+QUANTILE_STEP: Final = 0.02
+QUANTILE_FIRST_STEP: Final = 0.1
 
 # Ratio that four of five observed times stay under before there are samples.
 DEFAULT_SPREAD: Final = 1.5
@@ -51,36 +52,38 @@
 # Smoothing factors of the logarithm of an upstream's speed factor: of its usual value,
 # and of the recent deviation from it.
 USUAL_SPEED_STEP: Final = 0.08
-RECENT_SPEED_STEP: Final = 0.4
+RECENT_SPEED_STEP: Final = 0.2
+
+# Change in the logarithm beyond which observations in a row in the same direction have
+# up to so many times the weight: a change of speed is followed within some answers,
+# while a single late answer has little effect.
+CLEAR_SPEED_CHANGE: Final = 0.35
+MAX_SPEED_STREAK: Final = 4
 
 # Half-life of the recent deviation, in seconds: an upstream that is avoided as slow is
 # tried again after some of them.
-SPEED_HALF_LIFE_S: Final = 3.0
+SPEED_HALF_LIFE_S: Final = 4.0
 
 # Share by which the usual speed returns to that of the service with each observation:
 # without it, speeds of all upstreams and the service's coefficients could drift apart.
 SPEED_RETURN_SHARE: Final = 0.005
 
 # Largest logarithm of a speed factor, and of the change that one observation can
-# suggest: a factor of 12, and of 4.5.
+# suggest: a factor of 12, and of 2.7.
 MAX_LOG_SPEED: Final = 2.5
-MAX_LOG_SPEED_CHANGE: Final = 1.5
+MAX_LOG_SPEED_CHANGE: Final = 1.0
 
 # Added to the observed and the expected time before their ratio is taken, in
 # milliseconds, so that short times do not distort it.
-SPEED_FLOOR_MS: Final = 20.0
+SPEED_FLOOR_MS: Final = 50.0
 
 # Least weight of an observation for the speed. The weight is the share of the expected
 # time that does not depend on other requests.
 MIN_SPEED_WEIGHT: Final = 0.15
 
-# Time after which a pending prompt's prefill has begun if no other is being read, in
-# seconds: until then, a later one may still be read first.
-PREFILL_BEGIN_S: Final = 0.02
-
 # Time by which a pending prompt must be overdue to be ignored once a later one has been
 # answered, in seconds: its answer is lost, or its connection hangs.
-STUCK_S: Final = 1.0
+STUCK_S: Final = 0.3
 
 # Pairs of service and model that estimates are kept of.
 MAX_ESTIMATED_MODELS: Final = 256
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/upstream_estimates/coordinator.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/upstream_estimates/coordinator.py
@@ -67,7 +67,6 @@
     inputs: tuple[float, ...]
     # Class of the expected wait, as an index.
     load: int
-    speed: float
     # Expected time without and with the correction, in milliseconds.
     modelled_ms: float
     expected_ms: float
@@ -135,7 +134,8 @@
             waiting_ms += state.running(now_s) * RUNNING_REQUEST_DELAY_MS
             prefill_ms = self.first_tokens.expected_ms(model, unread_tokens)
             return FirstTokenEstimate(prefill_ms, waiting_ms)
-        times = self._times(state.upstream.service, model)
+        service = state.upstream.service
+        times = self._models.get((service, model)) or self._add_times(service, model)
         base, rate, busy_rate, running_delay, reading, waiting = (
             times.first_token.coefficients
         )
@@ -144,7 +144,7 @@
         waiting_ms = overdue_ms = 0.0
         if running:
             waiting_ms = running * (running_delay + busy_rate * unread_tokens)
-        if queue.pending_count:
+        if queue.prompts:
             backlog = queue.backlog(now_s)
             waiting_ms += reading * backlog.reading_ms + waiting * backlog.waiting_ms
             overdue_ms = backlog.overdue_ms
@@ -219,7 +219,6 @@
             times=times,
             inputs=inputs,
             load=load,
-            speed=speed,
             modelled_ms=total_ms,
             expected_ms=total_ms * correction,
             overdue_ms=backlog.overdue_ms,
@@ -272,8 +271,12 @@
         if sample is None:
             return
         observed_ms = first_token_s * 1000
-        if not sample.overdue_ms:
-            sample.times.first_token.update(sample.inputs, observed_ms / sample.speed)
+        speed = state.queue.speed
+        # What shows a change of this upstream's speed says little of the others.
+        if not sample.overdue_ms and not speed.is_changing:
+            sample.times.first_token.update(
+                sample.inputs, observed_ms / speed.factor(now_s)
+            )
         sample.times.calibrations[sample.load].update(
             sample.modelled_ms, sample.expected_ms, observed_ms
         )
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/upstream_estimates/queue.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/upstream_estimates/queue.py
@@ -6,7 +6,7 @@
 
 from ..placement.const import MAX_FIRST_TOKEN_WAIT_S
 from ..placement.first_token import QueueEstimate
-from .const import MIN_SPEED_WEIGHT, PREFILL_BEGIN_S, STUCK_S
+from .const import MIN_SPEED_WEIGHT, STUCK_S
 from .speed import UpstreamSpeed
 
 
@@ -54,17 +54,13 @@
     """
 
     speed: UpstreamSpeed = attrs.field(factory=UpstreamSpeed)
-    _prompts: dict[Hashable, PendingPrompt] = attrs.field(factory=dict)
+    # Prompts that wait for their first token, in the order of their starts.
+    prompts: dict[Hashable, PendingPrompt] = attrs.field(factory=dict)
     _prefill_ms: float = 0.0
     # When the upstream is assumed to have begun the prefill of the oldest prompt.
     _reading_since_s: float = 0.0
     _answered_at_s: float = 0.0
 
-    @property
-    def pending_count(self) -> int:
-        """Return how many requests wait for their first token."""
-        return len(self._prompts)
-
     def start(
         self,
         key: Hashable,
@@ -80,10 +76,10 @@
             prompt = PendingPrompt(
                 prefill_ms, now_s, prefill_ms, prefill_ms, prefill_ms
             )
-        if not self._prompts:
+        if not self.prompts:
             self._reading_since_s = now_s
             self._prefill_ms = 0.0
-        self._prompts[key] = prompt
+        self.prompts[key] = prompt
         self._prefill_ms += prompt.prefill_ms
 
     def finish(self, key: Hashable, now_s: float, *, answered: bool) -> None:
@@ -106,12 +102,12 @@
     def remove_matching(self, matches: Callable[[Hashable], bool]) -> None:
         """Remove the pending requests whose key matches ``matches``."""
         super().remove_matching(matches)
-        for key in tuple(filter(matches, self._prompts)):
+        for key in tuple(filter(matches, self.prompts)):
             self._remove(key)
 
     def backlog(self, now_s: float) -> Backlog:
         """Return the prefill that is left of the pending requests."""
-        prompts = self._prompts
+        prompts = self.prompts
         while prompts:
             key, oldest = next(iter(prompts.items()))
             if oldest.started_at_s >= now_s - MAX_FIRST_TOKEN_WAIT_S:
@@ -122,8 +118,6 @@
         since_s = max(self._reading_since_s, oldest.started_at_s)
         elapsed_ms = (now_s - since_s) * 1000
         waiting_ms = max(0.0, self._prefill_ms - oldest.prefill_ms)
-        if now_s - oldest.started_at_s < PREFILL_BEGIN_S:
-            return Backlog(0.0, self._prefill_ms)
         read_ms = elapsed_ms / self.speed.factor(now_s)
         reading_ms = oldest.prefill_ms - read_ms
         if reading_ms < 0.0:
@@ -135,16 +129,16 @@
         return Backlog(reading_ms, waiting_ms, overdue_ms)
 
     def _remove(self, key: Hashable) -> PendingPrompt | None:
-        prompt = self._prompts.pop(key, None)
+        prompt = self.prompts.pop(key, None)
         if prompt is not None:
             self._prefill_ms -= prompt.prefill_ms
         return prompt
 
     def _remove_stuck(self, answered_start_s: float, now_s: float) -> None:
         """Remove older requests that are long overdue: a later one was answered."""
-        if not self._prompts:
+        if not self.prompts:
             return
-        for key, prompt in tuple(self._prompts.items()):
+        for key, prompt in tuple(self.prompts.items()):
             if prompt.started_at_s >= answered_start_s:
                 return
             if now_s - prompt.started_at_s > prompt.due_ms / 1000 + STUCK_S:
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/upstream_estimates/regression.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/upstream_estimates/regression.py
@@ -1,10 +1,12 @@
 """A linear model of a time that follows its observations."""
 
+import math
 from collections.abc import Sequence
 
 import attrs
 
 from .const import (
+    EXCESS_EXPONENT,
     FORGETTING_SHARE,
     MAX_TRUSTED_ERROR,
     OBSERVATION_DEVIATION,
@@ -50,8 +52,8 @@
         error = observed / expected - 1.0
         scaled = [value / expected for value in inputs]
         gains = [sum(map(_multiply, row, scaled)) for row in self._covariance]
-        excess = max(1.0, abs(error) / MAX_TRUSTED_ERROR)
-        noise = OBSERVATION_DEVIATION**2 * excess
+        excess = abs(math.log(max(1e-3, observed / expected))) / MAX_TRUSTED_ERROR
+        noise = OBSERVATION_DEVIATION**2 * max(1.0, excess) ** EXCESS_EXPONENT
         total = sum(map(_multiply, gains, scaled)) + noise
         limits = self._limits
         self.coefficients = tuple(
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/upstream_estimates/speed.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/upstream_estimates/speed.py
@@ -5,8 +5,10 @@
 import attrs
 
 from .const import (
+    CLEAR_SPEED_CHANGE,
     MAX_LOG_SPEED,
     MAX_LOG_SPEED_CHANGE,
+    MAX_SPEED_STREAK,
     RECENT_SPEED_STEP,
     SPEED_FLOOR_MS,
     SPEED_HALF_LIFE_S,
@@ -27,6 +29,8 @@
     _deviation: float = 0.0
     _updated_at_s: float = 0.0
     _samples: int = 0
+    # Clear changes in the same direction in a row; negative if the upstream is faster.
+    _streak: int = 0
 
     def factor(self, now_s: float) -> float:
         """Return the factor to multiply expected times with."""
@@ -34,6 +38,11 @@
             return 1.0
         return math.exp(self._usual + self._recent_deviation(now_s))
 
+    @property
+    def is_changing(self) -> bool:
+        """Return whether the last observations show a change of the speed."""
+        return abs(self._streak) > 1
+
     def update(
         self, expected_ms: float, observed_ms: float, weight: float, now_s: float
     ) -> None:
@@ -47,16 +56,29 @@
         change = math.log(max(1e-3, ratio)) - self._usual - deviation
         change = weight * _limit(change, MAX_LOG_SPEED_CHANGE)
         self._samples += 1
+        recent_step = RECENT_SPEED_STEP * self._count_streak(change)
         usual_step = max(USUAL_SPEED_STEP, RECENT_SPEED_STEP / self._samples)
         usual = self._usual * (1 - SPEED_RETURN_SHARE) + usual_step * change
-        total = self._usual + deviation + RECENT_SPEED_STEP * change
+        total = self._usual + deviation + recent_step * change
         self._usual = _limit(usual, MAX_LOG_SPEED)
         self._deviation = _limit(total, MAX_LOG_SPEED) - self._usual
         self._updated_at_s = now_s
 
+    def _count_streak(self, change: float) -> int:
+        """Return how many times the usual weight this change has."""
+        if abs(change) < CLEAR_SPEED_CHANGE:
+            self._streak = 0
+            return 1
+        direction = 1 if change > 0 else -1
+        same = self._streak * direction > 0
+        self._streak = self._streak + direction if same else direction
+        return min(MAX_SPEED_STREAK, abs(self._streak))
+
     def _recent_deviation(self, now_s: float) -> float:
-        half_lives = (now_s - self._updated_at_s) / SPEED_HALF_LIFE_S
-        return self._deviation * 0.5 ** max(0.0, half_lives)
+        elapsed_s = now_s - self._updated_at_s
+        if elapsed_s <= 0.0:
+            return self._deviation
+        return self._deviation * 0.5 ** (elapsed_s / SPEED_HALF_LIFE_S)
 
 
 def _limit(value: float, limit: float) -> float:
