Share larger models out by what requests lose without them

Cascade looked at one request alone. On a burst of cheap requests, long urgent prompts failed its test of the time to the first token and kept poor answers, while cheap ones passed it always.

The package model_choice now estimates how short a service's upstream time (smoothed wait in relation to the shortest target latency) and its retry budget are, ranks the recent wishes for a larger model by priority and loss for each millisecond of upstream time, and grants those that rank within what there is. Large models are asked at once where a granted request has time for one model only, or the retry budget is short. An answer is kept if only it is expected to end before the deadline. A tenth of the retry budget is left to requests whose attempt failed. Without shortage the decisions are those of Cascade, which the tests keep as the reference.

Changes to tests: test_cascade.py becomes test_first_model.py with the same table and loads, since Cascade is gone; the node's test of the latency target calls next_model in place of may_escalate, and checks the model that is asked in place of a flag.

--- a/packages/cardamomnotch-core/src/cardamomnotch_core/load_model/models.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/load_model/models.py
@@ -38,6 +38,8 @@
     spread: float = attrs.field(default=0.0, validator=_SHARE)
     # Models to choose from, smallest first; empty for a plain service.
     models: tuple[str, ...] = ()
+    # 0 is the most urgent.
+    priority: int = attrs.field(default=5, validator=_NOT_NEGATIVE)
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/load_model/simulation.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/load_model/simulation.py
@@ -11,11 +11,13 @@
 from ..relay.crashes.detection import AttemptEnd
 from ..relay.exceptions import RefusalError
 from ..relay.limits import RelayLimits
+from ..relay.model_choice.models import Answer, ChoiceRequest
 from ..relay.models import (
     PromptPart,
     RepeatRule,
     RequestFacts,
     Route,
+    RouteDocument,
     Service,
     Share,
     Upstream,
@@ -55,6 +57,10 @@
     attempts: int = 0
     tried: frozenset[str] = frozenset()
 
+    @property
+    def choice(self) -> ChoiceRequest:
+        return ChoiceRequest(route=self.route, service=_SERVICE, facts=self.facts)
+
     @property
     def body_bytes(self) -> int:
         return self.facts.prompt_tokens * BYTES_PER_TOKEN
@@ -63,12 +69,12 @@
 class LoadSimulation:
     """Runs the requests of a load at random entries.
 
-    Each entry has a view of its own: what others tell it arrives later. Losses may
-    be replaced between two runs.
+    Each entry has a view of its own: what others tell it arrives later. Losses, and
+    the rate and classes of ``case``, may be replaced between two runs.
     """
 
     def __init__(self, case: LoadCase) -> None:
-        self._case = case
+        self.case = case
         self._random = random.Random(case.seed)
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._numbers = itertools.count()
@@ -92,7 +98,7 @@
     def run(self, seconds: float) -> list[Outcome]:
         """Let time pass, with requests; return what their callers got."""
         end_s, first = self.now_s + seconds, len(self.outcomes)
-        gap_s = self._random.expovariate(self._case.requests_per_s)
+        gap_s = self._random.expovariate(self.case.requests_per_s)
         self._after(gap_s, lambda: self._arrive(end_s))
         while self._events and self._events[0][0] <= end_s:
             self.now_s, _, event = heapq.heappop(self._events)
@@ -109,6 +115,13 @@
     def _create_node(self, name: str, zone: str) -> RelayNode:
         identity = RelayIdentity(name=name, zone=zone, incarnation="1", address=name)
         node = RelayNode(identity, RelayLimits())
+        document = RouteDocument(
+            version=1,
+            routes=tuple(self._routes.values()),
+            services={_SERVICE.name: _SERVICE},
+            workspaces=None,
+        )
+        node.apply(changes.DocumentWritten(document=document), 0.0)
         for upstream in self.upstreams:
             node.apply(changes.UpstreamListed(upstream=upstream), 0.0)
         return node
@@ -120,9 +133,9 @@
     def _arrive(self, end_s: float) -> None:
         if self.now_s > end_s:
             return
-        gap_s = self._random.expovariate(self._case.requests_per_s)
+        gap_s = self._random.expovariate(self.case.requests_per_s)
         self._after(gap_s, lambda: self._arrive(end_s))
-        classes = self._case.classes
+        classes = self.case.classes
         weights = [item.weight for item in classes]
         (request_class,) = self._random.choices(classes, weights)
         node = self._random.choice(self.nodes)
@@ -142,8 +155,8 @@
         )
         if request_class.models:
             request.model = node.first_model(
-                request.route, _SERVICE, request.facts, request.body_bytes, self.now_s
-            )
+                request.choice, request.body_bytes, self.now_s
+            ).model
         self._send(request)
 
     def _create_facts(self, request_class: RequestClass) -> RequestFacts:
@@ -185,6 +198,7 @@
         node.attempts.record_sent(
             placement, request.facts, request.model, key, self.now_s
         )
+        node.model_choice.record_wait(placement, self.now_s)
         if self._is_lost(node, placement.state.upstream):
             self._after(CONNECT_TIMEOUT_S, lambda: self._fail(request, placement, key))
         else:
@@ -232,7 +246,7 @@
             placement, request.model, key, first_token_s, self.now_s
         )
         outcome.is_good = request.hardness < self._models[request.model].quality
-        if self._escalate(request):
+        if self._escalate(request, placement):
             self._end(request, placement, key, AttemptEnd.ABANDONED)
             self._send(request)
             return
@@ -244,24 +258,24 @@
         )
         self._exchange(node)
 
-    def _escalate(self, request: _Request) -> bool:
+    def _escalate(self, request: _Request, placement: Placement) -> bool:
         """Choose a larger model if the answer's rating is low."""
         if not request.model:
             return False
         is_rated_well = self._random.random() < RATING_RELIABILITY
         confidence = CONFIDENT if request.outcome.is_good == is_rated_well else UNSURE
-        node, route = request.node, request.route
-        node.cascade.record_answer(route, request.model, confidence)
-        larger = node.cascade.next_model(route, request.model, confidence)
-        if larger is None or not node.may_escalate(
-            route,
-            _SERVICE,
-            request.facts,
-            larger,
-            request.body_bytes,
-            self.now_s - request.outcome.arrived_at_s,
-            self.now_s,
-        ):
+        node, choice = request.node, request.choice
+        answer = Answer(
+            model=request.model,
+            confidence=confidence,
+            elapsed_s=self.now_s - request.outcome.arrived_at_s,
+            prefill_ms=placement.prefill_ms,
+        )
+        node.model_choice.record_answer(choice, answer)
+        if not node.model_choice.lacks_confidence(choice, answer):
+            return False
+        larger = node.next_model(choice, answer, request.body_bytes, self.now_s).model
+        if larger is None:
             return False
         request.model = larger
         return True
@@ -311,5 +325,6 @@
         timeout_s=10.0,
         target_latency_s=request_class.target_s,
         max_attempts=MAX_ATTEMPTS,
+        priority=request_class.priority,
         models=request_class.models,
     )
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/node.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/node.py
@@ -12,7 +12,6 @@
 from ..membership.rendezvous import rendezvous_hash
 from .attempt_tracker import AttemptTracker
 from .const import (
-    ESCALATION_LATENCY_FRACTION,
     LOST_ORDER_RETENTION_S,
     LOST_RECORD_RETENTION_S,
     REMOVED_UPSTREAM_RETENTION_S,
@@ -26,12 +25,14 @@
 from .fleet import Fleet
 from .limits import RelayLimits
 from .live_entries import LiveEntries
-from .model_choice.cascade import Cascade, PromptTimes
+from .model_choice.choice import ModelChoice, PlacementOf
+from .model_choice.models import Answer, ChoiceRequest, ModelDecision, PromptTimes
 from .models import RequestFacts, Route, Service, Upstream
 from .notices.routes import NoticeRoutes
 from .placement.placer import Placement, Placer
 from .placement.selector import Constraints, UpstreamSelector
-from .rates.retries import RetryBudget
+from .rates.const import RESERVED_RETRY_SHARE
+from .rates.retries import BudgetUse, RetryBudget
 from .rates.upstream_rates import UpstreamRates
 from .reachability import Reachability
 from .rollouts.reports import RolloutReports
@@ -90,12 +91,12 @@
         self.isolation = RunIsolation(identity.name)
         self.suspect_runs = SuspectRuns(self.quarantine, self.isolation)
         self._crash_detector = CrashDetector(ends)
-        self.cascade = Cascade()
         self._entries = LiveEntries(identity.name)
         self.rates = UpstreamRates(self._entries, self.fleet, limits)
         self._retry_budget = RetryBudget(
             limits.retry_ratio, limits.retry_slack, limits.retry_window_s
         )
+        self.model_choice = ModelChoice(self.retry_budget_use)
         self.reachability = Reachability(identity.name, identity.zone)
         self._placer = Placer(identity.zone, self.reachability.is_avoided)
         self._selector = UpstreamSelector(
@@ -177,9 +178,7 @@
     @_apply.register
     def _(self, change: changes.DocumentWritten, now_s: float) -> None:
         self.routes.apply(change.document)
-        self.cascade.forget_routes(
-            frozenset(route.name for route in change.document.routes)
-        )
+        self.model_choice.set_routes(change.document.routes)
 
     @_apply.register
     def _(self, change: changes.UpstreamListed, now_s: float) -> None:
@@ -438,12 +437,24 @@
             max(_MIN_RETRY_QUARANTINED_S, decision.retry_after_s),
         )
 
-    def allow_retry(self, service: str, now_s: float) -> bool:
+    def allow_retry(
+        self, service: str, now_s: float, *, is_escalation: bool = False
+    ) -> bool:
         """Count a retry if the service's retry budget allows it.
 
-        Returns whether the budget allows it.
+        Escalations leave a part of it to requests whose attempt failed. Returns
+        whether the budget allows it.
         """
         return self._retry_budget.try_spend(
+            service,
+            now_s,
+            may_use_slack=self._entries.is_recorded(now_s),
+            reserved_share=RESERVED_RETRY_SHARE if is_escalation else 0.0,
+        )
+
+    def retry_budget_use(self, service: str, now_s: float) -> BudgetUse:
+        """Return how much of the service's retry budget is used at this entry."""
+        return self._retry_budget.use(
             service, now_s, may_use_slack=self._entries.is_recorded(now_s)
         )
 
@@ -476,49 +487,42 @@
         )
 
     def first_model(
-        self,
-        route: Route,
-        service: Service,
-        facts: RequestFacts,
-        body_bytes: int,
-        now_s: float,
-    ) -> str:
+        self, request: ChoiceRequest, body_bytes: int, now_s: float
+    ) -> ModelDecision:
         """Return the model that a request is sent to first."""
+        models = request.route.models
+        smallest_s, largest_s = (
+            self._placer.first_tokens.expected_ms(model, request.facts.prompt_tokens)
+            / 1000
+            for model in (models[0], models[-1])
+        )
+        return self.model_choice.first_model(
+            request,
+            PromptTimes(smallest_s=smallest_s, largest_s=largest_s),
+            self._placement_of(request, body_bytes, now_s),
+            now_s,
+        )
+
+    def next_model(
+        self, request: ChoiceRequest, answer: Answer, body_bytes: int, now_s: float
+    ) -> ModelDecision:
+        """Return the model to ask after an answer that lacks confidence, if any."""
+        return self.model_choice.next_model(
+            request, answer, self._placement_of(request, body_bytes, now_s), now_s
+        )
+
+    def _placement_of(
+        self, request: ChoiceRequest, body_bytes: int, now_s: float
+    ) -> PlacementOf:
+        facts = self.model_choice.with_expected_output(request.route, request.facts)
 
         def placement_of(model: str) -> Placement | None:
             try:
-                return self.place(service, facts, model, body_bytes, now_s)
+                return self.place(request.service, facts, model, body_bytes, now_s)
             except RefusalError:
                 return None
 
-        idle_s = [
-            self._placer.first_tokens.expected_ms(model, facts.prompt_tokens) / 1000
-            for model in (route.models[0], route.models[-1])
-        ]
-        idle = PromptTimes(smallest_s=idle_s[0], largest_s=idle_s[1])
-        return self.cascade.first_model(route, idle, placement_of)
-
-    def may_escalate(
-        self,
-        route: Route,
-        service: Service,
-        facts: RequestFacts,
-        model: str,
-        body_bytes: int,
-        elapsed_s: float,
-        now_s: float,
-    ) -> bool:
-        """Return whether a request may be escalated to the larger ``model``.
-
-        The model's first token must be expected within the allowed fraction of
-        the route's target latency. ``elapsed_s`` is the time already spent.
-        """
-        try:
-            placement = self.place(service, facts, model, body_bytes, now_s)
-        except RefusalError:
-            return False
-        expected_s = elapsed_s + placement.expected_ms / 1000
-        return expected_s <= route.target_latency_s * ESCALATION_LATENCY_FRACTION
+        return placement_of
 
     def apply_unreachable(
         self, entry: str, processes: Iterable[str], now_s: float
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/placement/const.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/placement/const.py
@@ -53,3 +53,7 @@
 # prefixes stored.
 MAX_PREFIX_UPSTREAMS: Final = 8
 MAX_PREFIXES: Final = 20_000
+
+# Factor of the expected time to the first token that four of five observed times stay
+# under, where it is not known.
+DEFAULT_SPREAD: Final = 1.25
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/placement/placer.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/placement/placer.py
@@ -12,6 +12,7 @@
 from .const import (
     CACHED_PROMPT_TOKENS,
     CROSS_ZONE_MS_PER_KB,
+    DEFAULT_SPREAD,
     MAX_COMPARED_UPSTREAMS,
     MAX_PREFIX_UPSTREAMS,
     MAX_PREFIXES,
@@ -86,6 +87,11 @@
     # Prompt tokens that the upstream has cached, and those it has to read.
     cached_tokens: int
     unread_tokens: int
+    # Factor of the expected time to the first token that four of five observed times
+    # stay under.
+    spread: float = DEFAULT_SPREAD
+    # Expected time from the first token to the end; 0 if not known.
+    end_ms: float = 0.0
 
     @property
     def expected_ms(self) -> float:
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/rates/const.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/rates/const.py
@@ -6,6 +6,10 @@
 # requests that entries count in different windows.
 RETRY_BUDGET_FRACTION: Final = 0.8
 
+# Share of the retries allowed to an entry that only requests after failures may use,
+# not escalations.
+RESERVED_RETRY_SHARE: Final = 0.1
+
 # Fraction of a cold upstream's rate limit that all entries together use; the
 # rest covers requests sent in one second that arrive in the next.
 COLD_RATE_FRACTION: Final = 0.9
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/rates/retries.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/rates/retries.py
@@ -13,6 +13,20 @@
     retry_times_s: deque[float] = attrs.field(factory=deque)
 
 
+@attrs.frozen(kw_only=True)
+class BudgetUse:
+    """Retries of a service within the window at this entry."""
+
+    used: int
+    # Retries that the entry may send within the window.
+    allowed: float
+
+    @property
+    def share(self) -> float:
+        """Return the used share of what is allowed; 0 if no retries ever are."""
+        return self.used / self.allowed if self.allowed > 0 else 0.0
+
+
 class RetryBudget:
     """Limits the retries of each service within a sliding window.
 
@@ -41,10 +55,10 @@
         """Count a request's first attempt."""
         self._window(service, now_s).request_times_s.append(now_s)
 
-    def try_spend(
+    def use(
         self, service: str, now_s: float, *, may_use_slack: bool = True
-    ) -> bool:
-        """Count a retry if the budget allows it, and return whether it does.
+    ) -> BudgetUse:
+        """Return what is used and allowed now, without counting anything.
 
         An entry that the others may no longer count leaves the slack to them.
         """
@@ -52,9 +66,25 @@
         allowed = self._ratio * len(window.request_times_s)
         if may_use_slack:
             allowed += self._slack / self._entries
-        if len(window.retry_times_s) + 1 > allowed:
+        return BudgetUse(used=len(window.retry_times_s), allowed=allowed)
+
+    def try_spend(
+        self,
+        service: str,
+        now_s: float,
+        *,
+        may_use_slack: bool = True,
+        reserved_share: float = 0.0,
+    ) -> bool:
+        """Count a retry if the budget allows it, and return whether it does.
+
+        Leaves ``reserved_share`` of what is allowed to others. An entry that the
+        others may no longer count leaves the slack to them.
+        """
+        use = self.use(service, now_s, may_use_slack=may_use_slack)
+        if use.used + 1 > use.allowed * (1 - reserved_share):
             return False
-        window.retry_times_s.append(now_s)
+        self._windows[service].retry_times_s.append(now_s)
         return True
 
     def _window(self, service: str, now_s: float) -> _Window:
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/attempts.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/attempts.py
@@ -7,6 +7,7 @@
 
 from cardamomnotch_core.relay.crashes.const import CRASH_ONSET_S
 from cardamomnotch_core.relay.crashes.detection import AttemptEnd
+from cardamomnotch_core.relay.model_choice.models import Answer
 from cardamomnotch_core.relay.node import RelayNode
 from cardamomnotch_core.relay.placement.placer import Placement
 from cardamomnotch_runtime.structured_log import log_event
@@ -119,6 +120,16 @@
         assert self._head is not None
         return self._head
 
+    def answer(self, elapsed_s: float) -> Answer:
+        """Return what is known of the answer whose head has arrived."""
+        return Answer(
+            model=self._model,
+            confidence=self.head.confidence,
+            elapsed_s=elapsed_s,
+            prefill_ms=self._placement.prefill_ms,
+            end_ms=self._placement.end_ms,
+        )
+
     async def async_open(
         self, request: CallerRequest, parameters: AttemptParameters, body: bytes
     ) -> ResponseHead:
@@ -135,6 +146,7 @@
         self._node.attempts.record_sent(
             self._placement, request.facts, self._model, self, self._sent_at_s
         )
+        self._node.model_choice.record_wait(self._placement, self._sent_at_s)
         headers = self._codec.encode_attempt(request, parameters)
         try:
             response = await self._client.async_send(
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/diagnostics.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/diagnostics.py
@@ -2,6 +2,8 @@
 
 from typing import Any
 
+import attrs
+
 from cardamomnotch_core.relay.node import RelayNode
 
 from .server import RelayServer
@@ -44,6 +46,11 @@
             }
             for state in node.fleet
         ],
+        "shortage": {
+            service: attrs.asdict(node.model_choice.shortage(service, now_s))
+            for service in node.model_choice.services
+        },
+        "model_choice": node.model_choice.learned(),
         "crashes": node.quarantine.totals,
         "named_rates": node.rates.named,
         "zones_unreachable": sorted(node.reachability.lost_zones(now_s)),
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/event_stream.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/event_stream.py
@@ -28,6 +28,12 @@
         self._pending = b""
         self._last_event_id = last_event_id
         self._bytes_without_data = 0
+        self._count = 0
+
+    @property
+    def count(self) -> int:
+        """Return how many events there were, with those that keep a stream alive."""
+        return self._count
 
     @property
     def last_event_id(self) -> str:
@@ -80,6 +86,7 @@
         if data is None:
             self._bytes_without_data += len(lines)
             return
+        self._count += lines.count(b"\n\n")
         start, end = _event_around(lines, data.start())
         self._bytes_without_data = len(lines) - end
         event_id = _last_match(_ID, lines, start, end) or _last_id_with_data(lines)
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/forwarder.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/forwarder.py
@@ -6,6 +6,7 @@
 from aiohttp import web
 
 from cardamomnotch_core.relay.exceptions import RefusalError
+from cardamomnotch_core.relay.model_choice.models import ChoiceRequest
 from cardamomnotch_core.relay.models import Route, Service, Workspace
 from cardamomnotch_core.relay.node import RelayNode
 from cardamomnotch_protocol.result_codes import ResultCode
@@ -26,12 +27,12 @@
     UpstreamUnreachableError,
 )
 from .interfaces import MessageCodec
+from .model_selection import ModelSelection
 from .models import (
     AttemptLog,
     AttemptOutcome,
     AttemptParameters,
     CallerRequest,
-    ResponseHead,
 )
 from .upstream_client import UpstreamClient
 
@@ -69,6 +70,8 @@
         self._workspace: Workspace | None = None
         self._deadline_s = arrived_at_s
         self._model = ""
+        # None if the caller named the model.
+        self.model_selection: ModelSelection | None = None
         # Version that a resumed stream must keep, since the caller has a part
         # of its response; empty if any version may serve.
         self._version = ""
@@ -142,9 +145,20 @@
             capacity_deadline_s=self._arrived_at_s + route.target_latency_s / 4,
         )
         if request.facts.chooses_model and route.models:
-            self._model = node.first_model(
-                route, self._service, request.facts, len(self._body), self._clock()
+            self.model_selection = ModelSelection(
+                node=node,
+                request=ChoiceRequest(
+                    route=route,
+                    service=self._service,
+                    facts=request.facts,
+                    workspace=self._workspace,
+                    allowed_s=timeout_s,
+                ),
+                body_bytes=len(self._body),
+                clock=self._clock,
+                arrived_at_s=self._arrived_at_s,
             )
+            self._model = self.model_selection.first_model
         self._time_limit = asyncio.timeout(max(0.0, self._deadline_s - self._clock()))
         try:
             async with self._time_limit:
@@ -165,7 +179,7 @@
         while True:
             attempt = await self._async_open_attempt()
             head = attempt.head
-            if head.status < 300 and self._escalate(head):
+            if head.status < 300 and self._escalate():
                 attempt.close(AttemptOutcome.UNSURE)
                 continue
             if head.status < 300 and self._route.repeat.is_stream:
@@ -281,6 +295,8 @@
                 if events.pending:
                     await response.write(events.pending)
                 attempt.close(AttemptOutcome.ANSWERED)
+                if self.model_selection and not self._request.last_event_id:
+                    self.model_selection.record_output(events.count)
                 await response.write_eof()
                 return response
             except ResponseLostError as error:
@@ -306,38 +322,20 @@
         except (RefusalError, UpstreamFailureError) as refusal:
             raise ResponseTruncatedError(refusal.detail) from refusal
 
-    def _escalate(self, head: ResponseHead) -> bool:
+    def _escalate(self) -> bool:
         """Choose a larger model for the next attempt if the confidence is low.
 
         Return False if the current response is kept.
         """
-        self._node.cascade.record_answer(self._route, self._model, head.confidence)
-        if not self._model or not self._route.repeat.is_repeatable:
+        if self.model_selection is None:
             return False
-        if self._node.quarantine.is_repeat_suspect(self._request.facts.suspects):
-            # Whether an upstream crashes with a dropped answer is known late.
-            return False
-        # After a failed attempt the last one is reserved for another failure.
-        if self._runs_left() < (2 if self._has_failed_attempt else 1):
-            return False
-        larger_model = self._node.cascade.next_model(
-            self._route, self._model, head.confidence
+        larger_model = self.model_selection.choose_next(
+            self._attempt,
+            runs_left=self._runs_left(),
+            has_failed_attempt=self._has_failed_attempt,
         )
         if larger_model is None:
             return False
-        now_s = self._clock()
-        in_time = self._node.may_escalate(
-            self._route,
-            self._service,
-            self._request.facts,
-            larger_model,
-            len(self._body),
-            now_s - self._arrived_at_s,
-            now_s,
-        )
-        # Without a grant the answer would be dropped, and no attempt would follow.
-        if not in_time or not self._node.allow_retry(self._service.name, now_s):
-            return False
         self._is_retry_granted = True
         self._model = larger_model
         self._tried_upstreams -= {self._attempt.upstream_id}
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/metrics.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/metrics.py
@@ -6,6 +6,7 @@
 
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 
+from cardamomnotch_core.relay.model_choice.models import ChoiceReason
 from cardamomnotch_core.relay.node import RelayNode
 from cardamomnotch_protocol.result_codes import ResultCode
 
@@ -88,6 +89,20 @@
             ["route", "version", "model", "outcome"],
             registry=self.registry,
         )
+        self._model_choices = Counter(
+            "cardamomnotch_relay_model_choices",
+            "Requests for which the relay chose the model, by the reason.",
+            ["reason"],
+            registry=self.registry,
+        )
+        self._model_choice, self._clock = node.model_choice, clock
+        self._shortage_services: set[str] = set()
+        self._shortage = Gauge(
+            "cardamomnotch_relay_shortage",
+            "Part of the demand for larger models, 0 to 1, that is refused.",
+            ["service"],
+            registry=self.registry,
+        )
         self._suspected_attempts = Counter(
             "cardamomnotch_relay_suspected_attempts",
             "Attempts of requests that may have crashed upstreams, by crashes.",
@@ -232,6 +247,18 @@
             )
             first_byte.observe(log.first_byte_ms / 1000)
 
+    def count_model_choice(self, reason: ChoiceReason) -> None:
+        """Count a request for which the relay chose the model."""
+        self._model_choices.labels(reason=reason.value).inc()
+        for service in self._model_choice.services:
+            if service not in self._shortage_services:
+                self._shortage_services.add(service)
+                gauge = self._shortage.labels(service=service)
+                gauge.set_function(partial(self._shortage_of, service))
+
+    def _shortage_of(self, service: str) -> float:
+        return self._model_choice.shortage(service, self._clock()).value
+
     def observe_store_reply(self, kind: str, size: int, seconds: float) -> None:
         """Record a reply of the store: its bytes, and how long they arrived."""
         self._store_reply_bytes.labels(kind=kind).observe(size)
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/server.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/server.py
@@ -217,6 +217,8 @@
         self._metrics.count_request(code, seconds, document_age_s)
         for log in forwarder.attempts if forwarder else ():
             self._metrics.count_attempt(route.name if route else "", log)
+        if forwarder and forwarder.model_selection:
+            self._metrics.count_model_choice(forwarder.model_selection.decision.reason)
         log_event(
             _LOGGER,
             "request ended",
@@ -237,6 +239,7 @@
             fingerprint=request.facts.fingerprint if request else "",
             prompt=[part.part_id for part in request.facts.prompt] if request else [],
             attempts=[log.as_dict() for log in forwarder.attempts] if forwarder else [],
+            **_model_choice_fields(forwarder),
             **_refused_request_fields(code, request),
         )
 
@@ -246,6 +249,21 @@
     return int(age_s * 1000) if math.isfinite(age_s) else -1
 
 
+def _model_choice_fields(forwarder: Forwarder | None) -> dict[str, object]:
+    """Return log fields with the last decision on the model, and its inputs."""
+    if forwarder is None or forwarder.model_selection is None:
+        return {}
+    decision = forwarder.model_selection.decision
+    shortage = decision.shortage
+    return {
+        "model_choice": decision.reason.value,
+        "shortage": round(shortage.value, 3),
+        "shortage_wait_ms": int(shortage.wait_ms),
+        "shortage_age_ms": int(shortage.age_s * 1000),
+        "retry_budget_used": round(shortage.budget_share, 3),
+    }
+
+
 def _refused_request_fields(
     code: ResultCode | None, request: CallerRequest | None
 ) -> dict[str, str]:
--- a/tests/core/relay/model_choice/test_cascade.py
+++ b/tests/core/relay/model_choice/test_first_model.py
@@ -1,39 +1,41 @@
-"""Choice of the model by confidence, prompt and load."""
+"""Choice of the model that is asked first, without shortage."""
 
 import attrs
 import pytest
 
 from cardamomnotch_core.load_model.models import LoadCase, ModelSpec, RequestClass
 from cardamomnotch_core.load_model.simulation import LoadSimulation
-from cardamomnotch_core.relay.model_choice.cascade import Cascade, PromptTimes
+from cardamomnotch_core.relay.model_choice.models import Answer, PromptTimes
 from cardamomnotch_core.relay.models import RepeatRule
-from cardamomnotch_core.relay.placement.placer import Placement
 
 TARGET_S = 3.0
 LONG = PromptTimes(smallest_s=0.5, largest_s=2.2)
 
 
 @pytest.fixture
-def make_choice(make_route):
+def choose_first(make_choice, make_request, make_placement):
     """Return a function that chooses the first model of a request."""
 
     def placement(seconds, waiting_ms=0.0):
         if seconds is None:
             return None
-        return Placement(None, seconds * 1000 - waiting_ms, waiting_ms, 0.0, 0, 0)
+        return make_placement(seconds * 1000 - waiting_ms, waiting_ms)
 
     def choose(idle, small_s, large_s, *, low_share=0.5, waiting_ms=0.0, **fields):
         fields = {"models": ("small", "large"), **fields}
-        route = make_route(target_latency_s=TARGET_S, **fields)
-        cascade = Cascade()
+        request = make_request(target_latency_s=TARGET_S, **fields)
+        choice = make_choice([request.route])
         for number in range(200):
             is_low = number % 20 < round(low_share * 20)
-            cascade.record_answer(route, "small", 10 if is_low else 90)
+            answer = Answer(
+                model="small", confidence=10 if is_low else 90, elapsed_s=0.1
+            )
+            choice.record_answer(request, answer)
         placements = {
             "small": placement(small_s),
             "large": placement(large_s, waiting_ms),
         }
-        return cascade.first_model(route, idle, placements.get)
+        return choice.first_model(request, idle, placements.get, 0.0).model
 
     return choose
 
@@ -65,9 +67,9 @@
         "one model",
     ],
 )
-def test_first_model(make_choice, idle, small_s, large_s, options, expected):
+def test_first_model(choose_first, idle, small_s, large_s, options, expected):
     """The large model comes first only where it would come too late second."""
-    assert make_choice(idle, small_s, large_s, **options) == expected
+    assert choose_first(idle, small_s, large_s, **options) == expected
 
 
 def long_prompts(requests_per_s):
--- a/tests/core/relay/test_node.py
+++ b/tests/core/relay/test_node.py
@@ -9,6 +9,7 @@
 from cardamomnotch_core.relay.crashes.detection import AttemptEnd, Crash, Suspicion
 from cardamomnotch_core.relay.exceptions import RefusalError
 from cardamomnotch_core.relay.limits import RelayLimits
+from cardamomnotch_core.relay.model_choice.models import Answer, ChoiceRequest
 from cardamomnotch_core.relay.models import PromptPart, RolloutOrder, Service, Share
 from cardamomnotch_core.relay.node import RelayIdentity, RelayNode
 from cardamomnotch_core.relay.placement.const import MAX_COMPARED_UPSTREAMS
@@ -199,17 +200,18 @@
 
 
 @pytest.mark.parametrize(
-    ("elapsed_s", "expected"), [(0.1, True), (1.59, False)], ids=["early", "late"]
+    ("elapsed_s", "expected"), [(0.1, "large"), (1.59, None)], ids=["early", "late"]
 )
 def test_escalation_only_within_the_latency_target(
     node, service, make_route, make_upstream, make_facts, elapsed_s, expected
 ):
     """A larger model is asked only if its first token is expected in time."""
     register_upstream(node, make_upstream())
-    escalates = node.may_escalate(
-        make_route(), service, make_facts(), "large", 0, elapsed_s, 0.0
-    )
-    assert escalates is expected
+    route = make_route(models=("small", "large"))
+    request = ChoiceRequest(route=route, service=service, facts=make_facts())
+    answer = Answer(model="small", confidence=10, elapsed_s=elapsed_s)
+    decision = node.next_model(request, answer, 0, 0.0)
+    assert decision.model == expected
 
 
 def test_record_is_urgent_only_if_it_affects_decisions(node):
