--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/attempt_tracker.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/attempt_tracker.py
@@ -76,7 +76,7 @@
     ) -> None:
         """Record an attempt about to be sent; ``key`` identifies it."""
         state = placement.state
-        prefill_ms = self._placer.estimates.record_sent(
+        usual = self._placer.estimates.record_sent(
             state, key, facts, model, placement.unread_tokens, now_s
         )
         state.in_flight += 1
@@ -85,7 +85,7 @@
         rollout = self._versions.get(state.upstream.service)
         if rollout is not None:
             rollout.record_sent(
-                key, state.upstream.version, placement.expected_ms / 1000, now_s
+                key, state.upstream.version, usual.expected_ms / 1000, now_s
             )
         self._crash_detector.record_sent(
             key,
@@ -105,7 +105,7 @@
                 kind=LoadKind.STARTED,
                 attempt=self._local_attempts[key][0],
                 upstream_id=state.upstream_id,
-                prefill_ms=int(prefill_ms),
+                prefill_ms=int(usual.idle_ms),
                 model=model,
                 prompt=facts.prompt[:-1],
                 session=session,
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/upstream_estimates/coordinator.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/upstream_estimates/coordinator.py
@@ -30,7 +30,7 @@
     LOAD_LIMITS_MS,
     MAX_ESTIMATED_MODELS,
 )
-from .models import LOAD_CLASSES, ErrorSummary, FirstTokenEstimate
+from .models import LOAD_CLASSES, ErrorSummary, FirstTokenEstimate, UsualTimes
 from .queue import PendingPrompt
 from .regression import CoefficientLimits, LinearTime
 
@@ -186,16 +186,13 @@
         model: str,
         unread_tokens: int,
         now_s: float,
-    ) -> float:
-        """Record an attempt of this entry before it counts as running.
-
-        Returns the expected time to the first token on an idle upstream, as it is
-        sent to the other entries, in milliseconds.
-        """
+    ) -> UsualTimes:
+        """Record an attempt of this entry before it counts as running."""
         if not facts.prompt_tokens:
-            prefill_ms = self.first_tokens.expected_ms(model, unread_tokens)
+            estimate = self.first_token(state, facts, model, unread_tokens, now_s)
+            prefill_ms = estimate.prefill_ms
             state.queue.start(key, prefill_ms, now_s, max(1, state.upstream.slots))
-            return prefill_ms
+            return UsualTimes(prefill_ms, prefill_ms + estimate.waiting_ms)
         times = self._times(state.upstream.service, model)
         running = state.running(now_s)
         backlog = state.queue.backlog(now_s)
@@ -231,8 +228,8 @@
             idle_ms=base + prompt_ms,
             due_ms=total_ms * correction,
         )
-        state.queue.start(key, base + prompt_ms, now_s, prompt=pending)
-        return base + prompt_ms
+        state.queue.start(key, pending.idle_ms, now_s, prompt=pending)
+        return UsualTimes(pending.idle_ms, pending.expected_ms + backlog.overdue_ms)
 
     def record_sent_by_other(
         self,
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/upstream_estimates/models.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/upstream_estimates/models.py
@@ -1,9 +1,12 @@
 """Data types of the estimates of an upstream's times."""
 
+from bisect import bisect_right
 from enum import StrEnum
 
 import attrs
 
+from .const import LOAD_LIMITS_MS
+
 
 class LoadClass(StrEnum):
     """Expected wait for other requests, in classes."""
@@ -18,6 +21,11 @@
 LOAD_CLASSES = tuple(LoadClass)
 
 
+def load_class(waiting_ms: float) -> LoadClass:
+    """Return the class of an expected wait."""
+    return LOAD_CLASSES[bisect_right(LOAD_LIMITS_MS, waiting_ms)]
+
+
 # Not frozen: an instance is created for each candidate, and creating a frozen one
 # takes longer.
 @attrs.define
@@ -32,6 +40,20 @@
     spread: float = 1.0
 
 
+@attrs.define
+class UsualTimes:
+    """What an attempt would take at an upstream of its service's usual speed.
+
+    What is told of an attempt to other entries and to rollouts does not depend on what
+    this entry has learned of the upstream: it would hide that a version is slow.
+    """
+
+    # Expected time to the first token if nothing else ran there, in milliseconds.
+    idle_ms: float
+    # Expected time to the first token, in milliseconds.
+    expected_ms: float
+
+
 @attrs.frozen(kw_only=True)
 class ErrorSummary:
     """Ratio of observed to expected times of one model at one load."""
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/attempts.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/attempts.py
@@ -86,6 +86,8 @@
             cached_tokens=placement.cached_tokens,
             unread_tokens=placement.unread_tokens,
             waiting_ms=int(placement.waiting_ms),
+            spread=round(placement.spread, 2),
+            expected_end_ms=int(placement.end_ms),
         )
 
     @property
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/diagnostics.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/diagnostics.py
@@ -41,9 +41,23 @@
                 "cold": state.is_cold(now_s),
                 "penalized": state.is_penalized(now_s),
                 "in_flight": state.in_flight,
+                "in_flight_all": state.running(now_s),
+                "pending": len(state.queue.prompts),
+                "speed_factor": round(state.queue.speed.factor(now_s), 2),
             }
             for state in node.fleet
         ],
+        "first_token_errors": [
+            {
+                "service": error.service,
+                "model": error.model,
+                "load": error.load.value,
+                "samples": error.samples,
+                "median_ratio": round(error.median, 2),
+                "spread": round(error.spread, 2),
+            }
+            for error in node.estimates.errors
+        ],
         "crashes": node.quarantine.totals,
         "named_rates": node.rates.named,
         "zones_unreachable": sorted(node.reachability.lost_zones(now_s)),
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/metrics.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/metrics.py
@@ -7,12 +7,14 @@
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 
 from cardamomnotch_core.relay.node import RelayNode
+from cardamomnotch_core.relay.upstream_estimates.models import load_class
 from cardamomnotch_protocol.result_codes import ResultCode
 
 from .models import AttemptLog
 
 _LATENCY_BUCKETS_S = (0.01, 0.03, 0.1, 0.3, 1.0, 3.0, 10.0)
 _LAG_BUCKETS_S = (0.003, 0.01, 0.03, 0.1, 0.3, 1.0)
+_RATIO_BUCKETS = (0.3, 0.5, 0.75, 1.0, 1.25, 1.5, 2.0, 4.0)
 _REPLY_BUCKETS_BYTES = (1e3, 1e4, 1e5, 1e6)
 _DOCUMENT_AGE_BUCKETS_S = (0.3, 0.6, 1.0, 1.5, 2.0, 3.0, 4.0)
 # Refusals that the route document is the reason for.
@@ -113,6 +115,14 @@
             buckets=_LATENCY_BUCKETS_S,
             registry=self.registry,
         )
+        self._first_byte_ratio = Histogram(
+            "cardamomnotch_relay_first_byte_ratio",
+            "Observed time to the first byte relative to the expected one, for requests"
+            " with a prompt, by model and class of the expected wait.",
+            ["model", "load"],
+            buckets=_RATIO_BUCKETS,
+            registry=self.registry,
+        )
         self._loop_lag_seconds = Histogram(
             "cardamomnotch_relay_loop_lag_seconds",
             "How late the event loop runs what is due.",
@@ -231,6 +241,10 @@
                 version=log.version, model=log.model
             )
             first_byte.observe(log.first_byte_ms / 1000)
+            if log.cached_tokens or log.unread_tokens:
+                load = load_class(log.waiting_ms).value
+                ratio = self._first_byte_ratio.labels(model=log.model, load=load)
+                ratio.observe(log.first_byte_ms / max(1, log.expected_ms))
 
     def observe_store_reply(self, kind: str, size: int, seconds: float) -> None:
         """Record a reply of the store: its bytes, and how long they arrived."""
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/models.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/models.py
@@ -99,6 +99,10 @@
     cached_tokens: int
     unread_tokens: int
     waiting_ms: int
+    # Factor on the expected time that four of five observed times stay under.
+    spread: float = 1.0
+    # Expected time from the first token to the end; 0 if the length is not stated.
+    expected_end_ms: int = 0
     # Crashes that the request, or a part of its prompt, may have caused when
     # the attempt was sent.
     suspected_crashes: int = 0
--- a/tests/core/relay/upstream_estimates/replay.py
+++ b/tests/core/relay/upstream_estimates/replay.py
@@ -142,7 +142,7 @@
         estimate = entry.estimates.first_token(
             state, facts, attempt.model, attempt.unread_tokens, now_s
         )
-        idle_ms = entry.estimates.record_sent(
+        usual = entry.estimates.record_sent(
             state, key, facts, attempt.model, attempt.unread_tokens, now_s
         )
         state.in_flight += 1
@@ -157,7 +157,9 @@
             at_ms = attempt.sent_ms + attempt.first_byte_ms
             self._at(at_ms, 0, self._answer, attempt)
         self._at(max(attempt.ended_ms, attempt.sent_ms), 0, self._end, attempt)
-        self._notify(_NOTICE_MS, now_s, self._start_elsewhere, attempt, int(idle_ms))
+        self._notify(
+            _NOTICE_MS, now_s, self._start_elsewhere, attempt, int(usual.idle_ms)
+        )
 
     def _answer(self, now_s, attempt):
         entry = self._entries[attempt.entry]
--- a/tests/core/relay/upstream_estimates/test_estimates.py
+++ b/tests/core/relay/upstream_estimates/test_estimates.py
@@ -216,6 +216,19 @@
     assert expected_ms(fleet.get("up-0"), now_s) == pytest.approx(IDLE_MS, rel=0.1)
 
 
+def test_slow_version_is_compared_with_the_usual_time(
+    states, estimates, prompt, expected_ms, run, trained_s
+):
+    """A slow version would be kept if its own slowness were expected of it."""
+    slow, now_s = states[0], trained_s
+    for _ in range(10):
+        now_s = run(slow, now_s, IDLE_MS * 4)
+    assert expected_ms(slow, now_s) > IDLE_MS * 2
+    usual = estimates.record_sent(slow, "key", prompt, "m", TOKENS, now_s)
+    assert usual.expected_ms == pytest.approx(IDLE_MS, rel=0.2)
+    assert usual.idle_ms == pytest.approx(IDLE_MS, rel=0.2)
+
+
 def test_requests_without_a_prompt_keep_their_estimate(make_facts, states, estimates):
     """Plain services are served as before: slots, and 8 ms a running request."""
     state, _ = states
--- a/tests/core/relay/upstream_estimates/test_replay.py
+++ b/tests/core/relay/upstream_estimates/test_replay.py
@@ -6,12 +6,14 @@
 
 import functools
 import statistics
-from bisect import bisect_right
 
 import pytest
 
-from cardamomnotch_core.relay.upstream_estimates.const import LOAD_LIMITS_MS
-from cardamomnotch_core.relay.upstream_estimates.models import LOAD_CLASSES, LoadClass
+from cardamomnotch_core.relay.upstream_estimates.models import (
+    LOAD_CLASSES,
+    LoadClass,
+    load_class,
+)
 
 from .replay import Replay, read_attempts
 
@@ -44,8 +46,7 @@
         result
         for result in replay(recording)
         if result.attempt.model == model
-        and load
-        in (None, LOAD_CLASSES[bisect_right(LOAD_LIMITS_MS, result.waiting_ms)])
+        and load in (None, load_class(result.waiting_ms))
     ]
 
 
