--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/model_choice/choice.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/model_choice/choice.py
@@ -157,8 +157,11 @@
         small = ModelDecision(route.models[0], ChoiceReason.SMALL, shortage)
         if not self._may_be_large_first(route, idle, shortage):
             return small
-        first, second = placement_of(route.models[0]), placement_of(route.models[-1])
-        if first is None or second is None:
+        second = placement_of(route.models[-1])
+        if second is None or not is_in_time(route, 0.0, second):
+            return small
+        first = placement_of(route.models[0])
+        if first is None:
             return small
         kept = Answer(
             model=route.models[0],
@@ -166,7 +169,7 @@
             elapsed_s=0.0,
             end_ms=first.expected_ms + first.end_ms,
         )
-        if not is_in_time(route, 0.0, second) or ends_too_late(request, kept, second):
+        if ends_too_late(request, kept, second):
             return small
         is_only_way = not is_in_time(route, first.expected_ms / 1000, second)
         if shortage.value <= 0:
@@ -199,13 +202,13 @@
             return ModelDecision(None, ChoiceReason.KEPT_NO_UPSTREAM, shortage)
         options = [self._option(request, answer, larger[-1], largest)]
         reason = self._obstacle(request, answer, largest)
-        if self._considers_middle(request, larger[:-1], shortage):
-            placements = ((model, placement_of(model)) for model in larger[:-1])
-            options += [
-                self._option(request, answer, model, placement)
-                for model, placement in placements
-                if placement is not None
-            ]
+        least_gain = 0.0 if reason else options[0].gain * (1 - shortage.value)
+        for model in larger[:-1]:
+            if not self._considers_middle(request, answer, model, shortage, least_gain):
+                continue
+            placement = placement_of(model)
+            if placement is not None:
+                options.append(self._option(request, answer, model, placement))
         usable = [
             option
             for option in options
@@ -217,7 +220,7 @@
             return ModelDecision(None, reason, shortage)
         option = self._best(request, usable, options[0], shortage)
         rank = self._add_wish(request, option, now_s)
-        if not self._is_granted(request, rank, 1 - shortage.value, now_s):
+        if not self._is_granted(request, rank, 1 - shortage.value):
             reason = (
                 ChoiceReason.KEPT_BUDGET
                 if shortage.budget_part >= shortage.wait_part
@@ -269,7 +272,7 @@
         if option.gain <= 0:
             return False
         rank = self._add_wish(request, option, now_s)
-        return self._is_granted(request, rank, share, now_s)
+        return self._is_granted(request, rank, share)
 
     def _obstacle(
         self, request: ChoiceRequest, answer: Answer, placement: Placement
@@ -282,17 +285,25 @@
         return None
 
     def _considers_middle(
-        self, request: ChoiceRequest, models: Iterable[str], shortage: Shortage
+        self,
+        request: ChoiceRequest,
+        answer: Answer,
+        model: str,
+        shortage: Shortage,
+        least_gain: float,
     ) -> bool:
-        """Return whether other models than the largest are compared with it."""
+        """Return whether a model between two others is compared with the largest.
+
+        Under shortage it is if it could pay, without its time; otherwise a model
+        without answers is, for a small share of the requests.
+        """
         if shortage.value > 0:
-            return True
+            kept = (answer.confidence or 0) / 100
+            chance = self._quality.chance(request.route, request.facts, model, kept)
+            return chance - kept > least_gain
         return (
             self._explored_share > 0
-            and any(
-                not self._quality.is_known(request.route, request.facts, model)
-                for model in models
-            )
+            and not self._quality.is_known(request.route, request.facts, model)
             and self._random() < self._explored_share
         )
 
@@ -373,7 +384,7 @@
         rank = Rank(
             request.priority,
             self._is_over_share(service, request.workspace_name, now_s),
-            -loss / option.time_ms,
+            loss / option.time_ms,
         )
         demand = self._demand.get(service)
         if demand is None:
@@ -381,10 +392,8 @@
         demand.add(rank, option.time_ms, now_s)
         return rank
 
-    def _is_granted(
-        self, request: ChoiceRequest, rank: Rank, share: float, now_s: float
-    ) -> bool:
+    def _is_granted(self, request: ChoiceRequest, rank: Rank, share: float) -> bool:
         """Return whether a wish ranks within ``share`` of the wanted upstream time."""
         if share >= 1:
             return True
-        return self._demand[request.service.name].position(rank, now_s) < share
+        return self._demand[request.service.name].position(rank) < share
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/model_choice/models.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/model_choice/models.py
@@ -104,11 +104,16 @@
     shortage: Shortage
 
 
-@attrs.frozen(order=True)
+@attrs.frozen
 class Rank:
-    """Order of wishes for a larger model; lower ones come first."""
+    """Rank of a wish for a larger model."""
 
     priority: int
     is_over_share: bool
-    # Negative loss without the larger model for each millisecond of upstream time.
-    negative_loss: float
+    # Loss without the larger model for each millisecond of upstream time.
+    loss_per_ms: float
+
+    @property
+    def order(self) -> tuple[float, ...]:
+        """Return a key by which wishes are ordered; lower ones come first."""
+        return self.priority, self.is_over_share, -self.loss_per_ms
--- a/tests/core/relay/model_choice/test_choice.py
+++ b/tests/core/relay/model_choice/test_choice.py
@@ -2,8 +2,14 @@
 
 import attrs
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
-from cardamomnotch_core.relay.model_choice.const import MAX_WISHES, SIZE_CLASS_BOUNDS
+from cardamomnotch_core.relay.model_choice.const import (
+    DEMAND_WINDOW_S,
+    MAX_WISHES,
+    SIZE_CLASS_BOUNDS,
+)
 from cardamomnotch_core.relay.model_choice.demand import RecentDemand
 from cardamomnotch_core.relay.model_choice.in_time import chance_in_time
 from cardamomnotch_core.relay.model_choice.models import (
@@ -37,13 +43,13 @@
 def test_rank_order():
     """Priority comes first, then the share of a workspace, then the loss."""
     ranks = [
-        Rank(0, False, -2.0),
-        Rank(0, False, -1.0),
-        Rank(0, True, -9.0),
-        Rank(5, False, -9.0),
-        Rank(5, True, -9.0),
+        Rank(0, False, 2.0),
+        Rank(0, False, 1.0),
+        Rank(0, True, 9.0),
+        Rank(5, False, 9.0),
+        Rank(5, True, 9.0),
     ]
-    assert sorted(reversed(ranks)) == ranks
+    assert sorted(reversed(ranks), key=lambda rank: rank.order) == ranks
 
 
 @pytest.mark.parametrize(
@@ -298,11 +304,32 @@
     learned = choice.learned()["draft"]["good"]
     assert len(learned) <= len(MODELS) * (len(SIZE_CLASS_BOUNDS) + 1)
     demand = RecentDemand(lambda: 0.5)
-    for number in range(2 * MAX_WISHES):
-        demand.add(Rank(0, False, -1.0), 1.0, number / 1_000)
-    assert len(demand) == MAX_WISHES
-    demand.position(Rank(0, False, -1.0), 100.0)
-    assert not len(demand)
+    for number in range(3 * MAX_WISHES):
+        demand.add(Rank(number % 3, False, number % 7), number % 5 + 1, number / 1_000)
+        assert len(demand) <= MAX_WISHES
+    demand.add(Rank(1, False, 1.0), 1.0, 100.0)
+    assert len(demand) == 1
+
+
+@given(
+    wishes=st.lists(
+        st.tuples(st.integers(0, 2), st.integers(0, 2), st.floats(1, 9)), min_size=1
+    ),
+    random_number=st.floats(0, 0.99),
+)
+def test_position_among_the_wishes_of_the_window(wishes, random_number):
+    """The position is the time of the wishes above, with a part of the equal ones."""
+    demand = RecentDemand(lambda: random_number)
+    # Two a second, so that some of them are older than the window.
+    for number, (priority, loss, time_ms) in enumerate(wishes):
+        demand.add(Rank(priority, False, loss), time_ms, number / 2)
+    recent = wishes[-1 - round(2 * DEMAND_WINDOW_S) :]
+    rank = Rank(wishes[-1][0], False, wishes[-1][1])
+    order = [(Rank(priority, False, loss).order, ms) for priority, loss, ms in recent]
+    above = sum(ms for key, ms in order if key < rank.order)
+    equal = sum(ms for key, ms in order if key == rank.order)
+    expected = (above + random_number * equal) / sum(ms for _, ms in order)
+    assert demand.position(rank) == pytest.approx(expected)
 
 
 def test_route_that_disappears_is_forgotten(make_choice, make_request, make_route):
