Let requests wait for free slots at the entry instead of sending them to full upstreams

A request was sent to an upstream whatever the wait there; nobody decided who waits, in which order, and who is refused at once.

--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/attempt_tracker.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/attempt_tracker.py
@@ -3,6 +3,7 @@
 import itertools
 from collections.abc import Hashable, Iterable
 
+from .admission.coordinator import Admission
 from .const import (
     ENDED_NOTICE_DELAY_S,
     MAX_ATTEMPT_S,
@@ -42,6 +43,7 @@
         isolation: RunIsolation,
         entries: LiveEntries,
         reachability: Reachability,
+        admission: Admission,
     ) -> None:
         self._fleet = fleet
         self._placer = placer
@@ -52,12 +54,13 @@
         self._isolation = isolation
         self._entries = entries
         self._reachability = reachability
+        self._admission = admission
         self._notices: list[LoadNotice] = []
         # When the queued notices have to be sent.
         self._due_at_s = float("inf")
-        # Number and session of each of this entry's attempts, as sent in
-        # notices; numbers are shorter than the attempts' keys.
-        self._local_attempts: dict[Hashable, tuple[int, str]] = {}
+        # Number, session and workspace of each of this entry's attempts, as sent
+        # in notices; numbers are shorter than the attempts' keys.
+        self._local_attempts: dict[Hashable, tuple[int, str, str]] = {}
         self._next_attempt_number = itertools.count()
         # Upstream, session and time of the start notice of the other entries'
         # attempts, by entry name and attempt number.
@@ -73,8 +76,12 @@
         model: str,
         key: Hashable,
         now_s: float,
+        workspace: str = "",
     ) -> None:
-        """Record an attempt about to be sent; ``key`` identifies it."""
+        """Record an attempt about to be sent; ``key`` identifies it.
+
+        ``workspace`` is the hash of the workspace's name; empty if unknown.
+        """
         state = placement.state
         state.in_flight += 1
         parallel = concurrent_starts(state, facts)
@@ -98,11 +105,16 @@
             self._isolation.begin(key, state.upstream.process, frozenset(), now_s)
         session = facts.session if self._versions.is_in_first_stage(facts) else ""
         self._versions.sessions.record_started(state.upstream, session, now_s)
-        self._local_attempts[key] = next(self._next_attempt_number), session
+        number = next(self._next_attempt_number)
+        self._local_attempts[key] = number, session, workspace
+        self._admission.use.record_started(
+            state.upstream.service, workspace, self._entries.own, number, now_s
+        )
         self._queue_notice(
             LoadNotice(
                 kind=LoadKind.STARTED,
-                attempt=self._local_attempts[key][0],
+                attempt=number,
+                workspace=workspace,
                 upstream_id=state.upstream_id,
                 prefill_ms=int(placement.prefill_ms),
                 model=model,
@@ -133,8 +145,8 @@
             self._placer.first_tokens.update(
                 model, placement.unread_tokens, first_byte_s * 1000
             )
-        number, _ = self._local_attempts[key]
-        notice = LoadNotice(kind=LoadKind.ANSWERED, attempt=number)
+        number, _, workspace = self._local_attempts[key]
+        notice = LoadNotice(kind=LoadKind.ANSWERED, attempt=number, workspace=workspace)
         self._queue_notice(notice, now_s)
 
     def record_outlasted_onset(self, key: Hashable, now_s: float) -> None:
@@ -158,10 +170,15 @@
         rollout = self._versions.get(state.upstream.service)
         if rollout is not None:
             rollout.record_ended(key, now_s)
-        number, session = self._local_attempts.pop(key)
+        number, session, workspace = self._local_attempts.pop(key)
         self._versions.sessions.record_ended(state.upstream, session, now_s)
-        notice = LoadNotice(kind=LoadKind.ENDED, attempt=number)
-        self._queue_notice(notice, now_s + ENDED_NOTICE_DELAY_S)
+        self._admission.use.record_ended(self._entries.own, number, now_s)
+        notice = LoadNotice(kind=LoadKind.ENDED, attempt=number, workspace=workspace)
+        # Other entries' requests may wait for the slot.
+        is_short = self._admission.use.is_short(state.upstream.service, now_s)
+        delay_s = 0.0 if is_short else ENDED_NOTICE_DELAY_S
+        self._queue_notice(notice, now_s + delay_s)
+        self._admission.handle_ended(state, key, now_s)
 
     def take_notices(self, now_s: float) -> list[LoadNotice]:
         """Return the notices that are due and remove them from the queue.
@@ -180,6 +197,8 @@
     ) -> None:
         """Record another entry's attempts from its notices."""
         self._notice_received_at_s = now_s
+        use = self._admission.use
+        use.record_notice(now_s)
         self._expire_remote_attempts(now_s)
         sessions = self._versions.sessions
         for notice in notices:
@@ -190,6 +209,7 @@
             upstream_id, session, _ = self._remote_attempts.get(key, ("", "", 0.0))
             if notice.kind is LoadKind.ENDED:
                 self._remote_attempts.pop(key, None)
+                use.record_ended(entry, notice.attempt, now_s)
             state = self._fleet.get(upstream_id)
             if state is None:
                 continue
@@ -199,6 +219,13 @@
                 self._rates.record_sent_by_other(state, now_s)
                 self._placer.record_sent(state, notice.prompt, notice.model)
                 sessions.record_started(state.upstream, session, now_s)
+                use.record_started(
+                    state.upstream.service,
+                    notice.workspace,
+                    entry,
+                    notice.attempt,
+                    now_s,
+                )
             elif notice.kind is LoadKind.ANSWERED:
                 state.queue.finish(key, now_s, answered=True)
                 self._reachability.record_answer(state.upstream, entry, now_s)
@@ -206,6 +233,7 @@
                 state.queue.finish(key, now_s, answered=False)
                 state.remote_in_flight.pop(key, None)
                 sessions.record_ended(state.upstream, session, now_s)
+                self._admission.handle_ended(state, key, now_s)
 
     def stale_retry_s(self, now_s: float) -> float:
         """Return the retry time for callers while the store is unreachable.
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/limits.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/limits.py
@@ -41,6 +41,18 @@
     # Largest response body that is kept in memory until it is complete; bodies
     # of event streams are not.
     max_response_bytes: int = _limit_field(4_194_304, _POSITIVE)
+    # Requests that may wait for a free slot of their upstreams, at each entry.
+    queue_requests: int = _limit_field(
+        2_000,
+        attrs.validators.and_(attrs.validators.ge(1), attrs.validators.le(100_000)),
+    )
+    # Bytes of the bodies of these requests, at each entry.
+    queue_bytes: int = _limit_field(
+        32_000_000,
+        attrs.validators.and_(
+            attrs.validators.ge(65_536), attrs.validators.le(1_000_000_000)
+        ),
+    )
     # Time limit for a process to shut down after SIGTERM.
     grace_s: float = _limit_field(8.0, _POSITIVE)
 
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/node.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/node.py
@@ -1,7 +1,8 @@
 """State and decisions of one relaying entry."""
 
-from collections.abc import Iterable
-from functools import singledispatchmethod
+import random
+from collections.abc import Callable, Iterable
+from functools import partial, singledispatchmethod
 
 import attrs
 import xxhash
@@ -10,6 +11,10 @@
 
 from ..change_feed.feed import ChangeFeed
 from ..membership.rendezvous import rendezvous_hash
+from .admission.const import CERTAIN_WAIT_FRACTION
+from .admission.coordinator import Admission
+from .admission.models import Admit, Refuse, WaitingRequest, hash_workspace
+from .admission.queue import Decision
 from .attempt_tracker import AttemptTracker
 from .const import (
     ESCALATION_LATENCY_FRACTION,
@@ -68,7 +73,12 @@
 class RelayNode:
     """Keeps one entry's view of the system and decides on each request."""
 
-    def __init__(self, identity: RelayIdentity, limits: RelayLimits) -> None:
+    def __init__(
+        self,
+        identity: RelayIdentity,
+        limits: RelayLimits,
+        random_source: random.Random | None = None,
+    ) -> None:
         self._identity = identity
         self._limits = limits
         self.routes = RouteTable(limits.document_max_age_s, limits.refusal_max_age_s)
@@ -98,8 +108,20 @@
         )
         self.reachability = Reachability(identity.name, identity.zone)
         self._placer = Placer(identity.zone, self.reachability.is_avoided)
+        self.admission = Admission(
+            self.fleet,
+            self._entries,
+            limits,
+            random_source or random.Random(),
+            self.reachability.is_avoided,
+        )
         self._selector = UpstreamSelector(
-            self.fleet, self.versions, self.rates, self.suspect_runs, self._placer
+            self.fleet,
+            self.versions,
+            self.rates,
+            self.suspect_runs,
+            self._placer,
+            self.admission.has_slot,
         )
         # Addresses for notices by entry name.
         self._addresses: dict[str, str] = {}
@@ -120,6 +142,7 @@
             self.isolation,
             self._entries,
             self.reachability,
+            self.admission,
         )
 
     @property
@@ -158,6 +181,7 @@
         self.versions.set_exposure_share(limits.exposure_share)
         self.versions.sessions.set_ttl(limits.session_ttl_s)
         self.rates.set_limits(limits)
+        self.admission.set_limits(limits)
         self._retry_budget.set_limit(
             limits.retry_ratio, limits.retry_slack, limits.retry_window_s
         )
@@ -169,6 +193,7 @@
         """
         self.lost_items.record_change(change)
         self._apply(change, now_s)
+        self.admission.handle_change(now_s)
 
     @singledispatchmethod
     def _apply(self, change: object, now_s: float) -> None:
@@ -249,6 +274,7 @@
         self.isolation.forget_entry(change.entry)
         for state in self.fleet:
             state.forget_entry(change.entry)
+        self.admission.use.forget_entry(change.entry, now_s)
 
     @_apply.register
     def _(self, change: changes.CrashesReported, now_s: float) -> None:
@@ -458,13 +484,15 @@
         tried: frozenset[str] = frozenset(),
         version: str = "",
         is_resumed: bool = False,
+        needs_slot: bool = False,
     ) -> Placement:
         """Choose the upstream for an attempt.
 
         Upstreams in ``tried`` are only used if there is no other. ``version``
         is the version that has already sent part of the answer, if any.
-        ``is_resumed`` tells that the caller has a part of it. Raises
-        RefusalError if no upstream can take the request.
+        ``is_resumed`` tells that the caller has a part of it, ``needs_slot`` that
+        upstreams with a free slot go first. Raises RefusalError if no upstream can
+        take the request.
         """
         return self._selector.place(
             service,
@@ -472,7 +500,49 @@
             model,
             body_bytes,
             now_s,
-            Constraints(tried=tried, version=version, is_resumed=is_resumed),
+            Constraints(
+                tried=tried,
+                version=version,
+                is_resumed=is_resumed,
+                needs_slot=needs_slot,
+            ),
+        )
+
+    def request_slot(
+        self,
+        service: Service,
+        facts: RequestFacts,
+        request: WaitingRequest,
+        on_decided: Callable[[Admit | Refuse], None],
+        now_s: float,
+        *,
+        version: str = "",
+        is_resumed: bool = False,
+    ) -> Decision:
+        """Return whether an attempt may be placed, waits for a slot, or is refused.
+
+        If it waits, ``on_decided`` is called once, unless it is cancelled before.
+        """
+        candidates = partial(
+            self._selector.candidates,
+            service,
+            facts,
+            Constraints(version=version, is_resumed=is_resumed),
+        )
+        return self.admission.decide(request, candidates, on_decided, now_s)
+
+    def least_first_token_s(self, model: str) -> float:
+        """Return the time that an answer takes at least to begin, in seconds."""
+        expected_s = self._placer.first_tokens.expected_ms(model, 0) / 1000
+        return CERTAIN_WAIT_FRACTION * expected_s
+
+    def is_over_share(self, service: str, workspace: str | None, now_s: float) -> bool:
+        """Return whether a workspace uses more than its share of short slots.
+
+        All entries' attempts count; see ``WorkspaceUse``.
+        """
+        return self.admission.use.is_over_share(
+            service, hash_workspace(workspace), now_s
         )
 
     def first_model(
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/notices/models.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/notices/models.py
@@ -26,6 +26,8 @@
     kind: LoadKind
     # Number of the attempt, unique within its entry.
     attempt: int
+    # Hash of the workspace's name, in all notices of an attempt; empty if unknown.
+    workspace: str = ""
     # The remaining fields are only set in start notices.
     upstream_id: str = ""
     # Expected time to the first token on an idle upstream, in milliseconds.
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/attempts.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/attempts.py
@@ -5,13 +5,14 @@
 
 from aiohttp import ClientResponse
 
+from cardamomnotch_core.relay.admission.models import hash_workspace
 from cardamomnotch_core.relay.crashes.const import CRASH_ONSET_S
 from cardamomnotch_core.relay.crashes.detection import AttemptEnd
 from cardamomnotch_core.relay.node import RelayNode
 from cardamomnotch_core.relay.placement.placer import Placement
 from cardamomnotch_runtime.structured_log import log_event
 
-from .const import MIN_SERVER_ERROR_STATUS
+from .const import FULL_STATUS, MIN_SERVER_ERROR_STATUS
 from .exceptions import (
     ResponseLostError,
     ResponseTooLargeError,
@@ -133,7 +134,12 @@
             request.facts.suspects
         )
         self._node.attempts.record_sent(
-            self._placement, request.facts, self._model, self, self._sent_at_s
+            self._placement,
+            request.facts,
+            self._model,
+            self,
+            self._sent_at_s,
+            hash_workspace(parameters.workspace),
         )
         headers = self._codec.encode_attempt(request, parameters)
         try:
@@ -244,6 +250,8 @@
         if head.not_run and head.request_id == request.facts.request_id:
             # The upstream is full, or its address now belongs to another one.
             self._state.record_failure(self._clock())
+            if head.status == FULL_STATUS:
+                self._node.admission.record_refused(self._state, self, self._clock())
             return
         reason = _rejection_reason(head, request)
         if reason:
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/composition.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/composition.py
@@ -17,8 +17,10 @@
 from cardamomnotch_runtime.structured_log import log_event
 from cardamomnotch_runtime.tasks import TaskGroup, async_wait_until
 
+from .admission_monitor import AdmissionMonitor
 from .caller_connection import CallerConnection
 from .const import (
+    ADMISSION_CHECK_INTERVAL_S,
     BALANCER_DETECTION_S,
     LAST_RESPONSES_TIMEOUT_S,
     MAX_LINE_BYTES,
@@ -181,6 +183,8 @@
         self._tasks.repeat(
             lambda: READINESS_CHECK_INTERVAL_S, self._async_log_lost_zones
         )
+        monitor = AdmissionMonitor(self._node, boot_clock, self._metrics.set_queues)
+        self._tasks.repeat(lambda: ADMISSION_CHECK_INTERVAL_S, monitor.async_check)
         loop_lag = LoopLag(self._metrics.observe_loop_lag)
         self._tasks.repeat(lambda: 0.0, loop_lag.async_measure)
         log_event(
@@ -195,6 +199,7 @@
         """Drain the requests in flight, then stop."""
         self._is_draining = True
         self._server.start_draining()
+        self._node.admission.start_draining()
         log_event(_LOGGER, "entry is draining", in_flight=self._server.in_flight)
         await asyncio.sleep(RESPONSE_FLUSH_S)
         # Idle connections are closed now, so that callers open their next one
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/const.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/const.py
@@ -124,6 +124,12 @@
 # seconds.
 CAPACITY_RETRY_INTERVAL_S: Final = 0.1
 
+# Interval between two checks for waiting requests that can no longer be served in
+# time, in seconds; free slots wake them at once.
+ADMISSION_CHECK_INTERVAL_S: Final = 0.25
+
+# Status by which an upstream refuses a request since it is full.
+FULL_STATUS: Final = 503
 # Lowest HTTP status that counts as a failure of the upstream.
 MIN_SERVER_ERROR_STATUS: Final = 500
 
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/diagnostics.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/diagnostics.py
@@ -44,6 +44,18 @@
             }
             for state in node.fleet
         ],
+        "queues": [
+            {
+                "service": queue.service,
+                "requests": queue.requests,
+                "bytes": queue.body_bytes,
+                "oldest_s": queue.oldest_s,
+                "slots_per_s": queue.slots_per_s,
+                "overloaded_priorities": queue.overloaded,
+            }
+            for queue in node.admission.queues(now_s)
+        ],
+        "workspaces_over_share": node.admission.use.over_share(now_s),
         "crashes": node.quarantine.totals,
         "named_rates": node.rates.named,
         "zones_unreachable": sorted(node.reachability.lost_zones(now_s)),
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/forwarder.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/forwarder.py
@@ -105,6 +105,16 @@
         """Return the caller's workspace, once it is known."""
         return self._workspace
 
+    @property
+    def queued_s(self) -> float:
+        """Return how long the request has waited for free slots, in seconds."""
+        return self._placer.queued_s if self._placer else 0.0
+
+    @property
+    def queue_reason(self) -> str:
+        """Return why it waited or was refused there; empty if it did not wait."""
+        return self._placer.queue_reason if self._placer else ""
+
     @property
     def response(self) -> web.StreamResponse | None:
         """Return the streamed response, if its sending has begun."""
@@ -138,8 +148,11 @@
             clock=self._clock,
             facts=request.facts,
             body_bytes=len(self._body),
+            arrived_at_s=self._arrived_at_s,
             deadline_s=self._deadline_s,
-            capacity_deadline_s=self._arrived_at_s + route.target_latency_s / 4,
+            route=route,
+            priority=self._priority(),
+            workspace=self._workspace.name if self._workspace else None,
         )
         if request.facts.chooses_model and route.models:
             self._model = node.first_model(
@@ -236,6 +249,7 @@
                 self._version,
                 self._tried_upstreams,
                 is_resumed=self._response is not None,
+                is_continued=self._run_count > 0,
             )
         except RefusalError as refusal:
             if not self._run_count:
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/metrics.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/metrics.py
@@ -6,6 +6,7 @@
 
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 
+from cardamomnotch_core.relay.admission.models import QueueState, RefusalReason
 from cardamomnotch_core.relay.node import RelayNode
 from cardamomnotch_protocol.result_codes import ResultCode
 
@@ -25,6 +26,8 @@
     }
 )
 
+_QUEUE_REFUSALS = frozenset(reason.value for reason in RefusalReason)
+
 
 class RelayMetrics:
     """Metrics of requests, attempts and store calls."""
@@ -124,6 +127,32 @@
             "Pauses in reading responses that take too much of the event loop.",
             registry=self.registry,
         )
+        self._waiting_requests = Gauge(
+            "cardamomnotch_relay_waiting_requests",
+            "Requests that wait for a free slot, by service.",
+            ["service"],
+            registry=self.registry,
+        )
+        self._waiting_bytes = Gauge(
+            "cardamomnotch_relay_waiting_bytes",
+            "Bytes of the bodies of requests that wait for a free slot, by service.",
+            ["service"],
+            registry=self.registry,
+        )
+        self._queued_seconds = Histogram(
+            "cardamomnotch_relay_queued_seconds",
+            "Time that requests waited for a free slot, of those that had to.",
+            buckets=_LATENCY_BUCKETS_S,
+            registry=self.registry,
+        )
+        self._queue_refusals = Counter(
+            "cardamomnotch_relay_queue_refusals",
+            "Requests refused while no slot was free, by reason.",
+            ["reason"],
+            registry=self.registry,
+        )
+        # Services with waiting requests when the gauges were set last.
+        self._waiting_services: set[str] = set()
         version = Gauge(
             "cardamomnotch_relay_document_version",
             "Version of the routes in force.",
@@ -202,6 +231,25 @@
         if code in _DOCUMENT_REFUSALS and math.isfinite(document_age_s):
             self._refusal_age_seconds.labels(result=result).observe(document_age_s)
 
+    def count_queued(self, seconds: float, reason: str) -> None:
+        """Count a request that has ended, if it waited or was refused a place."""
+        if seconds:
+            self._queued_seconds.observe(seconds)
+        if reason in _QUEUE_REFUSALS:
+            self._queue_refusals.labels(reason=reason).inc()
+
+    def set_queues(self, queues: Iterable[QueueState]) -> None:
+        """Show the queues of the services for which requests wait."""
+        services = set()
+        for queue in queues:
+            services.add(queue.service)
+            self._waiting_requests.labels(service=queue.service).set(queue.requests)
+            self._waiting_bytes.labels(service=queue.service).set(queue.body_bytes)
+        for service in self._waiting_services - services:
+            self._waiting_requests.labels(service=service).set(0)
+            self._waiting_bytes.labels(service=service).set(0)
+        self._waiting_services = services
+
     def observe_document_delay(self, seconds: float) -> None:
         """Record how long a new version of the routes may have waited at most."""
         self._document_delay_seconds.observe(seconds)
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/peer_messages.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/peer_messages.py
@@ -14,6 +14,7 @@
     FeedRequest,
     StoreChange,
 )
+from cardamomnotch_core.relay.admission.const import WORKSPACE_HASH_DIGITS
 from cardamomnotch_core.relay.crashes.detection import Crash, Suspicion
 from cardamomnotch_core.relay.crashes.evidence import Refutation
 from cardamomnotch_core.relay.crashes.isolation import RunNotice
@@ -36,7 +37,7 @@
     rows = [
         [
             notice.kind.value,
-            notice.attempt,
+            _encode_attempt(notice),
             notice.upstream_id,
             notice.prefill_ms,
             notice.model,
@@ -44,7 +45,7 @@
             *([notice.session] if notice.session else []),
         ]
         if notice.kind is LoadKind.STARTED
-        else [notice.kind.value, notice.attempt]
+        else [notice.kind.value, _encode_attempt(notice)]
         for notice in notices
     ]
     return orjson.dumps([entry, rows, *([True] if is_relayed else [])])
@@ -156,18 +157,41 @@
     return entry, [_decode_row(*row) for row in rows], bool(relayed)
 
 
+def _encode_attempt(notice: LoadNotice) -> int | str:
+    """Return the attempt's number, followed by its workspace if that is known.
+
+    Entries of an earlier build refuse longer rows, but take any value as the name of an
+    attempt, and pass it on unchanged.
+    """
+    if not notice.workspace:
+        return notice.attempt
+    return f"{notice.attempt}.{notice.workspace}"
+
+
+def _decode_attempt(attempt: int | str) -> tuple[int, str]:
+    """Return the attempt's number and the hash of its workspace, empty if unknown."""
+    if isinstance(attempt, int):
+        return attempt, ""
+    number, _, workspace = attempt.partition(".")
+    if len(workspace) != WORKSPACE_HASH_DIGITS:
+        raise ValueError("the workspace of a load notice has the wrong length")
+    return int(number), workspace
+
+
 def _decode_row(
     kind: str,
-    attempt: int,
+    attempt: int | str,
     upstream_id: str = "",
     prefill_ms: int = 0,
     model: str = "",
     prompt: Any = (),
     session: str = "",
 ) -> LoadNotice:
+    number, workspace = _decode_attempt(attempt)
     return LoadNotice(
         kind=LoadKind(kind),
-        attempt=attempt,
+        attempt=number,
+        workspace=workspace,
         upstream_id=upstream_id,
         prefill_ms=prefill_ms,
         model=model,
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/server.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/server.py
@@ -217,6 +217,9 @@
         self._metrics.count_request(code, seconds, document_age_s)
         for log in forwarder.attempts if forwarder else ():
             self._metrics.count_attempt(route.name if route else "", log)
+        queued_s = forwarder.queued_s if forwarder else 0.0
+        queue_reason = forwarder.queue_reason if forwarder else ""
+        self._metrics.count_queued(queued_s, queue_reason)
         log_event(
             _LOGGER,
             "request ended",
@@ -230,6 +233,8 @@
             if forwarder and forwarder.workspace
             else "",
             ms=int(seconds * 1000),
+            queued_ms=int(queued_s * 1000),
+            queue_reason=queue_reason,
             allowed_ms=forwarder.allowed_ms if forwarder else 0,
             document=self._node.routes.version,
             document_age_ms=_document_age_ms(document_age_s),
