--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/admission/const.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/admission/const.py
@@ -53,8 +53,11 @@
 # of requests that is never over the share.
 SHARE_MARGIN: Final = 1.25
 MIN_SHARE_REQUESTS: Final = 1
-# Largest factor of the virtual time of a workspace over its share.
-MAX_SHARE_FACTOR: Final = 16.0
+# Cost of a slot for a workspace over its share: its use divided by its share, to this
+# power, and at most. At twice its share it gets one slot where the others get 16; in
+# proportion to its use it would keep more than its share at the entries of others.
+SHARE_COST_EXPONENT: Final = 4
+MAX_SHARE_COST: Final = 16.0
 # Time for which a computed share is used.
 SHARE_MAX_AGE_S: Final = 0.1
 # Half-life of the rate of a workspace's starts.
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/admission/coordinator.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/admission/coordinator.py
@@ -254,4 +254,4 @@
         )
 
     def _cost_of(self, service: str, workspace: str, now_s: float) -> float:
-        return self.use.share_factor(service, workspace, now_s)
+        return self.use.slot_cost(service, workspace, now_s)
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/admission/shares.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/admission/shares.py
@@ -11,8 +11,9 @@
 
 from ..const import MAX_ATTEMPT_S, PEER_ACTIVITY_WINDOW_S
 from .const import (
-    MAX_SHARE_FACTOR,
+    MAX_SHARE_COST,
     MIN_SHARE_REQUESTS,
+    SHARE_COST_EXPONENT,
     SHARE_MARGIN,
     SHARE_MAX_AGE_S,
     START_RATE_HALF_LIFE_S,
@@ -180,17 +181,18 @@
 
     def is_over_share(self, service: str, workspace: str, now_s: float) -> bool:
         """Return whether a workspace uses more than its fair share of short slots."""
-        return self.share_factor(service, workspace, now_s) > 1.0
+        return self.slot_cost(service, workspace, now_s) > 1.0
 
-    def share_factor(self, service: str, workspace: str, now_s: float) -> float:
-        """Return how many times its share a workspace uses; 1 within its margin."""
+    def slot_cost(self, service: str, workspace: str, now_s: float) -> float:
+        """Return what a slot costs a workspace in virtual time; 1 within its share."""
         if not workspace or not self.is_short(service, now_s):
             return 1.0
         used = self.in_flight(service, workspace, now_s)
         share = self._share(service, now_s)
         if used <= MIN_SHARE_REQUESTS or used <= share * SHARE_MARGIN:
             return 1.0
-        return min(MAX_SHARE_FACTOR, used / max(share, 1.0 / MAX_SHARE_FACTOR))
+        excess = used / share if share else MAX_SHARE_COST
+        return min(MAX_SHARE_COST, excess**SHARE_COST_EXPONENT)
 
     def over_share(self, now_s: float) -> dict[str, list[str]]:
         """Return the workspaces over their share, by service."""
