--- a/tests/entry/relay/test_admission.py
+++ b/tests/entry/relay/test_admission.py
@@ -193,22 +193,20 @@
     assert len(refused) == 1
 
 
-NOTICES = [
-    LoadNotice(
-        kind=LoadKind.STARTED,
-        attempt=7,
-        workspace="0a1b2c",
-        upstream_id="up",
-        model="m",
-    ),
-    LoadNotice(kind=LoadKind.ANSWERED, attempt=7, workspace="0a1b2c"),
-    LoadNotice(kind=LoadKind.ENDED, attempt=7, workspace="0a1b2c"),
-]
-
-
 def test_workspace_is_read_from_notices():
     """All notices of an attempt name it, so that an earlier build can match them."""
-    data = encode_notices("entry-1", NOTICES)
+    notices = [
+        LoadNotice(
+            kind=LoadKind.STARTED,
+            attempt=7,
+            workspace="0a1b2c",
+            upstream_id="up",
+            model="m",
+        ),
+        LoadNotice(kind=LoadKind.ANSWERED, attempt=7, workspace="0a1b2c"),
+        LoadNotice(kind=LoadKind.ENDED, attempt=7, workspace="0a1b2c"),
+    ]
+    data = encode_notices("entry-1", notices)
     assert data == (
         b'["entry-1",[["s","7.0a1b2c","up",0,"m",[]],'
         b'["a","7.0a1b2c"],["e","7.0a1b2c"]]]'
