--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/admission/coordinator.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/admission/coordinator.py
@@ -1,4 +1,7 @@
-"""Admission of one entry's requests: free slots, the queue, and shares."""
+"""Admission of one entry's requests: free slots, the queue, and shares.
+
+Answers callers that compete for too little capacity.
+"""
 
 import random
 from collections.abc import Callable, Hashable, Iterable, Mapping
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/admission/queue.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/admission/queue.py
@@ -1,4 +1,7 @@
-"""Bounded queue of the requests that wait for slots, over all services."""
+"""Bounded queue of the requests that wait for slots, over all services.
+
+Answers more requests than there are slots, for longer than callers wait.
+"""
 
 import itertools
 import random
