--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/admission/service_queue.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/admission/service_queue.py
@@ -141,7 +141,7 @@
         rate = self.slots_per_s(now_s)
         higher = 0
         for priority in sorted(self._levels):
-            self._record_oldest(priority, now_s)
+            self._record_first_wait(priority, now_s)
             kept = 0
             for _, sequence, _ in tuple(self._levels[priority].ordered()):
                 waiting = self._waiting[sequence]
@@ -187,7 +187,7 @@
         others = max(1, len(self._levels) - 1)
         return min(before + higher, (before + 1) * SLOTS_PER_LOWER_PRIORITY * others)
 
-    def _record_oldest(self, priority: int, now_s: float) -> None:
+    def _record_first_wait(self, priority: int, now_s: float) -> None:
         """Detect overload of a priority of which no request gets a slot."""
         _, sequence, request = self._levels[priority].first()
         self._overload(priority).record_wait(
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/attempt_placer.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/attempt_placer.py
@@ -108,6 +108,28 @@
         the request has run before. Raises RefusalError if no upstream can take the
         request.
         """
+        admission, attempt = self._node.admission, None
+        try:
+            attempt = await self._async_place(
+                service, model, version, tried, is_resumed, is_continued
+            )
+        finally:
+            if attempt is None:
+                # A slot that was granted to the request is for others.
+                admission.cancel(self, self._clock())
+        # The attempt is recorded as running before any other task runs.
+        admission.record_placed(self)
+        return attempt
+
+    async def _async_place(
+        self,
+        service: Service,
+        model: str,
+        version: str,
+        tried: Set[str],
+        is_resumed: bool,
+        is_continued: bool,
+    ) -> Attempt:
         isolation_wait_s = (
             MAX_RESUMED_ISOLATION_WAIT_S if is_resumed else MAX_ISOLATION_WAIT_S
         )
@@ -132,24 +154,17 @@
                     needs_slot=has_waited,
                 )
             except RefusalError as refusal:
-                self._node.admission.cancel(self, self._clock())
                 if self._clock() >= deadlines_s.get(refusal.code, -math.inf):
                     raise
+                self._node.admission.cancel(self, self._clock())
                 await asyncio.sleep(CAPACITY_RETRY_INTERVAL_S)
             else:
                 attempt = Attempt(
                     self._node, self._client, self._codec, self._clock, placement, model
                 )
-                is_announced = False
-                try:
-                    is_announced = await self._async_announce(attempt)
-                finally:
-                    if not is_announced:
-                        self._node.admission.cancel(self, self._clock())
-                if is_announced:
-                    # The attempt is recorded before any other task runs.
-                    self._node.admission.record_placed(self)
+                if await self._async_announce(attempt):
                     return attempt
+                self._node.admission.cancel(self, self._clock())
             await self.async_wait_in_quarantine()
 
     async def _async_wait_for_slot(
@@ -195,9 +210,6 @@
             self._queue_reason = decision.reason.value
             try:
                 decision = await decided
-            except asyncio.CancelledError:
-                node.admission.cancel(self, self._clock())
-                raise
             finally:
                 self._queued_s += self._clock() - began_at_s
         if isinstance(decision, Refuse):
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/diagnostics.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/diagnostics.py
@@ -41,6 +41,8 @@
                 "cold": state.is_cold(now_s),
                 "penalized": state.is_penalized(now_s),
                 "in_flight": state.in_flight,
+                "running": state.running(now_s),
+                "slots": state.upstream.slots,
             }
             for state in node.fleet
         ],
--- a/tests/core/relay/admission/conftest.py
+++ b/tests/core/relay/admission/conftest.py
@@ -10,24 +10,24 @@
 from cardamomnotch_core.relay.limits import RelayLimits
 
 
+def build_request(request_id, **fields):
+    """Return a request that waits for ten seconds at most."""
+    defaults = {
+        "service": "drafts",
+        "workspace": "aaaaaa",
+        "priority": 5,
+        "arrived_at_s": 0.0,
+        "latest_start_s": 10.0,
+        "target_latency_s": 2.0,
+    }
+    return WaitingRequest(request_id=request_id, **{**defaults, **fields})
+
+
 @pytest.fixture
 def make_request():
     """Return a function that builds requests with distinct ids."""
     numbers = itertools.count()
-
-    def make(**fields):
-        defaults = {
-            "request_id": next(numbers),
-            "service": "drafts",
-            "workspace": "aaaaaa",
-            "priority": 5,
-            "arrived_at_s": 0.0,
-            "latest_start_s": 10.0,
-            "target_latency_s": 2.0,
-        }
-        return WaitingRequest(**{**defaults, **fields})
-
-    return make
+    return lambda **fields: build_request(next(numbers), **fields)
 
 
 @pytest.fixture
--- a/tests/core/relay/admission/test_queue.py
+++ b/tests/core/relay/admission/test_queue.py
@@ -1,6 +1,12 @@
 """Rules of the queue: order, bounds, refusals, overload."""
 
+import itertools
+import random
+from collections import Counter
+
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from cardamomnotch_core.relay.admission.const import (
     MAX_IDLE_WORKSPACES,
@@ -19,6 +25,10 @@
     Wait,
     WaitReason,
 )
+from cardamomnotch_core.relay.admission.queue import AdmissionQueue
+from cardamomnotch_core.relay.limits import RelayLimits
+
+from tests.core.relay.admission.conftest import build_request
 
 FULL = Room(free_slots=0)
 ONE = Room(free_slots=1)
@@ -78,19 +88,48 @@
     assert [request.workspace for request in taken].count("bbbbbb") in (5, 6)
 
 
-def test_lower_priorities_are_not_starved(make_queue, make_request):
-    """Each of two lower priorities gets one of 32 slots while urgent ones wait."""
-    queue = make_queue()
-    for priority in (0, 5, 9):
-        enqueue(queue, *(make_request(priority=priority) for _ in range(200)))
-    taken = queue.take_ready("drafts", Room(free_slots=160), 0.0)
-    for start in range(0, 160, 2 * SLOTS_PER_LOWER_PRIORITY):
-        window = taken[start : start + 2 * SLOTS_PER_LOWER_PRIORITY]
-        counts = [
-            sum(request.priority == priority for request in window)
-            for priority in (0, 5, 9)
-        ]
-        assert counts == [30, 1, 1]
+@given(
+    lower=st.sets(st.integers(1, 9), min_size=1, max_size=4),
+    taken_before=st.integers(0, 40),
+)
+def test_lower_priorities_are_not_starved(lower, taken_before):
+    """Beside n others each gets a slot in any 16 * n, and urgent ones all the rest."""
+    queue = AdmissionQueue(RelayLimits(), random.Random(1))
+    numbers = itertools.count()
+
+    def wait(priority, count):
+        for _ in range(count):
+            enqueue(queue, build_request(next(numbers), priority=priority))
+
+    wait(0, 300)
+    queue.take_ready("drafts", Room(free_slots=taken_before), 0.0)
+    for priority in lower:
+        wait(priority, 10)
+    window = SLOTS_PER_LOWER_PRIORITY * len(lower)
+    taken = [
+        request.priority
+        for request in queue.take_ready("drafts", Room(free_slots=3 * window), 0.0)
+    ]
+    for start in range(2 * window + 1):
+        counts = Counter(taken[start : start + window])
+        assert all(counts[priority] == 1 for priority in lower)
+
+
+@given(counts=st.lists(st.integers(1, 30), min_size=2, max_size=4))
+def test_workspaces_that_wait_get_equal_numbers_of_slots(counts):
+    """However many requests each sends; what one leaves the others use."""
+    queue = AdmissionQueue(RelayLimits(), random.Random(1))
+    numbers = itertools.count()
+    for workspace, count in enumerate(counts):
+        for _ in range(count):
+            enqueue(queue, build_request(next(numbers), workspace=str(workspace)))
+    taken = Counter()
+    for _ in range(sum(counts)):
+        [request] = queue.take_ready("drafts", ONE, 0.0)
+        taken[request.workspace] += 1
+        waiting = [w for w, count in enumerate(counts) if taken[str(w)] < count]
+        most = max(taken.values())
+        assert all(taken[str(workspace)] >= most - 1 for workspace in waiting)
 
 
 @pytest.mark.parametrize(
--- a/tests/core/relay/admission/test_shares.py
+++ b/tests/core/relay/admission/test_shares.py
@@ -1,13 +1,20 @@
 """Shares of workspaces, summed up over all entries."""
 
+import random
+
 import pytest
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
 from cardamomnotch_core.relay.admission.const import SHARE_MARGIN
+from cardamomnotch_core.relay.admission.models import hash_workspace
 from cardamomnotch_core.relay.admission.shares import WorkspaceUse, fair_share
 from cardamomnotch_core.relay.const import MAX_ATTEMPT_S, PEER_ACTIVITY_WINDOW_S
+from cardamomnotch_core.relay.limits import RelayLimits
+from cardamomnotch_core.relay.node import RelayIdentity, RelayNode
+from cardamomnotch_core.relay.notices.models import LoadKind, LoadNotice
+from cardamomnotch_core.relay.store_changes import changes
 
 A, B = "aaaaaa", "bbbbbb"
 ENTRIES = ("entry-1", "entry-2", "entry-3")
@@ -250,3 +257,26 @@
     use.record_notice(0.0)
     start(use, A, int(5 * SHARE_MARGIN))
     assert not use.is_over_share("drafts", A, 0.0)
+
+
+def test_node_sums_up_the_attempts_in_notices(make_upstream):
+    """Part B asks the node, by the workspace's name."""
+    identity = RelayIdentity(name="entry-1", zone="zone-a", incarnation="1")
+    node = RelayNode(identity, RelayLimits(), random.Random(1))
+    node.apply(changes.UpstreamListed(upstream=make_upstream(slots=4)), 0.0)
+    notices = [
+        LoadNotice(
+            kind=LoadKind.STARTED,
+            attempt=number,
+            workspace=hash_workspace("firm-one" if number < 9 else "firm-two"),
+            upstream_id="up-1",
+        )
+        for number in range(10)
+    ]
+    node.attempts.apply_notices("entry-2", notices, 0.0)
+    node.admission.use.record_short("drafts", 1.0)
+    assert node.is_over_share("drafts", "firm-one", 0.0)
+    assert not node.is_over_share("drafts", "firm-two", 0.0)
+    ends = [LoadNotice(kind=LoadKind.ENDED, attempt=number) for number in range(7)]
+    node.attempts.apply_notices("entry-2", ends, 0.2)
+    assert not node.is_over_share("drafts", "firm-one", 0.4)
