--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/attempts.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/attempts.py
@@ -5,6 +5,7 @@
 
 from aiohttp import ClientResponse
 
+from cardamomnotch_core.relay.admission.models import hash_workspace
 from cardamomnotch_core.relay.crashes.const import CRASH_ONSET_S
 from cardamomnotch_core.relay.crashes.detection import AttemptEnd
 from cardamomnotch_core.relay.model_choice.models import Answer
@@ -12,7 +13,7 @@
 from cardamomnotch_core.relay.placement.placer import Placement
 from cardamomnotch_runtime.structured_log import log_event
 
-from .const import MIN_SERVER_ERROR_STATUS
+from .const import FULL_STATUS, MIN_SERVER_ERROR_STATUS
 from .exceptions import (
     ResponseLostError,
     ResponseTooLargeError,
@@ -146,7 +147,12 @@
             request.facts.suspects
         )
         self._node.attempts.record_sent(
-            self._placement, request.facts, self._model, self, self._sent_at_s
+            self._placement,
+            request.facts,
+            self._model,
+            self,
+            self._sent_at_s,
+            hash_workspace(parameters.workspace),
         )
         self._node.model_choice.record_wait(self._placement, self._sent_at_s)
         headers = self._codec.encode_attempt(request, parameters)
@@ -258,6 +264,8 @@
         if head.not_run and head.request_id == request.facts.request_id:
             # The upstream is full, or its address now belongs to another one.
             self._state.record_failure(self._clock())
+            if head.status == FULL_STATUS:
+                self._node.admission.record_refused(self._state, self, self._clock())
             return
         reason = _rejection_reason(head, request)
         if reason:
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/diagnostics.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/diagnostics.py
@@ -43,7 +43,8 @@
                 "cold": state.is_cold(now_s),
                 "penalized": state.is_penalized(now_s),
                 "in_flight": state.in_flight,
-                "in_flight_all": state.running(now_s),
+                "running": state.running(now_s),
+                "slots": state.upstream.slots,
                 "pending": len(state.queue.prompts),
                 "speed_factor": round(state.queue.speed.factor(now_s), 2),
             }
@@ -65,6 +66,18 @@
             }
             for error in node.estimates.errors
         ],
+        "queues": [
+            {
+                "service": queue.service,
+                "requests": queue.requests,
+                "bytes": queue.body_bytes,
+                "oldest_s": queue.oldest_s,
+                "slots_per_s": queue.slots_per_s,
+                "overloaded_priorities": queue.overloaded,
+            }
+            for queue in node.admission.queues(now_s)
+        ],
+        "workspaces_over_share": node.admission.use.over_share(now_s),
         "crashes": node.quarantine.totals,
         "named_rates": node.rates.named,
         "zones_unreachable": sorted(node.reachability.lost_zones(now_s)),
--- a/tests/entry/relay/test_upstream_estimates.py
+++ b/tests/entry/relay/test_upstream_estimates.py
@@ -26,4 +26,4 @@
     (upstream,) = state["upstreams"]
     # The stand-in answers at once, where the prior expects 60 ms and more.
     assert 0 < upstream["speed_factor"] < 1
-    assert upstream["pending"] == upstream["in_flight_all"] == 0
+    assert upstream["pending"] == upstream["running"] == 0
