Weigh what a cached prompt saves against what it costs other requests

A placement assumed 300,000 cached tokens at each upstream, that a prompt is cached once it is sent, and counted only the request's own first token. Under load prompts were read again at many upstreams and evicted what others use.

The estimate follows the memory that the service states less what running requests hold, counts a prompt when its prefill has ended, and gives a probability that falls with what was used since. The cost adds the delay of running requests, the parts that are evicted and the charge for reading a prefix at a further upstream. Near ties are broken by a hash. With more than 24 candidates, prefixes find theirs on a ring, which does not depend on the order in which upstreams are listed.

The load model knows the memory of upstreams, skewed subjects and a hot one.

The test of PromptCacheEstimate's bound moves to the property-based tests of UpstreamCache, which replaces it; tests that took a sent prompt for cached record the end of its prefill.

--- a/packages/cardamomnotch-core/src/cardamomnotch_core/load_model/models.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/load_model/models.py
@@ -34,6 +34,12 @@
     own_tokens: int = attrs.field(default=0, validator=_NOT_NEGATIVE)
     shared_tokens: int = attrs.field(default=0, validator=_NOT_NEGATIVE)
     subjects: int = attrs.field(default=1, validator=_POSITIVE)
+    # Weight of the n-th subject: n to the power of the negative skew; and the share of
+    # the requests that are on the first subject in addition.
+    skew: float = attrs.field(default=0.0, validator=_NOT_NEGATIVE)
+    hot_share: float = attrs.field(default=0.0, validator=_SHARE)
+    # Tokens of an answer, which take up memory.
+    output_tokens: int = attrs.field(default=0, validator=_NOT_NEGATIVE)
     # Largest relative deviation of the own part's length.
     spread: float = attrs.field(default=0.0, validator=_SHARE)
     # Models to choose from, smallest first; empty for a plain service.
@@ -78,6 +84,8 @@
     models: tuple[ModelSpec, ...] = ()
     losses: tuple[Loss, ...] = ()
     zones: int = attrs.field(default=1, validator=_POSITIVE)
+    # Memory of each upstream, in tokens; 0 if the service does not state it.
+    upstream_tokens: int = attrs.field(default=0, validator=_NOT_NEGATIVE)
     seconds: float = attrs.field(default=DEFAULT_SECONDS, validator=_POSITIVE)
     seed: int = DEFAULT_SEED
 
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/load_model/simulation.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/load_model/simulation.py
@@ -1,8 +1,10 @@
 """Plays a load on the decisions of real entry nodes, on simulated time."""
 
+import bisect
 import heapq
 import itertools
 import random
+from collections import Counter
 from collections.abc import Callable, Sequence
 
 import attrs
@@ -16,6 +18,7 @@
     RepeatRule,
     RequestFacts,
     Route,
+    RouteDocument,
     Service,
     Share,
     Upstream,
@@ -33,7 +36,7 @@
     RATING_RELIABILITY,
     UNSURE,
 )
-from .engines import Engine
+from .engines import Engine, EnginePrompt
 from .models import LoadCase, Loss, ModelSpec, Outcome, RequestClass
 
 _SERVICE = Service(name="service")
@@ -80,7 +83,15 @@
         self.upstreams = [
             _create_upstream(number, case.zones) for number in range(case.upstreams)
         ]
-        self._engines = {item.upstream_id: Engine() for item in self.upstreams}
+        self._engines = {
+            item.upstream_id: Engine(case.upstream_tokens) for item in self.upstreams
+        }
+        # How often each upstream has read a shared part, by model and part.
+        self.reads: dict[tuple[str, str], Counter[str]] = {}
+        self._subject_weights = {
+            item.name: list(itertools.accumulate(_subject_weights(item)))
+            for item in case.classes
+        }
         self.nodes = [
             self._create_node(f"entry-{number}", f"zone-{number % case.zones}")
             for number in range(case.entries)
@@ -109,6 +120,14 @@
     def _create_node(self, name: str, zone: str) -> RelayNode:
         identity = RelayIdentity(name=name, zone=zone, incarnation="1", address=name)
         node = RelayNode(identity, RelayLimits())
+        service = attrs.evolve(_SERVICE, token_capacity=self._case.upstream_tokens)
+        document = RouteDocument(
+            version=1,
+            routes=tuple(self._routes.values()),
+            services={service.name: service},
+            workspaces=None,
+        )
+        node.apply(changes.DocumentWritten(document=document), 0.0)
         for upstream in self.upstreams:
             node.apply(changes.UpstreamListed(upstream=upstream), 0.0)
         return node
@@ -148,7 +167,9 @@
 
     def _create_facts(self, request_class: RequestClass) -> RequestFacts:
         number = next(self._numbers)
-        subject = self._random.randrange(request_class.subjects)
+        weights = self._subject_weights[request_class.name]
+        point = self._random.random() * weights[-1]
+        subject = bisect.bisect(weights, point, hi=len(weights) - 1)
         spread = self._random.uniform(-request_class.spread, request_class.spread)
         own_tokens = int(request_class.own_tokens * (1 + spread))
         parts = (
@@ -163,6 +184,7 @@
             fingerprint=str(number),
             prompt=tuple(part for part in parts if part.tokens),
             prompt_tokens=sum(part.tokens for part in parts),
+            max_output_tokens=request_class.output_tokens,
         )
 
     def _send(self, request: _Request) -> None:
@@ -203,15 +225,13 @@
         )
 
     def _read(self, request: _Request, placement: Placement) -> float:
-        shared = request.request_class.shared_tokens
-        return self._engines[placement.state.upstream_id].read(
-            request.model,
-            request.facts.prompt[0].part_id if shared else "",
-            shared,
-            request.facts.prompt_tokens - shared,
-            self._models[request.model].prefill_ms_per_token / 1000,
-            self.now_s,
-        )
+        upstream_id = placement.state.upstream_id
+        engine, prompt = self._engines[upstream_id], _engine_prompt(request)
+        if prompt.shared_tokens and not engine.holds(prompt):
+            key = (prompt.model, prompt.subject)
+            self.reads.setdefault(key, Counter())[upstream_id] += 1
+        s_per_token = self._models[request.model].prefill_ms_per_token / 1000
+        return engine.read(prompt, s_per_token, self.now_s)
 
     def _fail(self, request: _Request, placement: Placement, key: int) -> None:
         node, state = request.node, placement.state
@@ -232,8 +252,10 @@
             placement, request.model, key, first_token_s, self.now_s
         )
         outcome.is_good = request.hardness < self._models[request.model].quality
-        if self._escalate(request):
+        larger = self._larger_model(request)
+        if larger is not None:
             self._end(request, placement, key, AttemptEnd.ABANDONED)
+            request.model = larger
             self._send(request)
             return
         outcome.first_token_s = self.now_s - outcome.arrived_at_s
@@ -244,10 +266,10 @@
         )
         self._exchange(node)
 
-    def _escalate(self, request: _Request) -> bool:
-        """Choose a larger model if the answer's rating is low."""
+    def _larger_model(self, request: _Request) -> str | None:
+        """Return a larger model if the answer's rating is low; None to keep it."""
         if not request.model:
-            return False
+            return None
         is_rated_well = self._random.random() < RATING_RELIABILITY
         confidence = CONFIDENT if request.outcome.is_good == is_rated_well else UNSURE
         node, route = request.node, request.route
@@ -262,13 +284,14 @@
             self.now_s - request.outcome.arrived_at_s,
             self.now_s,
         ):
-            return False
-        request.model = larger
-        return True
+            return None
+        return larger
 
     def _end(
         self, request: _Request, placement: Placement, key: int, end: AttemptEnd
     ) -> None:
+        engine = self._engines[placement.state.upstream_id]
+        engine.end(_engine_prompt(request))
         request.node.attempts.record_ended(placement.state, key, end, self.now_s)
         self._exchange(request.node)
 
@@ -290,6 +313,28 @@
         self._after(NOTICE_DELAY_S, deliver)
 
 
+def _subject_weights(request_class: RequestClass) -> list[float]:
+    """Return the relative frequency of each subject."""
+    numbers = range(1, request_class.subjects + 1)
+    weights = [number**-request_class.skew for number in numbers]
+    total, hot_share = sum(weights), request_class.hot_share
+    weights = [weight / total * (1 - hot_share) for weight in weights]
+    weights[0] += hot_share
+    return weights
+
+
+def _engine_prompt(request: _Request) -> EnginePrompt:
+    shared = request.request_class.shared_tokens
+    return EnginePrompt(
+        model=request.model,
+        subject=request.facts.prompt[0].part_id if shared else "",
+        own_part=request.facts.request_id,
+        shared_tokens=shared,
+        own_tokens=request.facts.prompt_tokens - shared,
+        output_tokens=request.request_class.output_tokens,
+    )
+
+
 def _create_upstream(number: int, zones: int) -> Upstream:
     return Upstream(
         upstream_id=f"up-{number}",
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/attempt_tracker.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/attempt_tracker.py
@@ -80,7 +80,7 @@
         parallel = concurrent_starts(state, facts)
         state.queue.start(key, placement.prefill_ms, now_s, parallel)
         self._rates.record_sent(state, now_s)
-        self._placer.record_sent(state, facts.prompt, model)
+        self._placer.record_sent(state, key, facts, model, now_s)
         rollout = self._versions.get(state.upstream.service)
         if rollout is not None:
             rollout.record_sent(
@@ -125,6 +125,7 @@
         self._crash_detector.record_first_byte(key, now_s)
         self._isolation.record_first_byte(key, now_s)
         state.queue.finish(key, now_s, answered=True)
+        self._placer.prompt_caches.record_read(state.upstream_id, key, now_s)
         self._reachability.record_answer(state.upstream, self._entries.own, now_s)
         rollout = self._versions.get(state.upstream.service)
         if rollout is not None:
@@ -155,6 +156,7 @@
         self._isolation.end(key)
         state.in_flight -= 1
         state.queue.finish(key, now_s, answered=False)
+        self._placer.prompt_caches.record_ended(state.upstream_id, key)
         rollout = self._versions.get(state.upstream.service)
         if rollout is not None:
             rollout.record_ended(key, now_s)
@@ -197,13 +199,17 @@
                 state.queue.start(key, notice.prefill_ms, now_s)
                 state.remote_in_flight[key] = now_s
                 self._rates.record_sent_by_other(state, now_s)
-                self._placer.record_sent(state, notice.prompt, notice.model)
+                self._placer.record_sent_by_other(
+                    state, key, notice.prompt, notice.model, now_s
+                )
                 sessions.record_started(state.upstream, session, now_s)
             elif notice.kind is LoadKind.ANSWERED:
                 state.queue.finish(key, now_s, answered=True)
+                self._placer.prompt_caches.record_read(upstream_id, key, now_s)
                 self._reachability.record_answer(state.upstream, entry, now_s)
             else:
                 state.queue.finish(key, now_s, answered=False)
+                self._placer.prompt_caches.record_ended(upstream_id, key)
                 state.remote_in_flight.pop(key, None)
                 sessions.record_ended(state.upstream, session, now_s)
 
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/node.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/node.py
@@ -31,6 +31,7 @@
 from .notices.routes import NoticeRoutes
 from .placement.placer import Placement, Placer
 from .placement.selector import Constraints, UpstreamSelector
+from .prompt_cache.prompt_caches import PromptCaches
 from .rates.retries import RetryBudget
 from .rates.upstream_rates import UpstreamRates
 from .reachability import Reachability
@@ -97,7 +98,10 @@
             limits.retry_ratio, limits.retry_slack, limits.retry_window_s
         )
         self.reachability = Reachability(identity.name, identity.zone)
-        self._placer = Placer(identity.zone, self.reachability.is_avoided)
+        self.prompt_caches = PromptCaches(self._token_capacity)
+        self._placer = Placer(
+            identity.zone, self.reachability.is_avoided, self.prompt_caches
+        )
         self._selector = UpstreamSelector(
             self.fleet, self.versions, self.rates, self.suspect_runs, self._placer
         )
@@ -249,6 +253,7 @@
         self.isolation.forget_entry(change.entry)
         for state in self.fleet:
             state.forget_entry(change.entry)
+        self.prompt_caches.forget_entry(change.entry)
 
     @_apply.register
     def _(self, change: changes.CrashesReported, now_s: float) -> None:
@@ -548,6 +553,12 @@
         if self.fleet.get(upstream_id) is None:
             self.rates.forget_upstream(upstream_id)
 
+    def _token_capacity(self, service: str) -> int:
+        """Return the memory in tokens that a service states; 0 if none."""
+        document = self.routes.document
+        known = document.services.get(service) if document else None
+        return known.token_capacity if known else 0
+
     def _service_of(self, route: Route, facts: RequestFacts) -> Service:
         document = self.routes.document
         assert document is not None
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/placement/const.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/placement/const.py
@@ -11,9 +11,6 @@
 # Cost of a kilobyte sent to another availability zone, in milliseconds.
 CROSS_ZONE_MS_PER_KB: Final = 2.5
 
-# Estimated size of an upstream's prompt cache, in tokens.
-CACHED_PROMPT_TOKENS: Final = 300_000
-
 # Time to the first token without prefill until there are samples, in
 # milliseconds.
 DEFAULT_FIRST_TOKEN_BASE_MS: Final = 60.0
@@ -48,8 +45,3 @@
 
 # Upstreams compared for one request if there are more candidates.
 MAX_COMPARED_UPSTREAMS: Final = 24
-
-# Upstreams stored per prompt prefix that they have read, and number of prompt
-# prefixes stored.
-MAX_PREFIX_UPSTREAMS: Final = 8
-MAX_PREFIXES: Final = 20_000
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/placement/placer.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/placement/placer.py
@@ -1,7 +1,6 @@
 """Choice of the upstream with the lowest expected cost for a request."""
 
-from collections import OrderedDict, deque
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Collection, Hashable, Sequence
 
 import attrs
 
@@ -9,48 +8,17 @@
 from ..fleet import UpstreamState
 from ..identity_cache import IdentityCache
 from ..models import PromptPart, RequestFacts, Upstream
+from ..prompt_cache.models import Prefixes, Weights, list_prefixes
+from ..prompt_cache.popularity import PrefixPopularity
+from ..prompt_cache.prompt_caches import PromptCaches
+from ..prompt_cache.weighing import SharedPrefix, Weighing, near_tie_limit_ms
 from .const import (
-    CACHED_PROMPT_TOKENS,
     CROSS_ZONE_MS_PER_KB,
     MAX_COMPARED_UPSTREAMS,
-    MAX_PREFIX_UPSTREAMS,
-    MAX_PREFIXES,
     RUNNING_REQUEST_DELAY_MS,
 )
 from .first_token import FirstTokenModel
-
-
-class PromptCacheEstimate:
-    """Estimates which prompt prefixes an upstream has cached, by model.
-
-    Holds about as many tokens as the upstream's cache; the least recently
-    used prefixes are evicted first.
-    """
-
-    def __init__(self, max_tokens: int = CACHED_PROMPT_TOKENS) -> None:
-        self._max_tokens = max_tokens
-        self._tokens = 0
-        self._parts: OrderedDict[tuple[str, str], int] = OrderedDict()
-
-    def cached_tokens(self, model: str, prefixes: Iterable[tuple[str, int]]) -> int:
-        """Return how many tokens of the prompt the upstream has cached."""
-        total = 0
-        for key, tokens in prefixes:
-            if (model, key) not in self._parts:
-                break
-            total += tokens
-        return total
-
-    def record_read(self, model: str, prompt: Sequence[PromptPart]) -> None:
-        """Add the prefixes of a prompt that the upstream reads."""
-        for key, tokens in list_prefixes(prompt):
-            if (model, key) not in self._parts:
-                self._tokens += tokens
-            self._parts[(model, key)] = tokens
-            self._parts.move_to_end((model, key))
-        while self._tokens > self._max_tokens and len(self._parts) > 1:
-            _, tokens = self._parts.popitem(last=False)
-            self._tokens -= tokens
+from .ring import UpstreamRing
 
 
 def concurrent_starts(state: UpstreamState, facts: RequestFacts) -> int:
@@ -62,14 +30,6 @@
     return 1 if facts.prompt_tokens else max(1, state.upstream.slots)
 
 
-def list_prefixes(prompt: Sequence[PromptPart]) -> Iterable[tuple[str, int]]:
-    """Yield each prompt prefix's key, and its last part's tokens."""
-    key = ""
-    for part in prompt:
-        key = f"{key},{part.part_id}"
-        yield key, part.tokens
-
-
 # Not frozen: an instance is created for each candidate, and creating a frozen
 # one takes longer.
 @attrs.define
@@ -86,6 +46,10 @@
     # Prompt tokens that the upstream has cached, and those it has to read.
     cached_tokens: int
     unread_tokens: int
+    # Prefill time that the cached tokens are expected to save.
+    saved_ms: float = 0.0
+    # What the placement costs other requests.
+    weights: Weights = attrs.field(factory=Weights)
 
     @property
     def expected_ms(self) -> float:
@@ -95,31 +59,53 @@
     @property
     def cost_ms(self) -> float:
         """Return the cost by which placements are compared."""
-        return self.prefill_ms + self.waiting_ms + self.transfer_ms
+        return (
+            self.prefill_ms + self.waiting_ms + self.transfer_ms + self.weights.total_ms
+        )
+
+    @property
+    def parts(self) -> dict[str, int]:
+        """Return the parts of the cost that are not 0, by name, in milliseconds."""
+        parts = {
+            "transfer_ms": self.transfer_ms,
+            "delay_ms": self.weights.delay_ms,
+            "evicted_ms": self.weights.evicted_ms,
+            "again_ms": self.weights.again_ms,
+        }
+        return {name: round(value) for name, value in parts.items() if value >= 0.5}
+
+
+@attrs.frozen
+class _Shortlist:
+    """The candidates that are compared for a request."""
+
+    states: Sequence[UpstreamState]
+    # Ids of those that other requests with the prompt's prefix find too; None if all.
+    common: Collection[str] | None = None
 
 
 class Placer:
     """Places requests by the expected time to the first token.
 
     The cost is the sum of the wait for other requests, the prefill of the
-    prompt's uncached part and the transfer between availability zones, in
-    milliseconds.
+    prompt's uncached part, the transfer between availability zones, and what the
+    prefill costs other requests, in milliseconds.
     """
 
     def __init__(
         self,
         zone: str,
         is_avoided: Callable[[Upstream, float], bool] = lambda upstream, now_s: False,
+        prompt_caches: PromptCaches | None = None,
     ) -> None:
         self._zone = zone
         # Whether an upstream is used only if there is no other.
         self._is_avoided = is_avoided
         self.first_tokens = FirstTokenModel()
-        self._prompt_caches: dict[str, PromptCacheEstimate] = {}
-        # Upstreams that have read a prompt prefix, by model and prefix key.
-        self._prefix_upstreams: OrderedDict[tuple[str, str], deque[str]] = OrderedDict()
-        # Candidates by id.
-        self._by_id = IdentityCache(_index_by_id)
+        self.prompt_caches = prompt_caches or PromptCaches()
+        self._weighing = Weighing(self.prompt_caches, self._prefill_ms)
+        self._popularity = PrefixPopularity()
+        self._rings = IdentityCache(UpstreamRing)
 
     def choose(
         self,
@@ -135,7 +121,9 @@
         ``may_send`` tells whether a candidate may get a request now; None if all
         may. Returns None if none may.
         """
-        considered = self._shortlist(candidates, facts, model)
+        prefixes = tuple(list_prefixes(facts.prompt))
+        shortlist = self._shortlist(candidates, facts, prefixes, model)
+        considered = shortlist.states
         if may_send is not None:
             considered = list(filter(may_send, considered))
         usable = [
@@ -148,46 +136,67 @@
             candidates = list(filter(may_send, candidates))
         if not candidates:
             return None
-        prefixes = tuple(list_prefixes(facts.prompt))
         placements = [
             self._placement(state, facts, model, prefixes, body_bytes, now_s)
             for state in usable or candidates
         ]
-        costs_ms = [placement.cost_ms for placement in placements]
-        lowest_ms = min(costs_ms)
-        best = [
-            placement
-            for placement, cost_ms in zip(placements, costs_ms, strict=True)
-            if cost_ms == lowest_ms
-        ]
-        if len(best) == 1:
-            return best[0]
-        return max(best, key=lambda placement: _affinity(facts, model, placement.state))
+        if not facts.prompt_tokens:
+            return _lowest(placements, facts, model)
+        prefix = self._shared_prefix(
+            placements, prefixes, model, len(candidates), now_s
+        )
+        self._weigh(placements, model, prefix, now_s)
+        return _near_lowest(placements, facts, model, prefix, shortlist.common)
 
     def record_sent(
-        self, state: UpstreamState, prompt: Sequence[PromptPart], model: str
+        self,
+        state: UpstreamState,
+        key: Hashable,
+        facts: RequestFacts,
+        model: str,
+        now_s: float,
     ) -> None:
-        """Record that the upstream of ``state`` reads the prompt."""
-        if not prompt:
-            return
-        self._prompt_cache(state).record_read(model, prompt)
-        for key, _ in list_prefixes(prompt):
-            prefix_upstreams = self._prefix_upstreams.setdefault(
-                (model, key), deque(maxlen=MAX_PREFIX_UPSTREAMS)
-            )
-            if state.upstream_id not in prefix_upstreams:
-                prefix_upstreams.append(state.upstream_id)
-            self._prefix_upstreams.move_to_end((model, key))
-        while len(self._prefix_upstreams) > MAX_PREFIXES:
-            self._prefix_upstreams.popitem(last=False)
+        """Record that a request was sent; ``key`` identifies it."""
+        self.prompt_caches.record_sent(
+            state.upstream_id, state.upstream.service, key, facts, model, now_s
+        )
+        prefixes = tuple(list_prefixes(facts.prompt[:-1]))
+        self._record_popularity(state, model, prefixes, now_s)
+
+    def record_sent_by_other(
+        self,
+        state: UpstreamState,
+        key: Hashable,
+        prompt: Sequence[PromptPart],
+        model: str,
+        now_s: float,
+    ) -> None:
+        """Record a request of another entry, by the shared parts of its prompt."""
+        prefixes = tuple(list_prefixes(prompt))
+        self.prompt_caches.record_sent_by_other(
+            state.upstream_id, state.upstream.service, key, prefixes, model, now_s
+        )
+        self._record_popularity(state, model, prefixes, now_s)
 
     def forget(self, upstream_id: str) -> None:
         """Delete the prompt cache estimate of an upstream that is gone."""
-        self._prompt_caches.pop(upstream_id, None)
+        self.prompt_caches.forget(upstream_id)
+
+    def _record_popularity(
+        self, state: UpstreamState, model: str, prefixes: Prefixes, now_s: float
+    ) -> None:
+        upstream = state.upstream
+        self._popularity.record_sent(
+            upstream.upstream_id, upstream.service, model, prefixes, now_s
+        )
 
     def _shortlist(
-        self, candidates: Sequence[UpstreamState], facts: RequestFacts, model: str
-    ) -> Sequence[UpstreamState]:
+        self,
+        candidates: Sequence[UpstreamState],
+        facts: RequestFacts,
+        prefixes: Prefixes,
+        model: str,
+    ) -> _Shortlist:
         """Return the candidates to compare, limited to a part of a large fleet.
 
         Of more than ``MAX_COMPARED_UPSTREAMS`` candidates, these are the ones
@@ -195,38 +204,73 @@
         prefix, and some chosen by a hash of the request id.
         """
         if len(candidates) <= MAX_COMPARED_UPSTREAMS:
-            return candidates
-        by_id = self._by_id.get(candidates)
-        shortlist: dict[str, UpstreamState] = {}
-        for key, _ in reversed(list(list_prefixes(facts.prompt))):
-            for upstream_id in self._prefix_upstreams.get((model, key), ()):
-                if upstream_id in by_id:
-                    shortlist[upstream_id] = by_id[upstream_id]
-        count = len(candidates)
-        for seed in (f"{model}\x00{facts.prefix_key}", facts.request_id):
-            position, step = (
-                rendezvous_hash(seed, "position"),
-                1 + rendezvous_hash(seed, "step") % (count - 1),
+            return _Shortlist(candidates)
+        ring = self._rings.get(candidates)
+        ids: dict[str, None] = {}
+        for key, _ in reversed(prefixes):
+            ids.update(dict.fromkeys(self._popularity.upstreams(model, key)))
+        count = MAX_COMPARED_UPSTREAMS // 3
+        seed = f"{model}\x00{facts.prefix_key}"
+        ids.update(dict.fromkeys(ring.find(seed, count)))
+        common = frozenset(ids)
+        ids.update(dict.fromkeys(ring.find(facts.request_id, count)))
+        by_id = ring.by_id
+        return _Shortlist([by_id[item] for item in ids if item in by_id], common)
+
+    def _shared_prefix(
+        self,
+        placements: Sequence[Placement],
+        prefixes: Prefixes,
+        model: str,
+        upstreams: int,
+        now_s: float,
+    ) -> SharedPrefix:
+        """Return how far the prompt is cached, and at how many it may be."""
+        share = 0.0
+        if len(prefixes) > 1:
+            service = placements[0].state.upstream.service
+            share = self._popularity.share(service, model, prefixes[-2][0], now_s)
+        cached_tokens = [placement.cached_tokens for placement in placements]
+        return SharedPrefix.of(cached_tokens, share, upstreams)
+
+    def _weigh(
+        self,
+        placements: Sequence[Placement],
+        model: str,
+        prefix: SharedPrefix,
+        now_s: float,
+    ) -> None:
+        """Add to each placement what it costs other requests."""
+        for placement in placements:
+            state = placement.state
+            placement.saved_ms = self._prefill_ms(model, placement.cached_tokens)
+            placement.weights = self._weighing.weigh(
+                state.upstream_id,
+                model,
+                placement.unread_tokens,
+                placement.cached_tokens,
+                state.running(now_s),
+                prefix,
+                now_s,
             )
-            for number in range(MAX_COMPARED_UPSTREAMS // 3):
-                state = candidates[(position + number * step) % count]
-                shortlist[state.upstream_id] = state
-        return list(shortlist.values())
 
-    def _prompt_cache(self, state: UpstreamState) -> PromptCacheEstimate:
-        return self._prompt_caches.setdefault(state.upstream_id, PromptCacheEstimate())
+    def _prefill_ms(self, model: str, tokens: int) -> float:
+        """Return the prefill time of ``tokens`` tokens, in milliseconds."""
+        idle_ms = self.first_tokens.expected_ms(model, 0)
+        return self.first_tokens.expected_ms(model, tokens) - idle_ms
 
     def _placement(
         self,
         state: UpstreamState,
         facts: RequestFacts,
         model: str,
-        prefixes: Sequence[tuple[str, int]],
+        prefixes: Prefixes,
         body_bytes: int,
         now_s: float,
     ) -> Placement:
-        prompt_cache = self._prompt_caches.get(state.upstream_id)
-        cached = prompt_cache.cached_tokens(model, prefixes) if prompt_cache else 0
+        cached = self.prompt_caches.expected_cached(
+            state.upstream_id, model, prefixes, now_s
+        ).expected_tokens
         unread = max(0, facts.prompt_tokens - cached)
         waiting_ms = state.queue.waiting_ms(now_s, concurrent_starts(state, facts))
         waiting_ms += state.running(now_s) * RUNNING_REQUEST_DELAY_MS
@@ -240,8 +284,55 @@
         return body_bytes / 1000 * CROSS_ZONE_MS_PER_KB
 
 
-def _index_by_id(candidates: Sequence[UpstreamState]) -> dict[str, UpstreamState]:
-    return {state.upstream_id: state for state in candidates}
+def _lowest(
+    placements: Sequence[Placement], facts: RequestFacts, model: str
+) -> Placement:
+    """Return the placement with the lowest cost; of several, one by their hash."""
+    costs_ms = [placement.cost_ms for placement in placements]
+    lowest_ms = min(costs_ms)
+    best = [
+        placement
+        for placement, cost_ms in zip(placements, costs_ms, strict=True)
+        if cost_ms == lowest_ms
+    ]
+    if len(best) == 1:
+        return best[0]
+    return max(best, key=lambda placement: _affinity(facts, model, placement.state))
+
+
+def _near_lowest(
+    placements: Sequence[Placement],
+    facts: RequestFacts,
+    model: str,
+    prefix: SharedPrefix,
+    common: Collection[str] | None,
+) -> Placement:
+    """Return a placement of a cost near the lowest, by a hash.
+
+    The hash is of the prefix, so that equal prompts meet at an upstream that is to
+    read it: one in ``common``, if there is any. It is of the request's id if there is
+    no prefix, or upstreams have it cached already.
+    """
+    costs_ms = [placement.cost_ms for placement in placements]
+    lowest_ms = min(costs_ms)
+    limit_ms = near_tie_limit_ms(lowest_ms)
+    cheapest = placements[costs_ms.index(lowest_ms)]
+    near = [
+        placement
+        for placement, cost_ms in zip(placements, costs_ms, strict=True)
+        if cost_ms <= limit_ms and placement.transfer_ms <= cheapest.transfer_ms
+    ]
+    if len(near) == 1:
+        return cheapest
+    holders = [item for item in near if prefix.holds(item.cached_tokens)]
+    if holders or not facts.prefix_key:
+        return max(
+            holders or near,
+            key=lambda item: rendezvous_hash(facts.request_id, item.state.upstream_id),
+        )
+    if common is not None:
+        near = [item for item in near if item.state.upstream_id in common] or near
+    return max(near, key=lambda item: _affinity(facts, model, item.state))
 
 
 def _affinity(facts: RequestFacts, model: str, state: UpstreamState) -> int:
--- /dev/null
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/prompt_cache/__init__.py
@@ -0,0 +1,1 @@
+"""What an upstream has cached of prompts, weighed against the wait there."""
--- /dev/null
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/prompt_cache/models.py
@@ -0,0 +1,74 @@
+"""Data types of the prompt cache estimate."""
+
+from collections.abc import Iterable, Sequence
+
+import attrs
+
+from ..models import PromptPart
+
+# Key of each prompt prefix, and its last part's tokens.
+Prefixes = Sequence[tuple[str, int]]
+
+
+def list_prefixes(prompt: Sequence[PromptPart]) -> Iterable[tuple[str, int]]:
+    """Yield each prompt prefix's key, and its last part's tokens."""
+    key = ""
+    for part in prompt:
+        key = f"{key},{part.part_id}"
+        yield key, part.tokens
+
+
+# Not frozen, as it is created for each candidate.
+@attrs.define
+class CachedPrompt:
+    """What an upstream has probably cached of a prompt."""
+
+    # Tokens of the prompt's beginning that may be cached.
+    tokens: int
+    # Mean probability that one of these tokens is cached.
+    chance: float
+
+    @property
+    def expected_tokens(self) -> int:
+        """Return the expected number of cached tokens."""
+        return round(self.tokens * self.chance)
+
+
+@attrs.frozen
+class PromptRun:
+    """A request that an upstream runs, as far as its memory is concerned."""
+
+    model: str
+    prefixes: tuple[tuple[str, int], ...]
+    # Prompt tokens beyond the prefixes.
+    own_tokens: int
+    # Tokens of memory that the request holds: its prompt and expected output.
+    tokens: int
+    sent_at_s: float
+
+
+@attrs.frozen
+class EvictedPart:
+    """A part that a prompt would evict."""
+
+    model: str
+    tokens: int
+    # Expected number of its uses that the eviction concerns, at most 1.
+    uses: float
+
+
+@attrs.define
+class Weights:
+    """What a placement costs beside the request's own first token, in milliseconds."""
+
+    # Delay of the requests that run there.
+    delay_ms: float = 0.0
+    # Prefill time of what is evicted.
+    evicted_ms: float = 0.0
+    # Charge for a prefix that other upstreams have cached.
+    again_ms: float = 0.0
+
+    @property
+    def total_ms(self) -> float:
+        """Return the sum."""
+        return self.delay_ms + self.evicted_ms + self.again_ms
--- a/tests/core/relay/placement/test_placer.py
+++ b/tests/core/relay/placement/test_placer.py
@@ -9,11 +9,7 @@
     FirstTokenModel,
     QueueEstimate,
 )
-from cardamomnotch_core.relay.placement.placer import (
-    Placer,
-    PromptCacheEstimate,
-    list_prefixes,
-)
+from cardamomnotch_core.relay.placement.placer import Placer
 
 
 @pytest.fixture
@@ -42,6 +38,12 @@
     return make
 
 
+def read(placer, state, facts, now_s=0.0):
+    """Record that the upstream of ``state`` has read a prompt."""
+    placer.record_sent(state, facts, facts, "m", now_s)
+    placer.prompt_caches.record_read(state.upstream_id, facts, now_s)
+
+
 def test_same_prompt_prefix_goes_to_the_same_upstream(states, make_prompt_request):
     """Entries choose the same upstream without communication."""
     chosen = {
@@ -80,7 +82,7 @@
     placer = Placer("zone-a")
     chosen = placer.choose(states, make_prompt_request("a"), "m", 0, 0.0).state
     other = next(state for state in states if state is not chosen)
-    placer.record_sent(other, make_prompt_request("a").prompt, "m")
+    read(placer, other, make_prompt_request("a"))
     placement = placer.choose(states, make_prompt_request("a", "new"), "m", 0, 0.0)
     assert placement.state is other
     assert placement.cached_tokens == 10_000
@@ -114,25 +116,6 @@
     assert chosen == {"zone-a"}
 
 
-def test_prompt_cache_estimate_is_bounded(make_prompt_request):
-    """The least recently used prompt prefixes are evicted first."""
-    prompt_cache = PromptCacheEstimate(max_tokens=25_000)
-    for name in ("a", "b", "a", "c"):
-        prompt_cache.record_read("m", make_prompt_request(name).prompt)
-    assert (
-        prompt_cache.cached_tokens(
-            "m", list_prefixes(make_prompt_request("c", "new").prompt)
-        )
-        == 10_000
-    )
-    assert (
-        prompt_cache.cached_tokens(
-            "m", list_prefixes(make_prompt_request("b", "new").prompt)
-        )
-        == 0
-    )
-
-
 def test_first_token_time_is_learned_by_model():
     """The base time and each model's prefill time are learned from samples."""
     model = FirstTokenModel()
@@ -197,7 +180,7 @@
     upstreams = list(fleet)
     placer = Placer("zone-a")
     first = placer.choose(upstreams, make_prompt_request("a", "x"), "m", 0, 0.0)
-    placer.record_sent(first.state, make_prompt_request("a", "x").prompt, "m")
+    read(placer, first.state, make_prompt_request("a", "x"))
     second = placer.choose(upstreams, make_prompt_request("a", "y"), "m", 0, 0.0)
     assert second.state is first.state
     assert second.unread_tokens == 1_000
