--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/placement/placer.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/placement/placer.py
@@ -8,10 +8,15 @@
 from ..fleet import UpstreamState
 from ..identity_cache import IdentityCache
 from ..models import PromptPart, RequestFacts, Upstream
-from ..prompt_cache.models import Prefixes, Weights, list_prefixes
+from ..prompt_cache.models import Prefixes, list_prefixes
 from ..prompt_cache.popularity import PrefixPopularity
 from ..prompt_cache.prompt_caches import PromptCaches
-from ..prompt_cache.weighing import SharedPrefix, Weighing, near_tie_limit_ms
+from ..prompt_cache.weighing import (
+    SharedPrefix,
+    delay_ms,
+    evicted_ms,
+    near_tie_limit_ms,
+)
 from .const import (
     CROSS_ZONE_MS_PER_KB,
     MAX_COMPARED_UPSTREAMS,
@@ -48,8 +53,11 @@
     unread_tokens: int
     # Prefill time that the cached tokens are expected to save.
     saved_ms: float = 0.0
-    # What the placement costs other requests.
-    weights: Weights = attrs.field(factory=Weights)
+    # What the prefill costs other requests: the delay of those that run there, the
+    # prefill of what it evicts, and the charge for a prefix that others have cached.
+    delay_ms: float = 0.0
+    evicted_ms: float = 0.0
+    again_ms: float = 0.0
 
     @property
     def expected_ms(self) -> float:
@@ -59,18 +67,17 @@
     @property
     def cost_ms(self) -> float:
         """Return the cost by which placements are compared."""
-        return (
-            self.prefill_ms + self.waiting_ms + self.transfer_ms + self.weights.total_ms
-        )
+        others_ms = self.delay_ms + self.evicted_ms + self.again_ms
+        return self.prefill_ms + self.waiting_ms + self.transfer_ms + others_ms
 
     @property
     def parts(self) -> dict[str, int]:
         """Return the parts of the cost that are not 0, by name, in milliseconds."""
         parts = {
             "transfer_ms": self.transfer_ms,
-            "delay_ms": self.weights.delay_ms,
-            "evicted_ms": self.weights.evicted_ms,
-            "again_ms": self.weights.again_ms,
+            "delay_ms": self.delay_ms,
+            "evicted_ms": self.evicted_ms,
+            "again_ms": self.again_ms,
         }
         return {name: round(value) for name, value in parts.items() if value >= 0.5}
 
@@ -103,7 +110,6 @@
         self._is_avoided = is_avoided
         self.first_tokens = FirstTokenModel()
         self.prompt_caches = prompt_caches or PromptCaches()
-        self._weighing = Weighing(self.prompt_caches, self._prefill_ms)
         self._popularity = PrefixPopularity()
         self._rings = IdentityCache(UpstreamRing)
 
@@ -241,18 +247,18 @@
         now_s: float,
     ) -> None:
         """Add to each placement what it costs other requests."""
+        ms_per_token = self._prefill_ms(model, 1)
+        again_ms_per_token = ms_per_token * prefix.read_again_cost
+        would_evict = self.prompt_caches.would_evict
         for placement in placements:
             state = placement.state
-            placement.saved_ms = self._prefill_ms(model, placement.cached_tokens)
-            placement.weights = self._weighing.weigh(
-                state.upstream_id,
-                model,
-                placement.unread_tokens,
-                placement.cached_tokens,
-                state.running(now_s),
-                prefix,
-                now_s,
-            )
+            unread, cached = placement.unread_tokens, placement.cached_tokens
+            placement.saved_ms = cached * ms_per_token
+            placement.again_ms = (prefix.best_tokens - cached) * again_ms_per_token
+            placement.delay_ms = delay_ms(unread * ms_per_token, state.running(now_s))
+            evicted = would_evict(state.upstream_id, unread, now_s)
+            if evicted:
+                placement.evicted_ms = evicted_ms(evicted, self._prefill_ms)
 
     def _prefill_ms(self, model: str, tokens: int) -> float:
         """Return the prefill time of ``tokens`` tokens, in milliseconds."""
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/prompt_cache/models.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/prompt_cache/models.py
@@ -55,20 +55,3 @@
     tokens: int
     # Expected number of its uses that the eviction concerns, at most 1.
     uses: float
-
-
-@attrs.define
-class Weights:
-    """What a placement costs beside the request's own first token, in milliseconds."""
-
-    # Delay of the requests that run there.
-    delay_ms: float = 0.0
-    # Prefill time of what is evicted.
-    evicted_ms: float = 0.0
-    # Charge for a prefix that other upstreams have cached.
-    again_ms: float = 0.0
-
-    @property
-    def total_ms(self) -> float:
-        """Return the sum."""
-        return self.delay_ms + self.evicted_ms + self.again_ms
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/prompt_cache/prompt_caches.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/prompt_cache/prompt_caches.py
@@ -4,7 +4,7 @@
 than can keep all of them.
 """
 
-from collections.abc import Callable, Hashable, Mapping
+from collections.abc import Callable, Hashable, Mapping, Sequence
 
 import attrs
 
@@ -70,10 +70,10 @@
 
     def would_evict(
         self, upstream_id: str, tokens: int, now_s: float
-    ) -> tuple[EvictedPart, ...]:
+    ) -> Sequence[EvictedPart]:
         """Return parts that an upstream evicts if it reads ``tokens``."""
         cache = self._caches.get(upstream_id)
-        return tuple(cache.would_evict(tokens, now_s)) if cache else ()
+        return cache.would_evict(tokens, now_s) if cache is not None else ()
 
     def record_sent(
         self,
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/prompt_cache/upstream_cache.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/prompt_cache/upstream_cache.py
@@ -2,7 +2,7 @@
 
 import itertools
 from collections import OrderedDict
-from collections.abc import Callable, Hashable, Iterator
+from collections.abc import Callable, Hashable, Sequence
 
 import attrs
 
@@ -116,27 +116,28 @@
             expected += part_tokens * chance
         return CachedPrompt(tokens, expected / tokens if tokens else 0.0)
 
-    def would_evict(self, tokens: int, now_s: float) -> Iterator[EvictedPart]:
-        """Yield the parts that reading ``tokens`` evicts, at most a few.
+    def would_evict(self, tokens: int, now_s: float) -> Sequence[EvictedPart]:
+        """Return the parts that reading ``tokens`` evicts, at most a few.
 
-        Of a part that is evicted with some probability, that share is yielded.
+        A part that is evicted in part, or that is cached with some probability only,
+        has accordingly fewer uses.
         """
-        if not self._parts:
-            return
+        free = self.capacity - self._tokens
+        if not self._parts or tokens <= free - self._own_tokens:
+            return ()
         oldest = next(iter(self._parts.values()))
-        left = min(
-            tokens, self._tokens + self._own_since(oldest) + tokens - self.capacity
-        )
+        left = min(tokens, tokens + self._own_since(oldest) - free)
+        evicted = []
         for (model, _), part in itertools.islice(
             self._parts.items(), MAX_EVICTED_PARTS
         ):
             if left <= 0:
-                return
+                break
             share = min(1.0, left / max(1, part.tokens)) * self._chance(part)
-            yield EvictedPart(
-                model, part.tokens, share * min(1.0, part.decayed_uses(now_s))
-            )
+            uses = share * min(1.0, part.decayed_uses(now_s))
+            evicted.append(EvictedPart(model, part.tokens, uses))
             left -= part.tokens
+        return evicted
 
     def record_sent(self, key: Hashable, run: PromptRun) -> None:
         """Add a request; its prompt is cached when its prefill has ended."""
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/prompt_cache/weighing.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/prompt_cache/weighing.py
@@ -5,7 +5,7 @@
 """
 
 import math
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 
 import attrs
 
@@ -17,8 +17,7 @@
     READ_AGAIN_COST,
     READ_BEYOND_LIMIT_COST,
 )
-from .models import Weights
-from .prompt_caches import PromptCaches
+from .models import EvictedPart
 
 # Returns the prefill time of a number of tokens with a model, in milliseconds.
 PrefillMs = Callable[[str, int], float]
@@ -61,43 +60,14 @@
         return READ_AGAIN_COST * self.holders / self.max_holders
 
 
-class Weighing:
-    """Weighs what a placement costs beside the request's own first token."""
+def delay_ms(prefill_ms: float, running: int) -> float:
+    """Return how long a prefill delays the requests that run beside it, in total."""
+    return prefill_ms * running * PREFILL_DELAY_FACTOR
 
-    def __init__(self, caches: PromptCaches, prefill_ms: PrefillMs) -> None:
-        self._caches = caches
-        self._prefill_ms = prefill_ms
 
-    def weigh(
-        self,
-        upstream_id: str,
-        model: str,
-        unread_tokens: int,
-        cached_tokens: int,
-        running: int,
-        prefix: SharedPrefix,
-        now_s: float,
-    ) -> Weights:
-        """Return the weights of reading ``unread_tokens`` at one upstream.
-
-        ``running`` is the number of requests that run there, which the prefill delays.
-        """
-        delay_ms = self._prefill_ms(model, unread_tokens) * running
-        evicted = self._caches.would_evict(upstream_id, unread_tokens, now_s)
-        again_ms = 0.0
-        again_tokens = prefix.best_tokens - cached_tokens
-        if again_tokens > 0:
-            again_ms = self._prefill_ms(model, again_tokens) * prefix.read_again_cost
-        return Weights(
-            delay_ms * PREFILL_DELAY_FACTOR,
-            sum(
-                self._prefill_ms(part.model, part.tokens) * part.uses
-                for part in evicted
-            )
-            if evicted
-            else 0.0,
-            again_ms,
-        )
+def evicted_ms(parts: Iterable[EvictedPart], prefill_ms: PrefillMs) -> float:
+    """Return the prefill time that evicting ``parts`` is expected to cost."""
+    return sum(prefill_ms(part.model, part.tokens) * part.uses for part in parts)
 
 
 def near_tie_limit_ms(lowest_ms: float) -> float:
--- a/tests/core/relay/prompt_cache/test_weighing.py
+++ b/tests/core/relay/prompt_cache/test_weighing.py
@@ -100,7 +100,7 @@
     second.queue.start("key", 8.0 * 40 + 300, 0.0)
     placement = placer.choose([first, second], facts, "m", 0, 0.0)
     assert placement.state is second
-    assert placement.weights.delay_ms > 0
+    assert placement.delay_ms > 0
     short = make_prompt_request("", 1, own_tokens=20)
     assert placer.choose([first, second], short, "m", 0, 0.0).state is first
 
@@ -171,7 +171,7 @@
     states[7].in_flight = 4
     placement = placer.choose(states, make_facts(), "", 0, 0.0)
     assert placement.state is states[7]
-    assert placement.weights.total_ms == 0.0
+    assert placement.cost_ms == placement.expected_ms
     assert placement.saved_ms == 0.0
 
 
