--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/node.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/node.py
@@ -36,6 +36,7 @@
 from .notices.routes import NoticeRoutes
 from .placement.placer import Placement, Placer
 from .placement.selector import Constraints, UpstreamSelector
+from .prompt_cache.prompt_caches import PromptCaches
 from .rates.const import RESERVED_RETRY_SHARE
 from .rates.retries import BudgetUse, RetryBudget
 from .rates.upstream_rates import UpstreamRates
@@ -112,8 +113,12 @@
         )
         self.reachability = Reachability(identity.name, identity.zone)
         self.estimates = UpstreamEstimates()
+        self.prompt_caches = PromptCaches(self._token_capacity)
         self._placer = Placer(
-            identity.zone, self.reachability.is_avoided, self.estimates
+            identity.zone,
+            self.reachability.is_avoided,
+            self.estimates,
+            self.prompt_caches,
         )
         self.admission = Admission(
             self.fleet,
@@ -280,6 +285,7 @@
         for state in self.fleet:
             state.forget_entry(change.entry)
         self.admission.use.forget_entry(change.entry, now_s)
+        self.prompt_caches.forget_entry(change.entry)
 
     @_apply.register
     def _(self, change: changes.CrashesReported, now_s: float) -> None:
@@ -630,6 +636,12 @@
         if self.fleet.get(upstream_id) is None:
             self.rates.forget_upstream(upstream_id)
 
+    def _token_capacity(self, service: str) -> int:
+        """Return the memory in tokens that a service states; 0 if none."""
+        document = self.routes.document
+        known = document.services.get(service) if document else None
+        return known.token_capacity if known else 0
+
     def _service_of(self, route: Route, facts: RequestFacts) -> Service:
         document = self.routes.document
         assert document is not None
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/upstream_estimates/models.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/upstream_estimates/models.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from ..placement.const import DEFAULT_SPREAD
 from .const import LOAD_LIMITS_MS
 
 
@@ -37,7 +38,7 @@
     # Expected wait for other requests, in milliseconds.
     waiting_ms: float
     # Factor that four of five observed times stay under.
-    spread: float = 1.0
+    spread: float = DEFAULT_SPREAD
 
 
 @attrs.define
