Weigh observations of an upstream's speed by how sure they are

Long expected waits are uncertain, so their errors were taken for changes of the upstream's speed. They now weigh by the square of the share of the time that does not depend on other requests, and clear changes in a row weigh twice as much each.

--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/upstream_estimates/const.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/upstream_estimates/const.py
@@ -51,14 +51,14 @@
 
 # Smoothing factors of the logarithm of an upstream's speed factor: of its usual value,
 # and of the recent deviation from it.
-USUAL_SPEED_STEP: Final = 0.08
-RECENT_SPEED_STEP: Final = 0.2
+USUAL_SPEED_STEP: Final = 0.05
+RECENT_SPEED_STEP: Final = 0.12
 
-# Change in the logarithm beyond which observations in a row in the same direction have
-# up to so many times the weight: a change of speed is followed within some answers,
-# while a single late answer has little effect.
+# Change in the logarithm beyond which each of several observations in the same
+# direction has twice the weight of the one before, and the largest weight: a change of
+# speed is followed within some answers, while a single late answer has little effect.
 CLEAR_SPEED_CHANGE: Final = 0.35
-MAX_SPEED_STREAK: Final = 4
+MAX_STREAK_WEIGHT: Final = 8
 
 # Half-life of the recent deviation, in seconds: an upstream that is avoided as slow is
 # tried again after some of them.
@@ -69,17 +69,18 @@
 SPEED_RETURN_SHARE: Final = 0.005
 
 # Largest logarithm of a speed factor, and of the change that one observation can
-# suggest: a factor of 12, and of 2.7.
+# suggest: a factor of 12, and of 4.5.
 MAX_LOG_SPEED: Final = 2.5
-MAX_LOG_SPEED_CHANGE: Final = 1.0
+MAX_LOG_SPEED_CHANGE: Final = 1.5
 
 # Added to the observed and the expected time before their ratio is taken, in
 # milliseconds, so that short times do not distort it.
 SPEED_FLOOR_MS: Final = 50.0
 
-# Least weight of an observation for the speed. The weight is the share of the expected
-# time that does not depend on other requests.
-MIN_SPEED_WEIGHT: Final = 0.15
+# Least weight of an observation for the speed. The weight is a power of the share of
+# the expected time that does not depend on other requests: the rest is uncertain.
+MIN_SPEED_WEIGHT: Final = 0.05
+SPEED_WEIGHT_EXPONENT: Final = 2
 
 # Time by which a pending prompt must be overdue to be ignored once a later one has been
 # answered, in seconds: its answer is lost, or its connection hangs.
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/upstream_estimates/queue.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/upstream_estimates/queue.py
@@ -6,7 +6,7 @@
 
 from ..placement.const import MAX_FIRST_TOKEN_WAIT_S
 from ..placement.first_token import QueueEstimate
-from .const import MIN_SPEED_WEIGHT, STUCK_S
+from .const import MIN_SPEED_WEIGHT, SPEED_WEIGHT_EXPONENT, STUCK_S
 from .speed import UpstreamSpeed
 
 
@@ -89,7 +89,8 @@
         if prompt is None or not answered:
             return
         observed_ms = (now_s - prompt.started_at_s) * 1000
-        weight = max(MIN_SPEED_WEIGHT, prompt.idle_ms / max(1.0, prompt.expected_ms))
+        idle_share = prompt.idle_ms / max(1.0, prompt.expected_ms)
+        weight = max(MIN_SPEED_WEIGHT, idle_share**SPEED_WEIGHT_EXPONENT)
         self.speed.update(prompt.expected_ms, observed_ms, weight, now_s)
         self._answered_at_s = now_s
         # The first token follows the end of the prefill after the base time; in that
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/upstream_estimates/speed.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/upstream_estimates/speed.py
@@ -8,7 +8,7 @@
     CLEAR_SPEED_CHANGE,
     MAX_LOG_SPEED,
     MAX_LOG_SPEED_CHANGE,
-    MAX_SPEED_STREAK,
+    MAX_STREAK_WEIGHT,
     RECENT_SPEED_STEP,
     SPEED_FLOOR_MS,
     SPEED_HALF_LIFE_S,
@@ -56,7 +56,7 @@
         change = math.log(max(1e-3, ratio)) - self._usual - deviation
         change = weight * _limit(change, MAX_LOG_SPEED_CHANGE)
         self._samples += 1
-        recent_step = RECENT_SPEED_STEP * self._count_streak(change)
+        recent_step = RECENT_SPEED_STEP * self._streak_weight(change)
         usual_step = max(USUAL_SPEED_STEP, RECENT_SPEED_STEP / self._samples)
         usual = self._usual * (1 - SPEED_RETURN_SHARE) + usual_step * change
         total = self._usual + deviation + recent_step * change
@@ -64,15 +64,15 @@
         self._deviation = _limit(total, MAX_LOG_SPEED) - self._usual
         self._updated_at_s = now_s
 
-    def _count_streak(self, change: float) -> int:
-        """Return how many times the usual weight this change has."""
+    def _streak_weight(self, change: float) -> int:
+        """Return the weight of a change, doubled for each clear one before it."""
         if abs(change) < CLEAR_SPEED_CHANGE:
             self._streak = 0
             return 1
         direction = 1 if change > 0 else -1
-        same = self._streak * direction > 0
-        self._streak = self._streak + direction if same else direction
-        return min(MAX_SPEED_STREAK, abs(self._streak))
+        is_same = self._streak * direction > 0
+        self._streak = self._streak + direction if is_same else direction
+        return min(MAX_STREAK_WEIGHT, 1 << min(8, abs(self._streak) - 1))
 
     def _recent_deviation(self, now_s: float) -> float:
         elapsed_s = now_s - self._updated_at_s
