Count wishes that only the load makes late, and fix the random source

A wish counts as demand if the larger model alone would be in time on idle upstreams; before, prompts that have time for one model only did not count once the load made that one late. An older copy of the routes no longer deletes what was learned. The placer gets the expected number of output tokens, so that the ends of the kept answer and of the larger model are estimated from the same number.

RelayNode takes a random source, so that the load model is the same in each run.

--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/model_choice/choice.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/model_choice/choice.py
@@ -6,7 +6,6 @@
 lose most without one get it.
 """
 
-import random
 from collections.abc import Callable, Iterable, Mapping
 
 import attrs
@@ -72,7 +71,7 @@
         budget_use: BudgetView,
         *,
         is_over_share: IsOverShare = never_over_share,
-        random_source: Callable[[], float] = random.random,
+        random_source: Callable[[], float],
         confidence_floor: int = DEFAULT_CONFIDENCE_FLOOR,
         explored_share: float = DEFAULT_EXPLORED_SHARE,
     ) -> None:
@@ -368,10 +367,11 @@
     ) -> None:
         """Count a wish as demand that only the load makes late.
 
-        Otherwise requests that rank lower would keep the upstreams busy.
+        On idle upstreams the larger model alone would be in time. Otherwise requests
+        that rank lower would keep the upstreams busy.
         """
         route = request.route
-        idle_s = (answer.prefill_ms + option.placement.prefill_ms) / 1000
+        idle_s = option.placement.prefill_ms / 1000
         if idle_s > route.target_latency_s * ESCALATION_LATENCY_FRACTION:
             return
         gain = self._quality.chance(route, request.facts, option.model)
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/model_choice/models.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/model_choice/models.py
@@ -70,8 +70,7 @@
     confidence: int | None
     # Time from the request's arrival until now, in seconds.
     elapsed_s: float
-    # Expected time to its first token on an idle upstream, and from there to its end.
-    prefill_ms: float = 0.0
+    # Expected time until its end.
     end_ms: float = 0.0
 
 
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/node.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/node.py
@@ -1,6 +1,7 @@
 """State and decisions of one relaying entry."""
 
-from collections.abc import Iterable
+import random
+from collections.abc import Callable, Iterable
 from functools import singledispatchmethod
 
 import attrs
@@ -69,7 +70,12 @@
 class RelayNode:
     """Keeps one entry's view of the system and decides on each request."""
 
-    def __init__(self, identity: RelayIdentity, limits: RelayLimits) -> None:
+    def __init__(
+        self,
+        identity: RelayIdentity,
+        limits: RelayLimits,
+        random_source: Callable[[], float] = random.random,
+    ) -> None:
         self._identity = identity
         self._limits = limits
         self.routes = RouteTable(limits.document_max_age_s, limits.refusal_max_age_s)
@@ -96,7 +102,9 @@
         self._retry_budget = RetryBudget(
             limits.retry_ratio, limits.retry_slack, limits.retry_window_s
         )
-        self.model_choice = ModelChoice(self.retry_budget_use)
+        self.model_choice = ModelChoice(
+            self.retry_budget_use, random_source=random_source
+        )
         self.reachability = Reachability(identity.name, identity.zone)
         self._placer = Placer(identity.zone, self.reachability.is_avoided)
         self._selector = UpstreamSelector(
@@ -177,8 +185,8 @@
 
     @_apply.register
     def _(self, change: changes.DocumentWritten, now_s: float) -> None:
-        self.routes.apply(change.document)
-        self.model_choice.set_routes(change.document.routes)
+        if self.routes.apply(change.document):
+            self.model_choice.set_routes(change.document.routes)
 
     @_apply.register
     def _(self, change: changes.UpstreamListed, now_s: float) -> None:
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/attempts.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/attempts.py
@@ -126,7 +126,6 @@
             model=self._model,
             confidence=self.head.confidence,
             elapsed_s=elapsed_s,
-            prefill_ms=self._placement.prefill_ms,
             end_ms=self._placement.end_ms,
         )
 
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/forwarder.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/forwarder.py
@@ -139,7 +139,7 @@
             client=self._client,
             codec=self._codec,
             clock=self._clock,
-            facts=request.facts,
+            facts=node.model_choice.with_expected_output(route, request.facts),
             body_bytes=len(self._body),
             deadline_s=self._deadline_s,
             capacity_deadline_s=self._arrived_at_s + route.target_latency_s / 4,
--- a/tests/core/relay/test_node.py
+++ b/tests/core/relay/test_node.py
@@ -214,6 +214,22 @@
     assert decision.model == expected
 
 
+def test_older_document_changes_nothing_that_was_learned(
+    node, service, make_document, make_route, make_facts
+):
+    """A copy of the routes that is out of date deletes no estimate of a new route."""
+    route = make_route(name="new", models=("small", "large"))
+    document = make_document(3, routes=[route])
+    node.apply(changes.DocumentWritten(document=document), 0.0)
+    request = ChoiceRequest(route=route, service=service, facts=make_facts())
+    answer = Answer(model="small", confidence=10, elapsed_s=0.1)
+    node.model_choice.record_answer(request, answer)
+    node.apply(changes.DocumentWritten(document=make_document(2)), 1.0)
+    assert "new" in node.model_choice.learned()
+    node.apply(changes.DocumentWritten(document=make_document(4)), 2.0)
+    assert not node.model_choice.learned()
+
+
 def test_record_is_urgent_only_if_it_affects_decisions(node):
     """Bad answers make a record urgent, good answers alone do not."""
     order = changes.RolloutOrdered(
