--- a/packages/cardamomnotch-core/src/cardamomnotch_core/load_model/simulation.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/load_model/simulation.py
@@ -124,7 +124,8 @@
 
     def _create_node(self, name: str, zone: str) -> RelayNode:
         identity = RelayIdentity(name=name, zone=zone, incarnation="1", address=name)
-        node = RelayNode(identity, RelayLimits())
+        choices = random.Random(f"{self.case.seed} {name}")
+        node = RelayNode(identity, RelayLimits(), choices)
         service = attrs.evolve(_SERVICE, token_capacity=self.case.upstream_tokens)
         document = RouteDocument(
             version=1,
@@ -258,7 +259,7 @@
             placement, request.model, key, first_token_s, self.now_s
         )
         outcome.is_good = request.hardness < self._models[request.model].quality
-        larger = self._larger_model(request, placement)
+        larger = self._larger_model(request)
         if larger is not None:
             self._end(request, placement, key, AttemptEnd.ABANDONED)
             request.model = larger
@@ -272,7 +273,7 @@
         )
         self._exchange(node)
 
-    def _larger_model(self, request: _Request, placement: Placement) -> str | None:
+    def _larger_model(self, request: _Request) -> str | None:
         """Return a larger model if the answer's rating is low; None to keep it."""
         if not request.model:
             return None
@@ -283,7 +284,6 @@
             model=request.model,
             confidence=confidence,
             elapsed_s=self.now_s - request.outcome.arrived_at_s,
-            prefill_ms=placement.prefill_ms,
         )
         node.model_choice.record_answer(choice, answer)
         if not node.model_choice.lacks_confidence(choice, answer):
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/node.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/node.py
@@ -82,6 +82,7 @@
         limits: RelayLimits,
         random_source: random.Random | None = None,
     ) -> None:
+        random_source = random_source or random.Random()
         self._identity = identity
         self._limits = limits
         self.routes = RouteTable(limits.document_max_age_s, limits.refusal_max_age_s)
@@ -109,7 +110,9 @@
             limits.retry_ratio, limits.retry_slack, limits.retry_window_s
         )
         self.model_choice = ModelChoice(
-            self.retry_budget_use, is_over_share=self.is_over_share
+            self.retry_budget_use,
+            is_over_share=self.is_over_share,
+            random_source=random_source.random,
         )
         self.reachability = Reachability(identity.name, identity.zone)
         self.estimates = UpstreamEstimates()
@@ -124,7 +127,7 @@
             self.fleet,
             self._entries,
             limits,
-            random_source or random.Random(),
+            random_source,
             self.reachability.is_avoided,
         )
         self._selector = UpstreamSelector(
@@ -213,8 +216,8 @@
 
     @_apply.register
     def _(self, change: changes.DocumentWritten, now_s: float) -> None:
-        self.routes.apply(change.document)
-        self.model_choice.set_routes(change.document.routes)
+        if self.routes.apply(change.document):
+            self.model_choice.set_routes(change.document.routes)
 
     @_apply.register
     def _(self, change: changes.UpstreamListed, now_s: float) -> None:
