Report what was weighed, and charge less for evicted parts

The log line of an attempt has the expected saving and the other parts of the cost, a metric counts prompt tokens by whether they were expected to be cached, and the state dump has the cache of each upstream.

A part that is being read counts nearly in full, since a request with it waits for the first one, and that wait is in the cost already; half made prompts be read elsewhere at the same time.

--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/prompt_cache/const.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/prompt_cache/const.py
@@ -14,9 +14,9 @@
 READ_AFTER_S: Final = 3.0
 
 # Probability that a part whose prefill has begun and not ended spares the next request
-# its prefill. Upstreams that read prompts one after the other spare all of it, those
-# that interleave prompts spare none.
-BEING_READ_CHANCE: Final = 0.5
+# its prefill: that request waits for the first one, which may still fail. The wait is
+# part of the placement's cost.
+BEING_READ_CHANCE: Final = 0.95
 
 # Tokens cached at an upstream for each token known to be: start notices of other
 # entries may be lost.
@@ -36,6 +36,11 @@
 # Smoothing factor of the typical own tokens of a request.
 OWN_TOKENS_STEP: Final = 0.05
 
+# Cost of evicting a part, relative to its prefill time and its uses: the next prompt
+# would evict it anyway. A higher cost keeps prompts from the upstreams that have read
+# them when memory is short everywhere, so that all are read again.
+EVICTED_COST: Final = 0.3
+
 # Delay of each running request by a prefill beside it, as a share of its time. The
 # recordings state 0.6 to 4.5 % for the reverse.
 PREFILL_DELAY_FACTOR: Final = 0.02
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/prompt_cache/weighing.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/prompt_cache/weighing.py
@@ -10,6 +10,7 @@
 import attrs
 
 from .const import (
+    EVICTED_COST,
     MAX_PREFIX_UPSTREAMS,
     NEAR_TIE_FRACTION,
     NEAR_TIE_MS,
@@ -67,7 +68,9 @@
 
 def evicted_ms(parts: Iterable[EvictedPart], prefill_ms: PrefillMs) -> float:
     """Return the prefill time that evicting ``parts`` is expected to cost."""
-    return sum(prefill_ms(part.model, part.tokens) * part.uses for part in parts)
+    return EVICTED_COST * sum(
+        prefill_ms(part.model, part.tokens) * part.uses for part in parts
+    )
 
 
 def near_tie_limit_ms(lowest_ms: float) -> float:
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/attempts.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/attempts.py
@@ -86,6 +86,8 @@
             cached_tokens=placement.cached_tokens,
             unread_tokens=placement.unread_tokens,
             waiting_ms=int(placement.waiting_ms),
+            saved_ms=int(placement.saved_ms),
+            placement=placement.parts,
         )
 
     @property
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/diagnostics.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/diagnostics.py
@@ -44,6 +44,15 @@
             }
             for state in node.fleet
         ],
+        "prompt_caches": {
+            upstream_id: {
+                "tokens": cache.tokens,
+                "capacity": cache.capacity,
+                "running_tokens": cache.running_tokens,
+                "parts": len(cache),
+            }
+            for upstream_id, cache in sorted(node.prompt_caches.caches.items())
+        },
         "crashes": node.quarantine.totals,
         "named_rates": node.rates.named,
         "zones_unreachable": sorted(node.reachability.lost_zones(now_s)),
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/metrics.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/metrics.py
@@ -88,6 +88,12 @@
             ["route", "version", "model", "outcome"],
             registry=self.registry,
         )
+        self._prompt_tokens = Counter(
+            "cardamomnotch_relay_prompt_tokens",
+            "Prompt tokens of attempts, by whether the upstream was to read them.",
+            ["model", "expected"],
+            registry=self.registry,
+        )
         self._suspected_attempts = Counter(
             "cardamomnotch_relay_suspected_attempts",
             "Attempts of requests that may have crashed upstreams, by crashes.",
@@ -220,6 +226,13 @@
         self._attempts.labels(
             route=route, version=log.version, model=log.model, outcome=outcome
         ).inc()
+        for expected, tokens in (
+            ("cached", log.cached_tokens),
+            ("read", log.unread_tokens),
+        ):
+            if tokens:
+                counter = self._prompt_tokens.labels(model=log.model, expected=expected)
+                counter.inc(tokens)
         if log.suspected_crashes:
             self._suspected_attempts.labels(crashes=log.suspected_crashes).inc()
         if log.upstream_up is not None:
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/models.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/models.py
@@ -99,6 +99,10 @@
     cached_tokens: int
     unread_tokens: int
     waiting_ms: int
+    # Prefill time that the cached tokens are expected to save, and the other parts of
+    # the placement's cost that are not 0.
+    saved_ms: int = 0
+    placement: dict[str, int] = attrs.field(factory=dict)
     # Crashes that the request, or a part of its prompt, may have caused when
     # the attempt was sent.
     suspected_crashes: int = 0
