--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/attempts.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/attempts.py
@@ -90,6 +90,8 @@
             waiting_ms=int(placement.waiting_ms),
             spread=round(placement.spread, 2),
             expected_end_ms=int(placement.end_ms),
+            saved_ms=int(placement.saved_ms),
+            placement=placement.parts,
         )
 
     @property
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/models.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/models.py
@@ -103,6 +103,10 @@
     spread: float = 1.0
     # Expected time from the first token to the end; 0 if the length is not stated.
     expected_end_ms: int = 0
+    # Prefill time that the cached tokens are expected to save, and the other parts of
+    # the placement's cost that are not 0.
+    saved_ms: int = 0
+    placement: dict[str, int] = attrs.field(factory=dict)
     # Crashes that the request, or a part of its prompt, may have caused when
     # the attempt was sent.
     suspected_crashes: int = 0
