Correct only the expected wait by the median error of its load

A correction of the whole time by load class could make a busy upstream seem faster than an idle one.

--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/upstream_estimates/calibration.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/upstream_estimates/calibration.py
@@ -18,7 +18,9 @@
 class Calibration:
     """Median and high quantile of the ratio, each as a logarithm.
 
-    ``correction`` is the median of the ratio to the times that the model expects.
+    ``correction`` is the factor on the expected wait with which half of the observed
+    times are longer than expected. It does not change the time without other requests:
+    an upstream must not seem faster because it is in a class of longer waits.
     ``median`` and ``spread`` are quantiles of the ratio to the corrected times.
     """
 
@@ -34,19 +36,17 @@
         return math.exp(self._log_median)
 
     def update(
-        self, modelled_ms: float, expected_ms: float, observed_ms: float
+        self, idle_ms: float, waiting_ms: float, expected_ms: float, observed_ms: float
     ) -> None:
         """Update the quantiles with an observed time.
 
-        ``modelled_ms`` is the expected time before the correction, and
-        ``expected_ms`` the one after it.
+        ``idle_ms`` is the expected time without other requests, ``waiting_ms`` the
+        expected wait before the correction, and ``expected_ms`` their sum after it.
         """
         self.samples += 1
         step = max(QUANTILE_STEP, QUANTILE_FIRST_STEP / (self.samples + 1))
-        correction = self.correction
-        correction *= math.exp(
-            step * (0.5 if observed_ms > modelled_ms * correction else -0.5)
-        )
+        is_late = observed_ms > idle_ms + waiting_ms * self.correction
+        correction = self.correction * math.exp(step * (0.5 if is_late else -0.5))
         self.correction = min(MAX_CORRECTION, max(MIN_CORRECTION, correction))
         ratio = math.log(max(1e-3, observed_ms / max(1.0, expected_ms)))
         self._log_median += step * (0.5 if ratio > self._log_median else -0.5)
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/upstream_estimates/coordinator.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/upstream_estimates/coordinator.py
@@ -67,8 +67,10 @@
     inputs: tuple[float, ...]
     # Class of the expected wait, as an index.
     load: int
-    # Expected time without and with the correction, in milliseconds.
-    modelled_ms: float
+    # Expected time without other requests, expected wait before the correction, and
+    # their sum after it, in milliseconds.
+    idle_ms: float
+    waiting_ms: float
     expected_ms: float
     overdue_ms: float
     output_tokens: int
@@ -153,7 +155,7 @@
         calibration = times.calibrations[bisect_right(LOAD_LIMITS_MS, waiting_ms)]
         correction = calibration.correction
         return FirstTokenEstimate(
-            idle_ms * speed * correction, waiting_ms * correction, calibration.spread
+            idle_ms * speed, waiting_ms * correction, calibration.spread
         )
 
     def prefill_ms(self, service: str, model: str, unread_tokens: int) -> float:
@@ -208,25 +210,28 @@
         modelled_ms = times.first_token.expected(inputs)
         base, rate, *_ = times.first_token.coefficients
         prompt_ms = rate * unread_tokens
-        wait_ms = (modelled_ms - base - prompt_ms) * speed + backlog.overdue_ms
-        load = bisect_right(LOAD_LIMITS_MS, wait_ms)
+        idle_ms = base + prompt_ms
+        usual_wait_ms = modelled_ms - idle_ms
+        waiting_ms = usual_wait_ms * speed + backlog.overdue_ms
+        load = bisect_right(LOAD_LIMITS_MS, waiting_ms)
         correction = times.calibrations[load].correction
-        total_ms = modelled_ms * speed + backlog.overdue_ms
+        expected_ms = idle_ms * speed + waiting_ms * correction
         self._samples[key] = _Sample(
             times=times,
             inputs=inputs,
             load=load,
-            modelled_ms=total_ms,
-            expected_ms=total_ms * correction,
+            idle_ms=idle_ms * speed,
+            waiting_ms=waiting_ms,
+            expected_ms=expected_ms,
             overdue_ms=backlog.overdue_ms,
             output_tokens=facts.likely_output_tokens,
         )
         pending = PendingPrompt(
             prefill_ms=prompt_ms,
             started_at_s=now_s,
-            expected_ms=modelled_ms * correction,
-            idle_ms=base + prompt_ms,
-            due_ms=total_ms * correction,
+            expected_ms=idle_ms + usual_wait_ms * correction,
+            idle_ms=idle_ms,
+            due_ms=expected_ms,
         )
         state.queue.start(key, pending.idle_ms, now_s, prompt=pending)
         return UsualTimes(pending.idle_ms, pending.expected_ms + backlog.overdue_ms)
@@ -275,7 +280,7 @@
                 sample.inputs, observed_ms / speed.factor(now_s)
             )
         sample.times.calibrations[sample.load].update(
-            sample.modelled_ms, sample.expected_ms, observed_ms
+            sample.idle_ms, sample.waiting_ms, sample.expected_ms, observed_ms
         )
         if sample.output_tokens:
             self._decodings[key] = _Decoding(
