--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/model_choice/choice.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/model_choice/choice.py
@@ -102,6 +102,15 @@
         service = placement.state.upstream.service
         self._shortages.record_wait(service, placement.waiting_ms, now_s)
 
+    def record_pause(
+        self, request: ChoiceRequest, pause_s: float, now_s: float
+    ) -> None:
+        """Record a pause between two events of a stream."""
+        longest_s = request.route.max_pause_s
+        if longest_s > 0:
+            fraction = pause_s / longest_s
+            self._shortages.record_pause(request.service.name, fraction, now_s)
+
     def record_answer(self, request: ChoiceRequest, answer: Answer) -> None:
         """Record the confidence of a model's answer."""
         if answer.confidence is None:
@@ -222,7 +231,7 @@
         if not self._is_granted(request, rank, 1 - shortage.value):
             reason = (
                 ChoiceReason.KEPT_BUDGET
-                if shortage.budget_part >= shortage.wait_part
+                if shortage.budget_part >= shortage.time_part
                 else ChoiceReason.KEPT_SHORTAGE
             )
             return ModelDecision(None, reason, shortage)
@@ -256,7 +265,7 @@
         This takes upstream time, but none of the retry budget: the shorter that is,
         the more of the requests that rank highest get the largest model at once.
         """
-        share = 1 - shortage.wait_part
+        share = 1 - shortage.time_part
         if not is_only_way:
             if second.waiting_ms > MAX_WAIT_OF_LARGEST_MS:
                 return False
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/model_choice/const.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/model_choice/const.py
@@ -48,16 +48,23 @@
 SPREAD_QUANTILE: Final = 0.8416
 
 # Waits of the last requests, as fractions of the shortest target latency, from which
-# upstream time counts as short and at which it is as short as a wait can show, and the
-# shortage then. Two models one after the other wait twice: that takes the fifth of the
-# target latency which is left as a margin, and at the other end all the rest. Waits are
-# estimates, so that they alone never stop all escalations.
-LOW_WAIT_FRACTION: Final = 0.1
-HIGH_WAIT_FRACTION: Final = 0.4
+# upstream time counts as short and at which it is as short as a wait can show. Two
+# models one after the other wait twice, and on idle upstreams they take about half of
+# the target latency of a long prompt.
+LOW_WAIT_FRACTION: Final = 0.05
+HIGH_WAIT_FRACTION: Final = 0.25
+
+# The same for the pauses within streams, as fractions of the longest pause that is
+# still on time: the longest pause of a stream is about three times its mean.
+LOW_PAUSE_FRACTION: Final = 0.1
+HIGH_PAUSE_FRACTION: Final = 0.33
+
+# Largest shortage that waits and pauses show. Both are estimates, so that they alone
+# never stop all escalations.
 MAX_WAIT_SHORTAGE: Final = 0.9
 
-# Time constant with which waits are smoothed, in seconds, and the least weight that
-# their mean has, in requests: one long wait alone is no shortage.
+# Time constant with which waits and pauses are smoothed, in seconds, and the least
+# weight that their mean has: one long wait alone is no shortage.
 WAIT_SMOOTHING_S: Final = 1.0
 MIN_WAIT_WEIGHT: Final = 2.0
 
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/model_choice/models.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/model_choice/models.py
@@ -79,18 +79,26 @@
     """How short a service's upstream time and retry budget are, from 0 to 1."""
 
     wait_part: float = 0.0
+    pause_part: float = 0.0
     budget_part: float = 0.0
     # Smoothed wait of the last requests in milliseconds, and the last one's age in
     # seconds.
     wait_ms: float = 0.0
+    # Smoothed pause within streams, as a fraction of the longest that is on time.
+    pause_fraction: float = 0.0
     age_s: float = 0.0
     # Used share of the retry budget.
     budget_share: float = 0.0
 
     @property
     def value(self) -> float:
-        """Return the greater of the two parts."""
-        return max(self.wait_part, self.budget_part)
+        """Return the greatest of the parts."""
+        return max(self.time_part, self.budget_part)
+
+    @property
+    def time_part(self) -> float:
+        """Return the part that shows too little upstream time."""
+        return max(self.wait_part, self.pause_part)
 
 
 @attrs.frozen
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/upstream_estimates/calibration.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/upstream_estimates/calibration.py
@@ -4,8 +4,8 @@
 
 import attrs
 
+from ..placement.const import DEFAULT_SPREAD
 from .const import (
-    DEFAULT_SPREAD,
     MAX_CORRECTION,
     MIN_CORRECTION,
     QUANTILE_FIRST_STEP,
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/upstream_estimates/const.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/upstream_estimates/const.py
@@ -45,8 +45,7 @@
 QUANTILE_STEP: Final = 0.02
 QUANTILE_FIRST_STEP: Final = 0.1
 
-# Ratio that four of five observed times stay under before there are samples.
-DEFAULT_SPREAD: Final = 1.5
+# Quantile of the ratio that the spread is: four of five observed times stay under it.
 SPREAD_QUANTILE: Final = 0.8
 
 # Smoothing factors of the logarithm of an upstream's speed factor: of its usual value,
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/forwarder.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/forwarder.py
@@ -299,11 +299,16 @@
         self._response = response
         events = EventSplitter(self._request.last_event_id)
         while True:
+            # When the first part, or the one before, was passed on; None before it.
+            passed_on_at_s: float | None = None
             try:
                 async for data in attempt.async_iter_body():
+                    if self.model_selection and passed_on_at_s is not None:
+                        self.model_selection.record_pause(passed_on_at_s)
                     complete_events = attempt.process_part(events.feed, data)
                     if complete_events:
                         await response.write(complete_events)
+                    passed_on_at_s = self._clock()
                 if events.is_within_event:
                     raise ResponseLostError("the stream ended within an event")
                 if events.pending:
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/model_selection.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/model_selection.py
@@ -83,6 +83,11 @@
         self._decision = decision
         return decision.model
 
+    def record_pause(self, since_s: float) -> None:
+        """Record that the next part of a stream has arrived, after a wait for it."""
+        now_s = self._clock()
+        self._node.model_choice.record_pause(self._request, now_s - since_s, now_s)
+
     def record_output(self, events: int) -> None:
         """Record the events of a complete stream, if the service states their size."""
         tokens = events * self._request.service.tokens_per_event
--- a/tests/core/relay/model_choice/test_shortage.py
+++ b/tests/core/relay/model_choice/test_shortage.py
@@ -37,8 +37,8 @@
 
 @pytest.mark.parametrize(
     ("waiting_ms", "expected"),
-    [(0.0, 0.0), (199.0, 0.0), (500.0, 0.45), (800.0, 0.9), (5_000.0, 0.9)],
-    ids=["none", "a tenth of the target", "between", "four tenths", "far more"],
+    [(0.0, 0.0), (99.0, 0.0), (300.0, 0.45), (500.0, 0.9), (5_000.0, 0.9)],
+    ids=["none", "a twentieth of the target", "between", "a quarter", "far more"],
 )
 def test_shortage_by_wait(estimates, waiting_ms, expected):
     """The shortage follows the wait in relation to the shortest target latency."""
@@ -46,6 +46,24 @@
     assert values[-1] == pytest.approx(expected, abs=0.01)
 
 
+@pytest.mark.parametrize(
+    ("fraction", "expected"),
+    [(0.0, 0.0), (0.09, 0.0), (0.215, 0.45), (0.33, 0.9), (2.0, 0.9)],
+    ids=["none", "a tenth of the longest", "between", "a third", "late"],
+)
+def test_shortage_by_pauses(estimates, fraction, expected):
+    """Streams whose events come late show a shortage without any wait.
+
+    Prompts that are read beside them delay every event, and the longest pause of a
+    stream makes it late.
+    """
+    for number in range(500):
+        estimates.record_pause("drafts", fraction, number / WAITS_PER_S)
+    shortage = estimates.get("drafts", 10.0)
+    assert shortage.value == pytest.approx(expected, abs=0.01)
+    assert shortage.budget_part == shortage.wait_part == 0.0
+
+
 def test_shortage_rises_and_falls_gradually(estimates):
     """A change of load by no means switches all requests at once."""
     record_waits(estimates, 0.0, 0.0, 5.0)
