--- a/tests/core/relay/upstream_estimates/test_estimates.py
+++ b/tests/core/relay/upstream_estimates/test_estimates.py
@@ -4,7 +4,10 @@
 
 from cardamomnotch_core.relay.const import MAX_ATTEMPT_S
 from cardamomnotch_core.relay.fleet import Fleet
-from cardamomnotch_core.relay.placement.const import RUNNING_REQUEST_DELAY_MS
+from cardamomnotch_core.relay.placement.const import (
+    DEFAULT_SPREAD,
+    RUNNING_REQUEST_DELAY_MS,
+)
 from cardamomnotch_core.relay.placement.first_token import (
     FirstTokenModel,
     QueueEstimate,
@@ -241,7 +244,7 @@
         assert estimate.prefill_ms == model.expected_ms("", 0)
         running_ms = state.in_flight * RUNNING_REQUEST_DELAY_MS
         assert estimate.waiting_ms == queue.waiting_ms(now_s, slots) + running_ms
-        assert estimate.spread == 1.0
+        assert estimate.spread == DEFAULT_SPREAD
         estimates.record_sent(state, number, facts, "", 0, now_s)
         queue.start(number, model.expected_ms("", 0), now_s, slots)
         state.in_flight += 1
