Queue at the entry only beyond what an upstream's own queue takes in time

Another entry's attempt now counts as ended after eight times the usual duration of the service's attempts, and a wait of up to 0.1 s in the upstream's own queue, of at most as many requests as slots, is no reason to wait at the entry. Without complete attempts the rule is as before.

--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/admission/const.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/admission/const.py
@@ -6,6 +6,18 @@
 # of its known requests ends before: its requests may be other clients'.
 FULL_UPSTREAM_S: Final = 0.5
 
+# Wait at an upstream itself up to which a request is sent there rather than kept
+# waiting here, in seconds; such a queue has at most as many requests as slots.
+UPSTREAM_QUEUE_S: Final = 0.1
+
+# Age, as a multiple of the usual duration of a service's attempts, from which another
+# entry's attempt counts as ended although its end notice has not arrived. Lost notices
+# would make a service of short requests look full for MAX_ATTEMPT_S.
+STALE_ATTEMPT_FACTOR: Final = 8.0
+
+# Smoothing factor of that duration.
+DURATION_STEP: Final = 0.1
+
 # Time after the last request that found no free slot for which a service counts as
 # short of slots.
 SHORTAGE_S: Final = 1.0
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/admission/coordinator.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/admission/coordinator.py
@@ -11,12 +11,14 @@
 
 from cardamomnotch_protocol.result_codes import ResultCode
 
+from ..const import MAX_ATTEMPT_S
 from ..exceptions import RefusalError
 from ..fleet import Fleet, UpstreamState
 from ..limits import RelayLimits
 from ..live_entries import LiveEntries
 from ..models import Upstream
 from .const import MIN_RETRY_S, SHORTAGE_S
+from .durations import AttemptDurations
 from .full_upstreams import FullUpstreams
 from .models import (
     Admit,
@@ -70,7 +72,8 @@
     """Lets requests wait for free slots, and wakes them when there are some.
 
     A free slot is one of the registered slots beyond the requests that all entries
-    have in flight at an upstream. Upstreams that are a last resort have none, unless
+    have in flight at an upstream, or a place in an upstream's own queue that is soon
+    over. Upstreams that are a last resort have none, unless
     there are no others. Slots granted to a waiting request count as used until the
     request is sent.
     """
@@ -93,6 +96,7 @@
             self._queue.waiting_by_workspace,
         )
         self._full = FullUpstreams()
+        self._durations = AttemptDurations()
         self._pending: dict[Hashable, _Pending] = {}
         # Services of the requests that were woken and are not sent yet.
         self._granted: dict[Hashable, str] = {}
@@ -164,6 +168,10 @@
         """Record that an upstream refused an attempt since it is full."""
         self._full.record_refused(state, attempt, now_s)
 
+    def record_completed(self, service: str, duration_s: float) -> None:
+        """Record how long a complete attempt of this entry took."""
+        self._durations.record(service, duration_s)
+
     def handle_ended(
         self, state: UpstreamState, attempt: Hashable, now_s: float
     ) -> None:
@@ -238,7 +246,10 @@
         return max(0, free - granted) if has_sound else at_most
 
     def _slots_of(self, state: UpstreamState, now_s: float) -> int:
-        free = state.upstream.slots - state.running(now_s)
+        service, slots = state.upstream.service, state.upstream.slots
+        max_age_s = self._durations.max_age_s(service, MAX_ATTEMPT_S)
+        free = slots - state.running(now_s, max_age_s)
+        free += self._durations.queued_at_upstream(service, slots)
         if free <= 0 or self._full.is_full(state, now_s):
             return 0
         return free if self._is_sound(state, now_s) else 0
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/attempt_tracker.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/attempt_tracker.py
@@ -59,8 +59,9 @@
         # When the queued notices have to be sent.
         self._due_at_s = float("inf")
         # Number, session and workspace of each of this entry's attempts, as sent
-        # in notices; numbers are shorter than the attempts' keys.
-        self._local_attempts: dict[Hashable, tuple[int, str, str]] = {}
+        # in notices, and the time of its start; numbers are shorter than the
+        # attempts' keys.
+        self._local_attempts: dict[Hashable, tuple[int, str, str, float]] = {}
         self._next_attempt_number = itertools.count()
         # Upstream, session and time of the start notice of the other entries'
         # attempts, by entry name and attempt number.
@@ -107,7 +108,7 @@
         session = facts.session if self._versions.is_in_first_stage(facts) else ""
         self._versions.sessions.record_started(state.upstream, session, now_s)
         number = next(self._next_attempt_number)
-        self._local_attempts[key] = number, session, workspace
+        self._local_attempts[key] = number, session, workspace, now_s
         self._admission.use.record_started(
             state.upstream.service, workspace, self._entries.own, number, now_s
         )
@@ -147,7 +148,7 @@
             self._placer.first_tokens.update(
                 model, placement.unread_tokens, first_byte_s * 1000
             )
-        number, _, workspace = self._local_attempts[key]
+        number, _, workspace, _ = self._local_attempts[key]
         notice = LoadNotice(kind=LoadKind.ANSWERED, attempt=number, workspace=workspace)
         self._queue_notice(notice, now_s)
 
@@ -175,7 +176,9 @@
         rollout = self._versions.get(state.upstream.service)
         if rollout is not None:
             rollout.record_ended(key, now_s)
-        number, session, workspace = self._local_attempts.pop(key)
+        number, session, workspace, sent_at_s = self._local_attempts.pop(key)
+        if end is AttemptEnd.COMPLETED:
+            self._admission.record_completed(state.upstream.service, now_s - sent_at_s)
         self._versions.sessions.record_ended(state.upstream, session, now_s)
         self._admission.use.record_ended(self._entries.own, number, now_s)
         notice = LoadNotice(kind=LoadKind.ENDED, attempt=number, workspace=workspace)
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/fleet.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/fleet.py
@@ -51,8 +51,12 @@
         """
         return self.upstream.is_draining or self.is_leaving
 
-    def running(self, now_s: float) -> int:
-        """Return how many requests of all entries are in flight."""
+    def running(self, now_s: float, max_age_s: float = MAX_ATTEMPT_S) -> int:
+        """Return how many requests of all entries are in flight.
+
+        Other entries' requests that were sent longer than ``max_age_s`` ago do not
+        count.
+        """
         oldest_s = now_s - MAX_ATTEMPT_S
         while self.remote_in_flight:
             # Attempts are in the order of their send times.
@@ -60,7 +64,11 @@
             if sent_at_s >= oldest_s:
                 break
             del self.remote_in_flight[key]
-        return self.in_flight + len(self.remote_in_flight)
+        remote = len(self.remote_in_flight)
+        if remote and max_age_s < MAX_ATTEMPT_S:
+            oldest_s = now_s - max_age_s
+            remote = sum(at_s >= oldest_s for at_s in self.remote_in_flight.values())
+        return self.in_flight + remote
 
     def forget_entry(self, entry: str) -> None:
         """Remove the requests of an entry that is gone."""
