Limit what a process holds for all of its callers together

Limits held for one request only, so crowds of callers inside them took all memory or all descriptors of a process. The package caller_limits of the runtime counts bytes, connections and requests of an address. It admits bodies and whole answers by their size, smallest first, while there is room (a request up to 64 KiB is not asked), and names the connections to refuse or close: those that hold most and progress least, requests being processed last. Relay, entry of own installations, sidecar and the admin addresses share it.

Settings: the table process (memory_mb, max_open_files), filled in by the platform's template; without it the smallest VM's 160 MB and the system's limit on open files.

--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/composition.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/composition.py
@@ -110,7 +110,13 @@
         peers = self._create_peers(inner_session)
         self._servers = [
             self._create_caller_server(callers),
-            HttpServer(self._create_inner_app(source, peers), self._inner_socket),
+            HttpServer(
+                self._create_inner_app(source, peers),
+                self._inner_socket,
+                name="inner",
+                limits=self._settings.process.caller_limits,
+                max_body_bytes=MAX_INNER_BODY_BYTES,
+            ),
             HttpServer(self._create_admin_app(), self._admin_socket),
         ]
         self._start_ratings(platform_session, callers)
@@ -120,14 +126,20 @@
         self._tasks.repeat(peers.interval_s, peers.async_exchange)
 
     def _create_caller_server(self, callers: CallerServer) -> HttpServer:
-        app = callers.create_app()
-        if self._certificate is None:
-            return HttpServer(app, self._caller_socket)
-        self._tasks.repeat(
-            lambda: CERTIFICATE_CHECK_INTERVAL_S,
-            self._certificate.async_reload_if_changed,
+        ssl_context = None
+        if self._certificate is not None:
+            ssl_context = self._certificate.context
+            self._tasks.repeat(
+                lambda: CERTIFICATE_CHECK_INTERVAL_S,
+                self._certificate.async_reload_if_changed,
+            )
+        return HttpServer(
+            callers.create_app(),
+            self._caller_socket,
+            ssl_context,
+            name="callers",
+            limits=self._settings.process.caller_limits,
         )
-        return HttpServer(app, self._caller_socket, self._certificate.context)
 
     def _create_sessions(self) -> CallerSessions:
         keys = self._settings.sessions.keys or derive_session_keys(
@@ -255,7 +267,11 @@
             await session.close()
 
     def _diagnostics(self) -> dict[str, Any]:
-        return {**self._node.diagnostics(), "journal": self._journal.diagnostics()}
+        return {
+            **self._node.diagnostics(),
+            "journal": self._journal.diagnostics(),
+            "callers": self._servers[0].guard.diagnostics(),
+        }
 
     async def _async_tick(self) -> None:
         self._runner.dispatch(events.TimerDue())
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/attempts.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/attempts.py
@@ -1,7 +1,7 @@
 """One attempt of a request at one upstream."""
 
 import logging
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 
 from aiohttp import ClientResponse
 
@@ -9,6 +9,7 @@
 from cardamomnotch_core.relay.crashes.detection import AttemptEnd
 from cardamomnotch_core.relay.node import RelayNode
 from cardamomnotch_core.relay.placement.placer import Placement
+from cardamomnotch_runtime.caller_limits.const import FREE_BYTES
 from cardamomnotch_runtime.structured_log import log_event
 
 from .const import MIN_SERVER_ERROR_STATUS
@@ -193,17 +194,28 @@
         assert self._response is not None
         return self._client.process_part(self._response, function, data)
 
-    async def async_read_body(self) -> bytes:
+    async def async_read_body(
+        self, async_reserve: Callable[[int], Awaitable[None]]
+    ) -> bytes:
         """Return the complete response body.
 
+        ``async_reserve`` is awaited with the size of a large body, in bytes.
+
         Raises ResponseLostError if the connection fails within the body, or
         if the body exceeds its size limit.
         """
         limit = self._node.limits.max_response_bytes
         parts: list[bytes] = []
         size = 0
+        length = self._stated_length()
+        is_reserved = length is not None and length > FREE_BYTES
+        if is_reserved:
+            await async_reserve(min(limit, length))
         async for data in self.async_iter_body():
             size += len(data)
+            if size > FREE_BYTES and not is_reserved:
+                is_reserved = True
+                await async_reserve(limit)
             if size > limit:
                 self.mark_broken()
                 raise ResponseTooLargeError(
@@ -212,6 +224,9 @@
             parts.append(data)
         return b"".join(parts)
 
+    def _stated_length(self) -> int | None:
+        return self._response.content_length if self._response is not None else None
+
     def mark_broken(self) -> None:
         """End the attempt, unless it has, since its response has no end."""
         if self._is_closed:
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/caller_connection.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/caller_connection.py
@@ -10,8 +10,11 @@
 
 from aiohttp import web
 
+from cardamomnotch_core.relay.loop_share import LoopShares
 from cardamomnotch_core.relay.models import CallerLimits
 from cardamomnotch_protocol.result_codes import ResultCode, describe
+from cardamomnotch_runtime.caller_limits.connection import GuardedConnection
+from cardamomnotch_runtime.caller_limits.guard import CallerGuard
 from cardamomnotch_runtime.structured_log import log_event
 
 _LOGGER = logging.getLogger(__name__)
@@ -40,16 +43,21 @@
     return bool(poller.poll(0))
 
 
-class CallerConnection(web.RequestHandler):
+class CallerConnection(GuardedConnection):
     """HTTP connection that limits the time to the first byte and per head.
 
     aiohttp itself limits only the idle time between two requests.
     """
 
     def __init__(
-        self, server: web.Server, limits: Callable[[], CallerLimits], **kwargs: Any
+        self,
+        server: web.Server,
+        limits: Callable[[], CallerLimits],
+        guard: CallerGuard,
+        shares: LoopShares,
+        **kwargs: Any,
     ) -> None:
-        super().__init__(server, **kwargs)
+        super().__init__(server, guard, shares, limits().max_body_bytes, **kwargs)
         self._caller_limits = limits
         self._timer: asyncio.TimerHandle | None = None
         self._is_serving = False
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/composition.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/composition.py
@@ -9,9 +9,12 @@
 from aiohttp import web
 
 from cardamomnotch_core.relay.crashes.detection import Crash
+from cardamomnotch_core.relay.loop_share import LoopShares
 from cardamomnotch_core.relay.node import RelayIdentity, RelayNode
 from cardamomnotch_platform.store.interface import KeyValueStore
 from cardamomnotch_runtime.admin import create_admin_app, create_metrics_app
+from cardamomnotch_runtime.caller_limits.connection import limit_receive_buffer
+from cardamomnotch_runtime.caller_limits.guard import CallerGuard
 from cardamomnotch_runtime.server import HttpServer, bind
 from cardamomnotch_runtime.settings import SettingsError
 from cardamomnotch_runtime.structured_log import log_event
@@ -47,6 +50,7 @@
     "peer_address",
     "admin_address",
     "metrics_address",
+    "process",
 )
 # Time for open caller connections to close at shutdown, in seconds.
 _CONNECTION_CLOSE_TIMEOUT_S = 0.1
@@ -101,6 +105,13 @@
             settings.limits,
         )
         self._metrics = RelayMetrics(self._node, boot_clock)
+        self._guard = CallerGuard(
+            "callers",
+            settings.process.caller_limits,
+            count_shed=self._metrics.count_shed,
+        )
+        self._caller_shares = LoopShares()
+        self._metrics.watch_callers(self._guard)
         self._node.quarantine.subscribe(_log_crash)
         self._metrics_server: HttpServer | None = None
         self._is_draining = False
@@ -156,7 +167,9 @@
         self._admin = HttpServer(
             create_admin_app(
                 is_ready=lambda: self.is_ready,
-                diagnostics=lambda: diagnostics(self._node, self._server, boot_clock()),
+                diagnostics=lambda: diagnostics(
+                    self._node, self._server, self._guard, boot_clock()
+                ),
                 registry=self._metrics.registry,
             ),
             self._admin_socket,
@@ -167,6 +180,7 @@
             self._server.async_handle,
             handler_cancellation=True,
         )
+        limit_receive_buffer(self._caller_socket)
         loop = asyncio.get_running_loop()
         self._listener = await loop.create_server(
             self._accept_caller, sock=self._caller_socket, backlog=_ACCEPT_BACKLOG
@@ -254,6 +268,8 @@
         return CallerConnection(
             self._caller_server,
             lambda: self._node.routes.caller_limits,
+            self._guard,
+            self._caller_shares,
             loop=asyncio.get_running_loop(),
             access_log=None,
             auto_decompress=False,
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/const.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/const.py
@@ -96,6 +96,9 @@
 # Part of the grace time that is reserved for closing, in seconds.
 SHUTDOWN_MARGIN_S: Final = 1.0
 
+# Bytes of an answer that are read ahead while it waits, for memory or for its caller.
+READ_BUFFER_BYTES: Final = 65_536
+
 # Maximum size of a request line and of a single header line, in bytes.
 MAX_LINE_BYTES: Final = 16_384
 
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/diagnostics.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/diagnostics.py
@@ -3,11 +3,14 @@
 from typing import Any
 
 from cardamomnotch_core.relay.node import RelayNode
+from cardamomnotch_runtime.caller_limits.guard import CallerGuard
 
 from .server import RelayServer
 
 
-def diagnostics(node: RelayNode, server: RelayServer, now_s: float) -> dict[str, Any]:
+def diagnostics(
+    node: RelayNode, server: RelayServer, guard: CallerGuard, now_s: float
+) -> dict[str, Any]:
     """Return the state dump, which contains no API keys."""
     position = node.feed.position
     return {
@@ -15,6 +18,7 @@
         "zone": node.identity.zone,
         "incarnation": node.identity.incarnation,
         "in_flight": server.in_flight,
+        "callers": guard.diagnostics(),
         "routes": {
             "version": node.routes.version,
             "fresh": node.routes.is_fresh(now_s),
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/forwarder.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/forwarder.py
@@ -9,6 +9,7 @@
 from cardamomnotch_core.relay.models import Route, Service, Workspace
 from cardamomnotch_core.relay.node import RelayNode
 from cardamomnotch_protocol.result_codes import ResultCode
+from cardamomnotch_runtime.responses import SlicedResponse
 
 from .attempt_placer import AttemptPlacer
 from .attempts import Attempt
@@ -171,13 +172,15 @@
             if head.status < 300 and self._route.repeat.is_stream:
                 return await self._async_stream(attempt)
             try:
-                content = await attempt.async_read_body()
+                content = await attempt.async_read_body(
+                    self._http_request.protocol.async_reserve_answer
+                )
             except ResponseLostError as error:
                 await self._async_handle_lost_response(attempt, error)
                 continue
             failed = head.status >= MIN_SERVER_ERROR_STATUS
             attempt.close(AttemptOutcome.FAILED if failed else AttemptOutcome.ANSWERED)
-            response = web.Response(
+            response = SlicedResponse(
                 status=head.status, headers=head.headers, body=content
             )
             if not failed:
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/metrics.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/metrics.py
@@ -8,6 +8,8 @@
 
 from cardamomnotch_core.relay.node import RelayNode
 from cardamomnotch_protocol.result_codes import ResultCode
+from cardamomnotch_runtime.caller_limits.budget import ShedReason
+from cardamomnotch_runtime.caller_limits.guard import CallerGuard
 
 from .models import AttemptLog
 
@@ -124,6 +126,12 @@
             "Pauses in reading responses that take too much of the event loop.",
             registry=self.registry,
         )
+        self._shed_connections = Counter(
+            "cardamomnotch_relay_shed_connections",
+            "Connections of callers refused or closed by a limit, by reason.",
+            ["reason"],
+            registry=self.registry,
+        )
         version = Gauge(
             "cardamomnotch_relay_document_version",
             "Version of the routes in force.",
@@ -214,6 +222,32 @@
             gauge = self._store_calls_left.labels(kind=kind)
             gauge.set_function(partial(_value_of, calls_left, kind))
 
+    def watch_callers(self, guard: CallerGuard) -> None:
+        """Show what is held for callers."""
+        budget = guard.budget
+        held = Gauge(
+            "cardamomnotch_relay_caller_bytes",
+            "Bytes held for callers: requests without an end and unread answers.",
+            registry=self.registry,
+        )
+        held.set_function(lambda: budget.held_bytes)
+        connections = Gauge(
+            "cardamomnotch_relay_caller_connections",
+            "Open connections of callers.",
+            registry=self.registry,
+        )
+        connections.set_function(lambda: budget.connections)
+        waiting = Gauge(
+            "cardamomnotch_relay_waiting_bodies",
+            "Request bodies that wait until there is memory for them.",
+            registry=self.registry,
+        )
+        waiting.set_function(lambda: budget.waiting)
+
+    def count_shed(self, reason: ShedReason) -> None:
+        """Count a caller's connection that was refused or closed by a limit."""
+        self._shed_connections.labels(reason=reason.value).inc()
+
     def count_attempt(self, route: str, log: AttemptLog) -> None:
         """Count an attempt that has ended."""
         outcome = log.outcome.partition(":")[0]
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/server.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/server.py
@@ -5,6 +5,7 @@
 import math
 from collections.abc import Callable, Set
 
+import attrs
 from aiohttp import HttpVersion11, web
 
 from cardamomnotch_core.relay.exceptions import RefusalError
@@ -96,6 +97,9 @@
         detail = ""
         response: web.StreamResponse | None = None
         try:
+            if not http_request.content.is_eof():
+                request = self._decode_head(http_request)
+                self._check_head(request, http_request.content_length)
             body = await self._async_read_body(http_request)
             if self._is_refusing:
                 raise RefusalError(
@@ -144,6 +148,35 @@
             response.force_close()
         return response
 
+    def _decode_head(self, http_request: web.BaseRequest) -> CallerRequest:
+        """Return a request whose body has not arrived; it has no fingerprint yet."""
+        request = self._codec.decode_request(
+            http_request.method, http_request.raw_path, http_request.headers, b""
+        )
+        facts = attrs.evolve(request.facts, fingerprint="")
+        return attrs.evolve(request, facts=facts)
+
+    def _check_head(self, request: CallerRequest, length: int | None) -> None:
+        """Refuse by its head a request whose body has not arrived yet.
+
+        Raises RefusalError as the forwarder would once it has the body.
+        """
+        document = self._node.routes.document
+        if document is None:
+            return
+        if length is not None and length > document.limits.max_body_bytes:
+            raise RefusalError(
+                ResultCode.BODY_TOO_LARGE, "the request body is larger than the limit"
+            )
+        now_s = self._clock()
+        try:
+            route = self._node.routes.find(request.host, request.path, now_s)
+            self._node.routes.authorize(route, request.api_key, now_s)
+        except RefusalError as refusal:
+            if refusal.code is ResultCode.NOT_READY:
+                refusal.retry_after_s = self._node.attempts.stale_retry_s(now_s)
+            raise
+
     async def _async_read_body(self, http_request: web.BaseRequest) -> bytes:
         document = self._node.routes.document
         if document is None:
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/settings.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/settings.py
@@ -3,6 +3,7 @@
 import attrs
 
 from cardamomnotch_core.relay.limits import RelayLimits
+from cardamomnotch_runtime.caller_limits.settings import ProcessSettings
 from cardamomnotch_runtime.settings import (
     LOG_LEVEL_VALIDATOR,
     address_field,
@@ -29,3 +30,4 @@
     # Minimum level of the JSON log lines.
     log_level: str = attrs.field(default="info", validator=LOG_LEVEL_VALIDATOR)
     limits: RelayLimits = attrs.field(factory=RelayLimits)
+    process: ProcessSettings = attrs.field(factory=ProcessSettings)
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/upstream_client.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/upstream_client.py
@@ -27,6 +27,7 @@
     MAX_LINE_BYTES,
     MIN_MEASURED_BYTES,
     REACHABILITY_TIMEOUT_S,
+    READ_BUFFER_BYTES,
     RECEIVE_BUFFER_BYTES,
     TCP_USER_TIMEOUT_MS,
 )
@@ -51,7 +52,8 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse the data, and record how long that took."""
-        if len(data) < MIN_MEASURED_BYTES:
+        # Without data, the rest of earlier data is parsed after a pause.
+        if 0 < len(data) < MIN_MEASURED_BYTES:
             super().data_received(data)
         else:
             began_at_s = time.thread_time()
@@ -134,6 +136,7 @@
             functools.partial(_LimitingResponseHandler, shares=self._shares),
             skip_auto_headers=_DEFAULT_HEADERS,
             auto_decompress=False,
+            read_bufsize=READ_BUFFER_BYTES,
             timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
             max_line_size=MAX_LINE_BYTES,
             max_field_size=MAX_LINE_BYTES,
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/settings.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/settings.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from cardamomnotch_runtime.caller_limits.settings import ProcessSettings
 from cardamomnotch_runtime.settings import (
     LogSettings,
     NodeSettings,
@@ -83,6 +84,7 @@
     platform: PlatformSettings
     ratings: RatingSettings = attrs.field(factory=RatingSettings)
     sessions: SessionSettings = attrs.field(factory=SessionSettings)
+    process: ProcessSettings = attrs.field(factory=ProcessSettings)
     log: LogSettings = attrs.field(factory=LogSettings)
     drain_grace_s: float = attrs.field(
         default=DEFAULT_DRAIN_GRACE_S, validator=attrs.validators.ge(0)
--- /dev/null
+++ b/packages/cardamomnotch-runtime/src/cardamomnotch_runtime/caller_limits/__init__.py
@@ -0,0 +1,1 @@
+"""Limits on what a process holds for callers that it does not control."""
--- a/packages/cardamomnotch-runtime/src/cardamomnotch_runtime/responses.py
+++ b/packages/cardamomnotch-runtime/src/cardamomnotch_runtime/responses.py
@@ -10,6 +10,32 @@
 from cardamomnotch_protocol.result_codes import describe
 
 _HEADER_RETRY_AFTER = "Retry-After"
+# Part of a body that is written at once, in bytes.
+_SLICE_BYTES = 65_536
+
+
+class SlicedResponse(web.Response):
+    """Writes a large body in slices, as fast as its client reads.
+
+    The library writes it at once, together with the head: as a second copy, which the
+    connection holds until the client has read it.
+    """
+
+    async def write_eof(self, data: bytes = b"") -> None:
+        """Write the body, and end the response."""
+        body = self.body
+        if (
+            self._eof_sent
+            or self._must_be_empty_body
+            or not isinstance(body, bytes)
+            or len(body) <= _SLICE_BYTES
+        ):
+            await super().write_eof(data)
+            return
+        view = memoryview(body)
+        for start in range(0, len(body), _SLICE_BYTES):
+            await self.write(view[start : start + _SLICE_BYTES])
+        await web.StreamResponse.write_eof(self)
 
 
 def json_response(
--- a/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/composition.py
+++ b/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/composition.py
@@ -15,7 +15,7 @@
     ConfigurationFetcher,
     ConfigurationSource,
 )
-from cardamomnotch_runtime.const import TIMER_INTERVAL_S
+from cardamomnotch_runtime.const import MAX_INNER_BODY_BYTES, TIMER_INTERVAL_S
 from cardamomnotch_runtime.runner import NodeRunner
 from cardamomnotch_runtime.server import HttpServer, bind
 from cardamomnotch_runtime.tasks import TaskGroup, async_wait_until
@@ -110,7 +110,13 @@
             registry=metrics.registry,
         )
         self._servers = [
-            HttpServer(inner.create_app(), self._inner_socket),
+            HttpServer(
+                inner.create_app(),
+                self._inner_socket,
+                name="inner",
+                limits=self._settings.process.caller_limits,
+                max_body_bytes=MAX_INNER_BODY_BYTES,
+            ),
             HttpServer(admin_app, self._admin_socket),
         ]
         for server in self._servers:
--- a/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/settings.py
+++ b/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/settings.py
@@ -3,6 +3,7 @@
 import attrs
 
 from cardamomnotch_core.admission.models import LimiterSettings
+from cardamomnotch_runtime.caller_limits.settings import ProcessSettings
 from cardamomnotch_runtime.settings import LogSettings, NodeSettings
 
 from .const import (
@@ -58,6 +59,7 @@
 
     node: NodeSettings
     upstream: UpstreamSettings
+    process: ProcessSettings = attrs.field(factory=ProcessSettings)
     log: LogSettings = attrs.field(factory=LogSettings)
     drain_grace_s: float = attrs.field(
         default=DEFAULT_DRAIN_GRACE_S, validator=attrs.validators.ge(0)
--- a/tests/adapter/test_settings.py
+++ b/tests/adapter/test_settings.py
@@ -10,6 +10,7 @@
 from cardamomnotch_adapter.main import read_environment
 from cardamomnotch_core.relay.limits import RelayLimits
 from cardamomnotch_entry.relay.settings import RelaySettings
+from cardamomnotch_runtime.caller_limits.settings import ProcessSettings
 from cardamomnotch_runtime.settings import SettingsError, load_settings
 
 _ROOT = Path(__file__).parents[2]
@@ -29,6 +30,9 @@
 retry_budget_slack = 58
 exposure_share = 0.1
 grace_s = 8
+[limits]
+memory_mb = 200
+max_fds = 1638
 [platform]
 address = "10.200.1.7:8223"
 """
@@ -77,6 +81,7 @@
     assert settings.limits.revocation_ms == 5000.0
     assert settings.limits.retry_slack == 58.0
     assert settings.limits.exposure_share == 0.1
+    assert settings.process == ProcessSettings(memory_mb=200, max_open_files=1638)
 
 
 def test_missing_bounds_use_the_default_limits(load):
@@ -84,7 +89,9 @@
     without_bounds = re.sub(
         r"\[bounds\].*\[platform\]", "[platform]", _PLATFORM_FIELDS, flags=re.S
     )
-    assert load(render_template(without_bounds)).limits == RelayLimits()
+    settings = load(render_template(without_bounds))
+    assert settings.limits == RelayLimits()
+    assert settings.process == ProcessSettings()
 
 
 @pytest.mark.parametrize(
