--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/server.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/server.py
@@ -297,6 +297,7 @@
         "model_choice": decision.reason.value,
         "shortage": round(shortage.value, 3),
         "shortage_wait_ms": int(shortage.wait_ms),
+        "shortage_pause": round(shortage.pause_fraction, 2),
         "shortage_age_ms": int(shortage.age_s * 1000),
         "retry_budget_used": round(shortage.budget_share, 3),
     }
