--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/model_choice/choice.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/model_choice/choice.py
@@ -7,6 +7,7 @@
 """
 
 from collections.abc import Callable, Iterable, Mapping
+from functools import partial
 
 import attrs
 
@@ -16,7 +17,6 @@
 from .const import (
     DEFAULT_CONFIDENCE_FLOOR,
     DEFAULT_EXPLORED_SHARE,
-    GAIN_DECIMALS,
     IDLE_TIME_FRACTION,
     MAX_WAIT_OF_LARGEST_MS,
     MIN_LOW_CONFIDENCE_SHARE,
@@ -32,6 +32,7 @@
     Rank,
     Shortage,
 )
+from .options import Option, best_option
 from .quality import QualityEstimates
 from .shortage import BudgetView, ShortageEstimates
 
@@ -47,18 +48,6 @@
     return False
 
 
-@attrs.frozen(kw_only=True)
-class _Option:
-    """A larger model that a request may be escalated to."""
-
-    model: str
-    placement: Placement
-    # Increase of the probability of a good answer in time.
-    gain: float
-    time_ms: float
-    cost: float
-
-
 class ModelChoice:
     """Chooses the first model, and whether an answer is kept.
 
@@ -226,7 +215,12 @@
             if reason is ChoiceReason.KEPT_IN_TIME:
                 self._add_late_wish(request, answer, options[0], now_s)
             return ModelDecision(None, reason, shortage)
-        option = self._best(request, usable, options[0], shortage)
+        option = best_option(
+            usable,
+            options[0],
+            shortage,
+            partial(self._quality.is_known, request.route, request.facts),
+        )
         rank = self._add_wish(request, option, now_s)
         if not self._is_granted(request, rank, 1 - shortage.value):
             reason = (
@@ -317,7 +311,7 @@
 
     def _option(
         self, request: ChoiceRequest, answer: Answer, model: str, placement: Placement
-    ) -> _Option:
+    ) -> Option:
         kept_chance = (answer.confidence or 0) / 100
         return self._valued(request, model, placement, answer.elapsed_s, kept_chance)
 
@@ -328,11 +322,11 @@
         placement: Placement,
         elapsed_s: float,
         kept_chance: float,
-    ) -> _Option:
+    ) -> Option:
         route, facts = request.route, request.facts
         chance = self._quality.chance(route, facts, model, kept_chance)
         chance *= chance_in_time(route, elapsed_s, placement)
-        return _Option(
+        return Option(
             model=model,
             placement=placement,
             gain=chance - kept_chance,
@@ -340,39 +334,8 @@
             cost=request.service.model_costs.get(model, 0.0),
         )
 
-    def _best(
-        self,
-        request: ChoiceRequest,
-        usable: list[_Option],
-        largest: _Option,
-        shortage: Shortage,
-    ) -> _Option:
-        """Return the option with the highest gain less its upstream time.
-
-        The price of time is such that at full shortage the largest model's gain pays
-        for its time just so; the models' own prices break ties.
-        """
-        if shortage.value <= 0:
-            unknown = [
-                option
-                for option in usable
-                if option.model != largest.model
-                and not self._quality.is_known(
-                    request.route, request.facts, option.model
-                )
-            ]
-            return (unknown or usable)[0]
-        price = shortage.value * max(0.0, largest.gain) / largest.time_ms
-        return max(
-            usable,
-            key=lambda option: (
-                round(option.gain - price * option.time_ms, GAIN_DECIMALS),
-                -option.cost,
-            ),
-        )
-
     def _add_late_wish(
-        self, request: ChoiceRequest, answer: Answer, option: _Option, now_s: float
+        self, request: ChoiceRequest, answer: Answer, option: Option, now_s: float
     ) -> None:
         """Count a wish as demand that only the load makes late.
 
@@ -387,7 +350,7 @@
         gain -= (answer.confidence or 0) / 100
         self._add_wish(request, attrs.evolve(option, gain=gain), now_s)
 
-    def _add_wish(self, request: ChoiceRequest, option: _Option, now_s: float) -> Rank:
+    def _add_wish(self, request: ChoiceRequest, option: Option, now_s: float) -> Rank:
         service = request.service.name
         loss = self._quality.size_factor(request.route, request.facts) * option.gain
         rank = Rank(
