--- a/tests/entry/relay/test_prompt_cache_reports.py
+++ b/tests/entry/relay/test_prompt_cache_reports.py
@@ -11,6 +11,8 @@
 from cardamomnotch_entry.relay.attempts import Attempt
 from cardamomnotch_entry.relay.diagnostics import diagnostics
 from cardamomnotch_entry.relay.metrics import RelayMetrics
+from cardamomnotch_runtime.caller_limits.guard import CallerGuard
+from cardamomnotch_runtime.caller_limits.settings import ProcessSettings
 
 FACTS = RequestFacts(
     request_id="request-1",
@@ -75,7 +77,8 @@
 
 def test_state_dump_shows_the_cache_of_each_upstream(node):
     """The state dump has the tokens held and the room for them, by upstream."""
-    dump = diagnostics(node, SimpleNamespace(in_flight=0), 1.0)
+    guard = CallerGuard("127.0.0.1:80", ProcessSettings().caller_limits)
+    dump = diagnostics(node, SimpleNamespace(in_flight=0), guard, 1.0)
     assert dump["prompt_caches"] == {
         "up-0": {
             "tokens": 11_000,
