--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/admission/const.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/admission/const.py
@@ -13,7 +13,7 @@
 # Age, as a multiple of the usual duration of a service's attempts, from which another
 # entry's attempt counts as ended although its end notice has not arrived. Lost notices
 # would make a service of short requests look full for MAX_ATTEMPT_S, and end notices
-# are held back for 0.2 s: a factor of 8 refused bookings of 45 ms in a burst.
+# are held back for 0.2 s: a factor of 8 refused requests of 45 ms in a burst.
 STALE_ATTEMPT_FACTOR: Final = 3.0
 
 # Smoothing factor of that duration.
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/model_choice/const.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/model_choice/const.py
@@ -13,7 +13,7 @@
 
 # Probability that the largest model's answer is good until there are answers, and how
 # far a model between two others, of which there are none, is from the smaller to the
-# largest: measured were 0.54, 0.64 and 1.0.
+# largest: a middle model is little better than the smallest.
 DEFAULT_LARGEST_CHANCE: Final = 0.95
 DEFAULT_MIDDLE_POSITION: Final = 0.2
 
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/prompt_cache/const.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/prompt_cache/const.py
@@ -41,8 +41,8 @@
 # them when memory is short everywhere, so that all are read again.
 EVICTED_COST: Final = 0.3
 
-# Delay of each running request by a prefill beside it, as a share of its time. The
-# recordings state 0.6 to 4.5 % for the reverse.
+# Delay of each running request by a prefill beside it, as a share of its time:
+# prompts are read in chunks between the tokens of other requests.
 PREFILL_DELAY_FACTOR: Final = 0.02
 
 # Upstreams that may have a prefix cached, unless its share of the requests needs more;
