--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,4 +1,4 @@
-"""An engine crashes while it has four requests with many short prompt parts.
+"""An engine crashes while it has a few requests with many short prompt parts.
 
 The entry's event loop stands still for many seconds: it answers no ordinary request and
 no readiness check. Each request is legal in size.
@@ -41,7 +41,7 @@
 
 FOLDER = Path(__file__).resolve().parent
 MAX_HEADER_BYTES = 16_384
-MANY_PARTS, REQUESTS_WITH_MANY_PARTS = 2_300, 4
+MANY_PARTS, REQUESTS_WITH_MANY_PARTS = 2_300, 6
 BOOKINGS_PER_S = 10.0
 BOOKING_TIMEOUT_MS = 1_500
 # "0.5 s after it": the bound of the rule; and its numbers.
