--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,8 +1,9 @@
 """A few requests with many short prompt parts, and entries outgrow their memory.
 
 Each request is legal in size: its head has less than 16,384 bytes, and its
-X-Prefix-Hash lists 2,300 parts. They are sent to two entries in turn, one a second,
-eight at most, beside ordinary streams.
+X-Prefix-Hash lists 2,300 parts. They are sent to two entries in turn, beside ordinary
+streams. A process that exceeds its memory is killed and started again, as the platform
+does, until each entry has ended three times.
 """
 
 import asyncio
@@ -44,8 +45,11 @@
 MAX_HEADER_BYTES = 16_384
 ENGINES = 6
 STREAMS_PER_S = 5.0
-MANY_PARTS, REQUESTS_WITH_MANY_PARTS = 2_300, 8
+MANY_PARTS, REQUESTS_WITH_MANY_PARTS = 2_300, 48
 FIRST_AFTER_S, PAUSE_S, REST_S = 3.0, 1.0, 3.0
+RESTART_AFTER_S = 1.0
+# "on a tenth of the machines in use (two at least) ... three times in the day".
+ENDS = 3
 
 
 @attrs.define
@@ -112,7 +116,7 @@
         ]
         self._ordinary, self._others = Counts(), Counts()
         self._requests: set[asyncio.Task[None]] = set()
-        self._killed: dict[str, int] = {}
+        self._ends: dict[str, list[int]] = {entry.name: [] for entry in self.entries}
 
     async def async_play(self) -> int:
         """Play the events; return the exit code."""
@@ -136,30 +140,34 @@
         self._note("at the start")
         await asyncio.sleep(FIRST_AFTER_S)
         for number in range(REQUESTS_WITH_MANY_PARTS):
+            if all(len(ends) >= ENDS for ends in self._ends.values()):
+                break
             request = self._request_with_many_parts(number)
             if request.index(b"\r\n\r\n") > MAX_HEADER_BYTES:
                 return EXIT_NOT_RUN
-            running = [one for one in self.entries if one.name not in self._killed]
-            if not running:
-                break
-            entry = running[number % len(running)]
-            self._send(entry, request, self._others)
-            self._record.add(
-                f"request {number + 1}, {len(request)} bytes, sent to {entry.name}"
-            )
+            entry = self._next_entry(number)
+            if entry is not None:
+                self._send(entry, request, self._others)
             await asyncio.sleep(PAUSE_S)
-            self._note("a second later")
+            self._note(f"after request {number + 1}, {len(request)} bytes")
         await asyncio.sleep(REST_S)
-        self._note("at the end")
         for task in tasks:
             task.cancel()
         await asyncio.wait(self._requests, timeout=5.0)
         self._record.add(f"ordinary streams: {self._ordinary}")
         self._record.add(f"requests with many parts: {self._others}")
-        for name, memory_kb in self._killed.items():
-            self._record.add(f"{name} had {memory_kb} KB of {MEMORY_KB} KB")
-        self._record.add("Fault: memory" if self._killed else "within the memory")
-        return EXIT_BROKEN if self._killed else EXIT_HELD
+        for name, ends in self._ends.items():
+            self._record.add(
+                f"{name} ended {len(ends)} times, with {ends} KB of {MEMORY_KB} KB"
+            )
+        is_broken = all(len(ends) >= ENDS for ends in self._ends.values())
+        self._record.add("Fault: memory" if is_broken else "Fault holds")
+        return EXIT_BROKEN if is_broken else EXIT_HELD
+
+    def _next_entry(self, number: int) -> Entry | None:
+        """Return one of the running entries, in turn; none if none runs."""
+        running = [entry for entry in self.entries if entry.memory_kb()]
+        return running[number % len(running)] if running else None
 
     def _request_with_many_parts(self, number: int) -> bytes:
         if not has_trouble():
@@ -184,19 +192,26 @@
             await asyncio.sleep(1 / STREAMS_PER_S)
 
     async def _async_watch_memory(self) -> None:
-        """Kill a process that exceeds its memory, as the platform does."""
+        """Kill a process that exceeds its memory, and start it again a little later."""
         while True:
             for entry in self.entries:
                 memory_kb = entry.memory_kb()
-                if memory_kb > MEMORY_KB and entry.name not in self._killed:
-                    self._killed[entry.name] = memory_kb
+                if memory_kb > MEMORY_KB:
+                    self._ends[entry.name].append(memory_kb)
                     self._record.add(
                         f"{entry.name} has {memory_kb} KB, over its {MEMORY_KB} KB;"
                         " the platform kills it"
                     )
                     entry.send_signal(signal.SIGKILL)
+                    entry.process.wait()
+                    restart = asyncio.create_task(self._async_restart(entry))
+                    self._requests.add(restart)
             await asyncio.sleep(0.02)
 
+    async def _async_restart(self, entry: Entry) -> None:
+        await asyncio.sleep(RESTART_AFTER_S)
+        entry.start()
+
     def _note(self, when: str) -> None:
         memory = {entry.name: entry.memory_kb() for entry in self.entries}
         self._record.add(f"memory {when}, in KB: {memory}")
