Check LOST in the case of many prompt parts, and keep an engine's crash within the share

Cause: the case named Fault, which is no rule in capitals; one engine of three is over the site's share of 0.17. Case: ordinary streams on kept connections at two entries that end by their memory three times each; one engine of six crashes.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,13 +1,16 @@
-"""A few requests with many short prompt parts, and entries outgrow their memory.
+"""A few requests with many short prompt parts, and entries lose accepted requests.
 
 Each request is legal in size: its head has less than 16,384 bytes, and its
 X-Prefix-Hash lists 2,300 parts. They are sent to two entries in turn, beside ordinary
-streams. A process that exceeds its memory is killed and started again, as the platform
-does, until each entry has ended three times.
+streams on kept connections. A process that exceeds its memory is killed and started
+again, as the platform does, until each entry has ended three times.
 """
 
 import asyncio
+import contextlib
+import random
 import signal
+import zlib
 from collections.abc import Iterable
 from pathlib import Path
 
@@ -44,31 +47,103 @@
 MEMORY_KB = MEMORY_MB * 1_024
 MAX_HEADER_BYTES = 16_384
 ENGINES = 6
-STREAMS_PER_S = 5.0
+CONNECTIONS = 12
+# Time to an ordinary stream's first token, and the longest one between two requests.
+FIRST_TOKEN_S, BETWEEN_S = 0.4, 0.8
 MANY_PARTS, REQUESTS_WITH_MANY_PARTS = 2_300, 48
 FIRST_AFTER_S, PAUSE_S, REST_S = 3.0, 1.0, 3.0
 RESTART_AFTER_S = 1.0
 # "on a tenth of the machines in use (two at least) ... three times in the day".
 ENDS = 3
+# "more than three times".
+MAX_LOST = 3
 
 
 @attrs.define
 class Counts:
-    """How ordinary streams have ended."""
+    """How requests have ended."""
 
     sent: int = 0
     complete: int = 0
     refused: int = 0
+    # Within their answer.
     cut: int = 0
+    # Passed on from a kept connection, which closed without an answer.
+    lost: int = 0
+    # Other requests without an answer.
+    unanswered: int = 0
 
 
-def answer(request: SeenRequest) -> Iterable[Step]:
-    """Stream 30 events in two seconds."""
-    yield Send(head(request, Transfer_Encoding="chunked", X_Confidence="90"))
-    for number in range(1, 31):
-        yield Send(chunk(event(number)))
-        yield Wait(0.06)
-    yield Send(LAST_CHUNK)
+class Requester:
+    """Sends ordinary streams to one entry, one by one, on a kept connection."""
+
+    def __init__(self, entry: Entry, name: str, seen: set[str]) -> None:
+        self._entry = entry
+        self._name = name
+        # Ids of the requests that engines have got.
+        self._seen = seen
+        self._number = 0
+        self._random = random.Random(name)
+        self.counts = Counts()
+
+    async def async_run(self) -> None:
+        """Send requests until cancelled; open a new connection after a loss."""
+        while True:
+            try:
+                connection = await asyncio.open_connection(*self._entry.caller)
+            except OSError:
+                await self._async_pause()
+                continue
+            try:
+                await self._async_use(*connection)
+            finally:
+                connection[1].close()
+            await self._async_pause()
+
+    async def _async_pause(self) -> None:
+        await asyncio.sleep(self._random.uniform(0.05, BETWEEN_S))
+
+    async def _async_use(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        is_kept = False
+        while True:
+            self._number += 1
+            request_id = f"{self._name}-{self._number}"
+            self.counts.sent += 1
+            received = b""
+            try:
+                parts = f"aa:13300,{zlib.crc32(request_id.encode()):x}:3720"
+                writer.write(stream_request(request_id, parts, 17_020))
+                async with asyncio.timeout(14.0):
+                    while not received.endswith(LAST_CHUNK):
+                        data = await reader.read(65_536)
+                        if not data:
+                            break
+                        received += data
+                        if not received.startswith(b"HTTP/1.1 200"):
+                            break
+            except OSError:
+                pass
+            if not self._note(request_id, received, is_kept=is_kept):
+                return
+            is_kept = True
+            await self._async_pause()
+
+    def _note(self, request_id: str, received: bytes, *, is_kept: bool) -> bool:
+        """Count how a request ended; return whether its connection is still kept."""
+        if received.startswith(b"HTTP/1.1 200") and received.endswith(LAST_CHUNK):
+            self.counts.complete += 1
+            return True
+        if received.startswith(b"HTTP/1.1 200"):
+            self.counts.cut += 1
+        elif received:
+            self.counts.refused += 1
+        elif is_kept and request_id in self._seen:
+            self.counts.lost += 1
+        else:
+            self.counts.unanswered += 1
+        return False
 
 
 def stream_request(name: str, parts: str, tokens: int) -> bytes:
@@ -78,30 +153,18 @@
         name,
         b"question",
         extra=f"X-Model: m\r\nX-Token-Counts: {tokens},120\r\n"
-        f"Connection: close\r\nX-Prefix-Hash: {parts}\r\n",
+        f"X-Prefix-Hash: {parts}\r\n",
     )
 
 
-async def async_request(entry: Entry, request: bytes, counts: Counts) -> None:
-    """Send a request on a connection of its own, and count how it ends."""
-    counts.sent += 1
-    received = b""
-    try:
-        async with asyncio.timeout(16.0):
+async def async_send(entry: Entry, request: bytes) -> None:
+    """Send a request on a connection of its own, and read what comes within 3 s."""
+    with contextlib.suppress(OSError, TimeoutError, EOFError):
+        async with asyncio.timeout(3.0):
             reader, writer = await asyncio.open_connection(*entry.caller)
-            writer.write(request)
-            while data := await reader.read(65_536):
-                received += data
-            writer.close()
-    except (OSError, TimeoutError):
-        counts.cut += 1
-        return
-    if received.startswith(b"HTTP/1.1 200") and received.endswith(LAST_CHUNK):
-        counts.complete += 1
-    elif received and not received.startswith(b"HTTP/1.1 200"):
-        counts.refused += 1
-    else:
-        counts.cut += 1
+            with contextlib.closing(writer):
+                writer.write(request)
+                await reader.readuntil(LAST_CHUNK)
 
 
 class Case:
@@ -114,7 +177,14 @@
             Entry(name, self.store, folder, memory_mb=MEMORY_MB)
             for name in ("entry-a-1", "entry-a-2")
         ]
-        self._ordinary, self._others = Counts(), Counts()
+        self._seen: set[str] = set()
+        self._requesters = {
+            entry.name: [
+                Requester(entry, f"{entry.name}-{number}", self._seen)
+                for number in range(CONNECTIONS)
+            ]
+            for entry in self.entries
+        }
         self._requests: set[asyncio.Task[None]] = set()
         self._ends: dict[str, list[int]] = {entry.name: [] for entry in self.entries}
 
@@ -124,7 +194,7 @@
         routes = [route("draft", "streaming", "drafts", resumable=True)]
         self.store.content.put("op/config", config(1, routes))
         for number in range(ENGINES):
-            engine = PlatformUpstreamStandIn(f"engine-{number}", answer)
+            engine = PlatformUpstreamStandIn(f"engine-{number}", self._answer)
             await engine.async_start()
             registration = engine.entry(service="drafts", slots=64)
             self.store.content.put(f"servers/engine-{number}", registration)
@@ -134,9 +204,13 @@
             if not await entry.async_wait_ready():
                 return EXIT_NOT_RUN
         tasks = [
-            asyncio.create_task(self._async_send_ordinary()),
             asyncio.create_task(self._async_watch_memory()),
         ]
+        tasks += [
+            asyncio.create_task(requester.async_run())
+            for requesters in self._requesters.values()
+            for requester in requesters
+        ]
         self._note("at the start")
         await asyncio.sleep(FIRST_AFTER_S)
         for number in range(REQUESTS_WITH_MANY_PARTS):
@@ -147,23 +221,47 @@
                 return EXIT_NOT_RUN
             entry = self._next_entry(number)
             if entry is not None:
-                self._send(entry, request, self._others)
+                self._send(entry, request)
             await asyncio.sleep(PAUSE_S)
             self._note(f"after request {number + 1}, {len(request)} bytes")
         await asyncio.sleep(REST_S)
         for task in tasks:
             task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
         await asyncio.wait(self._requests, timeout=5.0)
-        self._record.add(f"ordinary streams: {self._ordinary}")
-        self._record.add(f"requests with many parts: {self._others}")
-        for name, ends in self._ends.items():
+        return self._judge()
+
+    def _judge(self) -> int:
+        """Check LOST for each machine; return the exit code."""
+        lost: dict[str, int] = {}
+        for name, requesters in self._requesters.items():
+            counts = [attrs.asdict(requester.counts) for requester in requesters]
+            total = {key: sum(one[key] for one in counts) for key in counts[0]}
+            lost[name] = total["lost"]
+            self._record.add(f"ordinary streams at {name}: {total}")
+            ends = self._ends[name]
             self._record.add(
-                f"{name} ended {len(ends)} times, with {ends} KB of {MEMORY_KB} KB"
+                f"{name} ended by itself {len(ends)} times, with {ends} KB of"
+                f" {MEMORY_KB} KB"
             )
-        is_broken = all(len(ends) >= ENDS for ends in self._ends.values())
-        self._record.add("Fault: memory" if is_broken else "Fault holds")
+        self._record.add(
+            f"passed on from a kept connection that closed without an answer: {lost},"
+            f" allowed {MAX_LOST} each"
+        )
+        is_broken = max(lost.values()) > MAX_LOST
+        self._record.add("LOST is broken" if is_broken else "LOST holds")
         return EXIT_BROKEN if is_broken else EXIT_HELD
 
+    def _answer(self, request: SeenRequest) -> Iterable[Step]:
+        """Stream ten events, after the time that the prompt takes."""
+        self._seen.add(request.headers.get("x-attempt-id", ""))
+        yield Wait(FIRST_TOKEN_S)
+        yield Send(head(request, Transfer_Encoding="chunked", X_Confidence="90"))
+        for number in range(1, 11):
+            yield Send(chunk(event(number)))
+            yield Wait(0.04)
+        yield Send(LAST_CHUNK)
+
     def _next_entry(self, number: int) -> Entry | None:
         """Return one of the running entries, in turn; none if none runs."""
         running = [entry for entry in self.entries if entry.memory_kb()]
@@ -177,20 +275,10 @@
         parts = ",".join(f"{first + part:x}:1" for part in range(MANY_PARTS))
         return stream_request(f"m{number}", parts, MANY_PARTS)
 
-    def _send(self, entry: Entry, request: bytes, counts: Counts) -> None:
-        task = asyncio.create_task(async_request(entry, request, counts))
+    def _send(self, entry: Entry, request: bytes) -> None:
+        task = asyncio.create_task(async_send(entry, request))
         self._requests.add(task)
 
-    async def _async_send_ordinary(self) -> None:
-        number = 0
-        while True:
-            for entry in self.entries:
-                number += 1
-                parts = f"aa:350,{number + 65536:x}:1110"
-                request = stream_request(f"s{number}", parts, 1460)
-                self._send(entry, request, self._ordinary)
-            await asyncio.sleep(1 / STREAMS_PER_S)
-
     async def _async_watch_memory(self) -> None:
         """Kill a process that exceeds its memory, and start it again a little later."""
         while True:
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -41,7 +41,9 @@
 
 FOLDER = Path(__file__).resolve().parent
 MAX_HEADER_BYTES = 16_384
-MANY_PARTS, REQUESTS_WITH_MANY_PARTS = 2_300, 6
+# One of six that crashes is within the site's share of 0.17.
+ENGINES = 6
+MANY_PARTS, REQUESTS_WITH_MANY_PARTS = 2_290, 6
 BOOKINGS_PER_S = 10.0
 BOOKING_TIMEOUT_MS = 1_500
 # "0.5 s after it": the bound of the rule; and its numbers.
@@ -107,12 +109,12 @@
 async def async_draft(entry: Entry, number: int) -> None:
     """Send a request with many parts."""
     first = number * MANY_PARTS + 4096
-    parts = ",".join(f"{first + part:x}:1" for part in range(MANY_PARTS))
+    parts = "aa:350," + ",".join(f"{first + part:x}:1" for part in range(MANY_PARTS))
     request = request_bytes(
         f"/draft/{number}",
         f"d{number}",
         b"question",
-        extra=f"X-Model: m\r\nX-Token-Counts: {MANY_PARTS},40\r\n"
+        extra=f"X-Model: m\r\nX-Token-Counts: {MANY_PARTS + 350},40\r\n"
         f"Connection: close\r\nX-Prefix-Hash: {parts}\r\n",
     )
     if request.index(b"\r\n\r\n") > MAX_HEADER_BYTES:
@@ -147,7 +149,8 @@
     ]
     store.content.put("op/config", config(1, routes))
     drafts = [
-        PlatformUpstreamStandIn(f"draft-{number}", answer_drafts) for number in range(3)
+        PlatformUpstreamStandIn(f"draft-{number}", answer_drafts)
+        for number in range(ENGINES)
     ]
     desk = PlatformUpstreamStandIn("desk-1", book)
     for engine, service in [(one, "drafts") for one in drafts] + [(desk, "desk")]:
