Let a change replace an omitted one by its position only

Cause: messages between entries name omitted values before all others. A small document and a larger one in one message therefore arrive as "the larger one is to be read, the smaller one is this", and OmittedValues took every change with a value as newer. The entry forgot the read and confirmed the smaller, older document.

The entry logs no failed read.

Change: the latest position wins, whatever arrives first. A value that was read is remembered with the position up to which it is the last one until the feed has passed that, so a change that arrives later but was made earlier does not replace it. Omitted values still go first, on which readers of several sources depend. Also fixed by it: values read between two messages, reads that end after a newer change or a full read, and reads of an earlier era.

--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/coordinator.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/coordinator.py
@@ -5,7 +5,7 @@
 import math
 import random
 from collections import Counter
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Container, Sequence
 
 from cardamomnotch_core.change_feed.models import FeedPart, StoreChange
 from cardamomnotch_core.change_feed.outages import OutageDetector
@@ -164,10 +164,11 @@
         """Read everything; the route document on its own if there is an older one."""
         skips_document = self._node.routes.document is not None
         reading = await self._relay_store.async_read_all(skips_document=skips_document)
-        self._apply_reading(reading)
+        document_key = self._relay_store.document_key
+        self._apply_reading(reading, left_out={document_key} if skips_document else ())
         if skips_document:
             document = StoreChange(
-                key=self._relay_store.document_key,
+                key=document_key,
                 position=reading.position,
                 is_omitted=True,
             )
@@ -227,13 +228,13 @@
         if reading.is_complete:
             log_event(_LOGGER, "store read completely", upstreams=len(self._node.fleet))
 
-    def _apply_reading(self, reading: StoreReading) -> None:
+    def _apply_reading(self, reading: StoreReading, left_out: Container[str]) -> None:
         """Apply everything that is needed at first, as of the reading's begin."""
         self._mark_store_available()
         now_s = self._clock()
         self._note_outage(self._outages.record_reply(reading.began_at_s, now_s))
         previous = self._node.routes.document
-        self._value_reader.clear()
+        self._value_reader.record_all_read(reading.position, left_out)
         is_restored = self._era is not None and reading.position.era > self._era
         self._era = reading.position.era
         self._node.apply_listing(
@@ -293,6 +294,9 @@
     def _apply(self, found: Sequence[StoreChange]) -> None:
         """Apply changes of the store, and read the values that they omit."""
         self._apply_complete(self._value_reader.read_omitted(found))
+        position = self._node.feed.position
+        if position is not None:
+            self._value_reader.forget_until(position)
 
     def _apply_complete(self, found: Sequence[StoreChange]) -> None:
         """Apply changes with their values, and log them."""
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/value_reader.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/value_reader.py
@@ -2,11 +2,12 @@
 
 import asyncio
 import logging
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Container, Sequence
 
 from cardamomnotch_core.change_feed.models import StoreChange
 from cardamomnotch_core.change_feed.omitted_values import OmittedValues
 from cardamomnotch_platform.exceptions import StoreError
+from cardamomnotch_protocol.store_position import StorePosition
 from cardamomnotch_runtime.structured_log import log_event
 from cardamomnotch_runtime.tasks import TaskGroup
 
@@ -47,7 +48,7 @@
         return key in self._values
 
     def read_omitted(self, found: Sequence[StoreChange]) -> Sequence[StoreChange]:
-        """Begin to read the omitted values; return the changes that have theirs."""
+        """Begin to read the omitted values; return the changes to apply."""
         complete, omitted = self._values.record_changes(found)
         for key in omitted:
             if key not in self._watched:
@@ -55,9 +56,15 @@
                 self._tasks.start(self._async_read(key))
         return complete
 
-    def clear(self) -> None:
-        """Read no value any more, since everything has been read."""
-        self._values.clear()
+    def record_all_read(
+        self, position: StorePosition, left_out: Container[str] = ()
+    ) -> None:
+        """Read no value any more: all but those ``left_out`` are known."""
+        self._values.record_all_read(position, left_out)
+
+    def forget_until(self, position: StorePosition) -> None:
+        """Forget what is no longer needed once all changes up to here are known."""
+        self._values.forget_until(position, self._watched)
 
     async def async_unload(self) -> None:
         """Stop all reads."""
--- a/tests/entry/relay/test_coordinator.py
+++ b/tests/entry/relay/test_coordinator.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 
+import attrs
 import pytest
 
 from cardamomnotch_core.change_feed.models import FeedPart, StoreChange
@@ -539,3 +540,23 @@
     for _ in range(3):
         await real_sleep(0)
     assert node.routes.confirmed_at_s == clock() - 1.0
+
+
+async def test_earlier_small_document_hides_the_omitted_newest_one(
+    reader, clock, node, relay_store, monkeypatch
+):
+    """The routes are not confirmed until the newest document has been read."""
+    real_sleep = asyncio.sleep
+    clock.now_s += 0.5
+    confirmed_at_s = node.routes.confirmed_at_s
+    part = part_with_omitted_value(node, clock, relay_store.document_key)
+    earlier = StoreChange(key=relay_store.document_key, position=at(2), value=b"{}")
+    newest = StoreChange(key=relay_store.document_key, position=at(3), is_omitted=True)
+    reader.apply_part(
+        "other-1", attrs.evolve(part, changes=(newest, earlier), position=at(3))
+    )
+    assert node.feed.confirmed_at_s == clock()
+    monkeypatch.setattr(module.asyncio, "sleep", recording_sleep([]))
+    await real_sleep(0)
+    assert relay_store.calls == ["value of document"]
+    assert node.routes.confirmed_at_s == confirmed_at_s
