Bound what an entry keeps of a prompt by bytes, not by parts alone

Cause: the key of a prompt prefix was the text of all parts up to its end, so one request's keys grew with the square of its parts, and the tables count prefixes, not bytes. Other entries kept the same by the load notice.

Evidence: what two entries keep of 24 such requests is 386 MB, which is the sum of the prefixes' lengths, with no request in flight.

Change: a prefix's key is a hash of 64 bits; estimates and notices regard the first 32 parts; ids of parts and sessions over 64 characters are kept as a digest; a request whose body has not arrived keeps no part. All shared parts stay suspects of crashes: their sum over requests that are served or were not answered lately is limited, and a request with more than 32 parts that exceeds it is refused with 503 and Retry-After before it is sent.

--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/const.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/const.py
@@ -30,6 +30,14 @@
 LOOP_EXCESS_SHARE: Final = 0.2
 LOOP_EXCESS_BURST_S: Final = 0.02
 
+# Parts of a prompt that estimates and notices regard, the first ones: all tables that
+# have an item for each part of a request grow with it.
+MAX_PROMPT_PARTS: Final = 32
+
+# Longest name from a caller that is a key of tables as it is, in characters; longer
+# ones are hashed.
+MAX_KEY_CHARS: Final = 64
+
 # Longest pause of a response that uses more, in seconds.
 MAX_LOOP_PAUSE_S: Final = 5.0
 
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/crashes/const.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/crashes/const.py
@@ -56,3 +56,8 @@
 
 # Requests whose crashes are counted; the one with the oldest crash is evicted.
 MAX_SUSPECTS: Final = 10_000
+
+# Suspects of all requests that are served, or that ended without an answer within
+# CRASH_NOTICE_S, from which requests with many of them are refused; each takes about
+# 150 bytes.
+MAX_HELD_SUSPECTS: Final = 40_000
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/crashes/detection.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/crashes/detection.py
@@ -8,6 +8,7 @@
 
 from ..const import MAX_ATTEMPT_S
 from .const import CRASH_NOTICE_S, CRASH_ONSET_S
+from .held_suspects import HeldSuspects
 from .process_ends import ProcessEnds
 
 
@@ -71,11 +72,15 @@
 
     An attempt that ended without a complete answer is a suspect if its
     process ends within ``CRASH_NOTICE_S``, or had ended before. ``ends`` is
-    where the ends of processes are kept.
+    where the ends of processes are kept, and ``held`` counts the suspects of ended
+    attempts.
     """
 
-    def __init__(self, ends: ProcessEnds | None = None) -> None:
+    def __init__(
+        self, ends: ProcessEnds | None = None, held: HeldSuspects | None = None
+    ) -> None:
         self._ends = ends if ends is not None else ProcessEnds()
+        self._held = held if held is not None else HeldSuspects()
         self._runs: dict[Hashable, _Run] = {}
         # Attempts without a complete answer, in the order of their ends.
         self._unanswered: deque[_Run] = deque()
@@ -116,6 +121,7 @@
         if crashed_at_s is not None:
             return self._crashes(run, crashed_at_s, is_exact=True)
         self._unanswered.append(run)
+        self._held.hold(len(run.suspects))
         self._expire(now_s)
         return ()
 
@@ -126,8 +132,12 @@
         """
         self._expire(now_s)
         runs = [run for run in self._unanswered if run.process == process]
+        if runs:
+            self._unanswered = deque(
+                run for run in self._unanswered if run.process != process
+            )
         for run in runs:
-            self._unanswered.remove(run)
+            self._held.release(len(run.suspects))
         lost_at_s = [run.ended_at_s for run in runs if run.is_lost]
         # A crash breaks the connections at once, but may be noticed later.
         crashed_at_s = max(lost_at_s, default=now_s)
@@ -161,7 +171,7 @@
         while (
             self._unanswered and self._unanswered[0].ended_at_s < now_s - CRASH_NOTICE_S
         ):
-            self._unanswered.popleft()
+            self._held.release(len(self._unanswered.popleft().suspects))
         while self._ended_at_s:
             process, ended_at_s = next(iter(self._ended_at_s.items()))
             if ended_at_s >= now_s - MAX_ATTEMPT_S:
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/models.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/models.py
@@ -1,9 +1,12 @@
 """Data types of the relay: routes, services, upstreams and requests."""
 
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from enum import StrEnum
 
 import attrs
+import xxhash
+
+from .const import MAX_KEY_CHARS
 
 
 class RepeatRule(StrEnum):
@@ -159,6 +162,19 @@
 # Prefix of the suspects that are parts of a prompt; a request's fingerprint has
 # none.
 _PART_SUSPECT_PREFIX = "part:"
+# Prefix of the digests of names that are too long to be keys.
+_DIGEST_PREFIX = "xxh3:"
+
+
+def bounded_key(name: str) -> str:
+    """Return a caller's name for something, or its digest if it is long.
+
+    Tables whose entries are counted have keys of a limited size so.
+    """
+    if len(name) <= MAX_KEY_CHARS:
+        return name
+    data = name.encode("utf-8", "surrogateescape")
+    return f"{_DIGEST_PREFIX}{xxhash.xxh3_128_hexdigest(data)}"
 
 
 def is_prompt_part(suspect: str) -> bool:
@@ -166,6 +182,12 @@
     return suspect.startswith(_PART_SUSPECT_PREFIX)
 
 
+def list_suspects(fingerprint: str, part_ids: Sequence[str]) -> frozenset[str]:
+    """Return a request's fingerprint, and the suspects that are shared parts."""
+    parts = (f"{_PART_SUSPECT_PREFIX}{part_id}" for part_id in part_ids[:-1])
+    return frozenset((fingerprint, *parts))
+
+
 @attrs.frozen(kw_only=True)
 class RequestFacts:
     """Properties of a request that decide which upstream it is sent to."""
@@ -173,6 +195,7 @@
     request_id: str
     # Hash of path, caller and body; equal for equal requests.
     fingerprint: str
+    # The prompt's parts, or the first ``MAX_PROMPT_PARTS`` of them.
     prompt: tuple[PromptPart, ...] = ()
     prompt_tokens: int = 0
     max_output_tokens: int = 0
@@ -181,21 +204,22 @@
     session: str = ""
     # True if the relay chooses the model.
     chooses_model: bool = False
+    # The possible causes of a crash: the request, and the parts of its prompt. The
+    # last part belongs to the request or its session.
+    suspects: frozenset[str] = attrs.field(
+        default=attrs.Factory(
+            lambda self: list_suspects(
+                self.fingerprint, [part.part_id for part in self.prompt]
+            ),
+            takes_self=True,
+        )
+    )
 
     @property
     def likely_output_tokens(self) -> int:
         """Return the guessed number of output tokens, or else the maximum."""
         return self.expected_output_tokens or self.max_output_tokens
 
-    @property
-    def suspects(self) -> frozenset[str]:
-        """Return the possible causes of a crash: the request, and its parts.
-
-        The last part of a prompt belongs to the request or its session.
-        """
-        parts = (f"{_PART_SUSPECT_PREFIX}{part.part_id}" for part in self.prompt[:-1])
-        return frozenset((self.fingerprint, *parts))
-
     @property
     def prefix_key(self) -> str:
         """Return a key that is equal for requests with the same prompt prefix.
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/node.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/node.py
@@ -22,6 +22,7 @@
     REMOVED_UPSTREAM_RETENTION_S,
 )
 from .crashes.detection import CrashDetector
+from .crashes.held_suspects import HeldSuspects
 from .crashes.isolation import RunIsolation
 from .crashes.process_ends import ProcessEnds
 from .crashes.quarantine import Quarantine
@@ -103,7 +104,8 @@
         self.quarantine = Quarantine(ends)
         self.isolation = RunIsolation(identity.name)
         self.suspect_runs = SuspectRuns(self.quarantine, self.isolation)
-        self._crash_detector = CrashDetector(ends)
+        self.held_suspects = HeldSuspects()
+        self._crash_detector = CrashDetector(ends, self.held_suspects)
         self._entries = LiveEntries(identity.name)
         self.rates = UpstreamRates(self._entries, self.fleet, limits)
         self._retry_budget = RetryBudget(
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/prompt_cache/models.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/prompt_cache/models.py
@@ -3,19 +3,23 @@
 from collections.abc import Iterable, Sequence
 
 import attrs
+import xxhash
 
 from ..models import PromptPart
 
 # Key of each prompt prefix, and its last part's tokens.
-Prefixes = Sequence[tuple[str, int]]
+Prefixes = Sequence[tuple[int, int]]
 
 
-def list_prefixes(prompt: Sequence[PromptPart]) -> Iterable[tuple[str, int]]:
-    """Yield each prompt prefix's key, and its last part's tokens."""
-    key = ""
+def list_prefixes(prompt: Sequence[PromptPart]) -> Iterable[tuple[int, int]]:
+    """Yield each prompt prefix's key, and its last part's tokens.
+
+    A key is a hash of all parts up to the prefix's end, of 64 bits.
+    """
+    hasher = xxhash.xxh3_64()
     for part in prompt:
-        key = f"{key},{part.part_id}"
-        yield key, part.tokens
+        hasher.update(f",{part.part_id}".encode("utf-8", "surrogateescape"))
+        yield hasher.intdigest(), part.tokens
 
 
 # Not frozen, as it is created for each candidate.
@@ -39,7 +43,7 @@
     """A request that an upstream runs, as far as its memory is concerned."""
 
     model: str
-    prefixes: tuple[tuple[str, int], ...]
+    prefixes: tuple[tuple[int, int], ...]
     # Prompt tokens beyond the prefixes.
     own_tokens: int
     # Tokens of memory that the request holds: its prompt and expected output.
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/prompt_cache/popularity.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/prompt_cache/popularity.py
@@ -1,6 +1,6 @@
 """How often prompt prefixes are sent, and to which upstreams."""
 
-from collections import OrderedDict, deque
+from collections import OrderedDict
 from collections.abc import Sequence
 
 import attrs
@@ -34,11 +34,17 @@
 class _Prefix:
     """A prompt prefix: the last upstreams that it was sent to, and its requests."""
 
-    upstreams: deque[str] = attrs.field(
-        factory=lambda: deque(maxlen=MAX_PREFIX_UPSTREAMS)
-    )
+    # Not a deque, which takes a block of 64 items.
+    upstreams: list[str] = attrs.field(factory=list)
     requests: _DecayingCount = attrs.field(factory=_DecayingCount)
 
+    def add_upstream(self, upstream_id: str) -> None:
+        if upstream_id in self.upstreams:
+            return
+        if len(self.upstreams) >= MAX_PREFIX_UPSTREAMS:
+            del self.upstreams[0]
+        self.upstreams.append(upstream_id)
+
 
 class PrefixPopularity:
     """Counts the requests of each prompt prefix, by model.
@@ -47,7 +53,7 @@
     """
 
     def __init__(self) -> None:
-        self._prefixes: OrderedDict[tuple[str, str], _Prefix] = OrderedDict()
+        self._prefixes: OrderedDict[tuple[str, int], _Prefix] = OrderedDict()
         # Requests with a shared prefix, by service and model.
         self._requests: dict[tuple[str, str], _DecayingCount] = {}
 
@@ -67,17 +73,16 @@
             prefix = self._prefixes.setdefault((model, key), _Prefix())
             self._prefixes.move_to_end((model, key))
             prefix.requests.add(now_s)
-            if upstream_id not in prefix.upstreams:
-                prefix.upstreams.append(upstream_id)
+            prefix.add_upstream(upstream_id)
         while len(self._prefixes) > MAX_PREFIXES:
             self._prefixes.popitem(last=False)
 
-    def upstreams(self, model: str, key: str) -> Sequence[str]:
+    def upstreams(self, model: str, key: int) -> Sequence[str]:
         """Return the ids of the last upstreams that a prefix was sent to."""
         prefix = self._prefixes.get((model, key))
         return prefix.upstreams if prefix else ()
 
-    def share(self, service: str, model: str, key: str, now_s: float) -> float:
+    def share(self, service: str, model: str, key: int, now_s: float) -> float:
         """Return a prefix's share of the requests with a shared prefix, 0 to 1."""
         prefix = self._prefixes.get((model, key))
         requests = self._requests.get((service, model))
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/prompt_cache/upstream_cache.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/prompt_cache/upstream_cache.py
@@ -19,7 +19,7 @@
 )
 from .models import CachedPrompt, EvictedPart, Prefixes, PromptRun
 
-_PartKey = tuple[str, str]
+_PartKey = tuple[str, int]
 
 
 @attrs.define
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/diagnostics.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/diagnostics.py
@@ -92,6 +92,7 @@
             for upstream_id, cache in sorted(node.prompt_caches.caches.items())
         },
         "crashes": node.quarantine.totals,
+        "held_suspects": node.held_suspects.count,
         "named_rates": node.rates.named,
         "zones_unreachable": sorted(node.reachability.lost_zones(now_s)),
         "suspected_processes": sorted(node.isolation.processes),
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/forwarder.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/forwarder.py
@@ -140,7 +140,16 @@
             if refusal.code is ResultCode.NOT_READY:
                 refusal.retry_after_s = node.attempts.stale_retry_s(now_s)
             raise
-        self._service = node.admit(route, request.facts, now_s)
+        suspects = len(request.facts.suspects)
+        node.held_suspects.admit(suspects)
+        try:
+            self._service = node.admit(route, request.facts, now_s)
+            return await self._async_serve_admitted(route)
+        finally:
+            node.held_suspects.release(suspects)
+
+    async def _async_serve_admitted(self, route: Route) -> web.StreamResponse:
+        node, request = self._node, self._request
         timeout_s = route.timeout_s
         if request.deadline_s is not None:
             timeout_s = min(timeout_s, request.deadline_s)
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/peer_messages.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/peer_messages.py
@@ -15,10 +15,11 @@
     StoreChange,
 )
 from cardamomnotch_core.relay.admission.const import WORKSPACE_HASH_DIGITS
+from cardamomnotch_core.relay.const import MAX_PROMPT_PARTS
 from cardamomnotch_core.relay.crashes.detection import Crash, Suspicion
 from cardamomnotch_core.relay.crashes.evidence import Refutation
 from cardamomnotch_core.relay.crashes.isolation import RunNotice
-from cardamomnotch_core.relay.models import PromptPart
+from cardamomnotch_core.relay.models import PromptPart, bounded_key
 from cardamomnotch_core.relay.notices.models import LoadKind, LoadNotice
 from cardamomnotch_core.relay.rollouts.answer_times import AnswerTimes
 from cardamomnotch_core.relay.rollouts.reports import RolloutsMessage
@@ -195,10 +196,12 @@
         upstream_id=upstream_id,
         prefill_ms=prefill_ms,
         model=model,
+        # Entries of an earlier build send all parts of a prompt.
         prompt=tuple(
-            PromptPart(part_id=part_id, tokens=tokens) for part_id, tokens in prompt
+            PromptPart(part_id=bounded_key(part_id), tokens=tokens)
+            for part_id, tokens in prompt[:MAX_PROMPT_PARTS]
         ),
-        session=session,
+        session=bounded_key(session),
     )
 
 
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/server.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/server.py
@@ -149,11 +149,17 @@
         return response
 
     def _decode_head(self, http_request: web.BaseRequest) -> CallerRequest:
-        """Return a request whose body has not arrived; it has no fingerprint yet."""
+        """Return a request whose body has not arrived.
+
+        It has no fingerprint yet, and no prompt, which many callers that send no body
+        would make the process hold.
+        """
         request = self._codec.decode_request(
             http_request.method, http_request.raw_path, http_request.headers, b""
         )
-        facts = attrs.evolve(request.facts, fingerprint="")
+        facts = attrs.evolve(
+            request.facts, fingerprint="", prompt=(), suspects=frozenset()
+        )
         return attrs.evolve(request, facts=facts)
 
     def _check_head(self, request: CallerRequest, length: int | None) -> None:
--- a/tests/adapter/test_message_codec.py
+++ b/tests/adapter/test_message_codec.py
@@ -4,6 +4,7 @@
 from multidict import CIMultiDict, CIMultiDictProxy
 
 from cardamomnotch_adapter.message_codec import PlatformMessageCodec
+from cardamomnotch_core.relay.const import MAX_KEY_CHARS, MAX_PROMPT_PARTS
 from cardamomnotch_core.relay.exceptions import RefusalError
 from cardamomnotch_core.relay.models import UpstreamHints
 from cardamomnotch_entry.relay.models import AttemptParameters
@@ -107,6 +108,32 @@
     assert (facts.session, facts.chooses_model) == ("s-1", True)
 
 
+def test_part_behind_many_others_is_not_suspected():
+    """All shared parts are suspects; estimates regard the first ones only."""
+    prompt = ",".join(f"{number:x}:2" for number in range(2_290))
+    facts = decode({"X-Prefix-Hash": prompt}).facts
+    assert [part.part_id for part in facts.prompt] == [
+        f"{number:x}" for number in range(MAX_PROMPT_PARTS)
+    ]
+    assert facts.suspects == {
+        facts.fingerprint,
+        *(f"part:{number:x}" for number in range(2_289)),
+    }
+    assert facts.prompt_tokens == 2 * 2_290
+
+
+def test_long_names_become_keys():
+    """Ids of parts and sessions have a bounded length; different ones differ."""
+    names = ["a" * MAX_KEY_CHARS, "a" * 5_000, "a" * 4_999 + "b"]
+    facts = decode(
+        {"X-Prefix-Hash": ",".join(f"{name}:1" for name in names), "Session": names[1]}
+    ).facts
+    ids = [part.part_id for part in facts.prompt]
+    assert ids[0] == names[0]
+    assert len(set(ids)) == 3
+    assert max(map(len, (*ids, facts.session))) <= MAX_KEY_CHARS
+
+
 @pytest.mark.parametrize(
     ("value", "expected"),
     [("40", 40), ("", 0), ("-3", 0), ("4.5", 0), ("many", 0)],
