Decide on the suspects of a crash once for all with the same crashes

Cause: each suspect of a crash, and each of a request, was compared with all suspects of the process: for a log field when a crash is recorded, and for the decision whether a request is blocked. The time grows with the square of the parts. The reports to other entries, the log and the expiry had no bound either.

Evidence: with the memory of prefixes fixed, recording 13,746 suspects one by one takes over 20 s of processor time, in CrashEvidence.explanations.

Change: suspects with the same crashes share one history, and a request's are decided on once for each. All parts stay suspects; 40,000 are kept, and those with one crash are evicted first, so that a crashing part is not lost among thousands beside it. Log, state dump, expiry, and datagrams to other entries are bounded.

--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/attempt_tracker.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/attempt_tracker.py
@@ -165,8 +165,8 @@
         if end is AttemptEnd.COMPLETED:
             suspects = self._crash_detector.suspects(key)
             self._quarantine.record_completed(suspects, now_s)
-        for crash in self._crash_detector.record_ended(key, end, now_s):
-            self._quarantine.record_crash(crash, now_s)
+        crashes = self._crash_detector.record_ended(key, end, now_s)
+        self._quarantine.record_crashes(crashes, now_s)
         self._isolation.end(key)
         state.in_flight -= 1
         self._placer.estimates.record_end(
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/crashes/answered_suspects.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/crashes/answered_suspects.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from .const import ANSWER_RETENTION_S, MAX_SUSPECTS
+from .const import ANSWER_RETENTION_S, MAX_ANSWERED_SUSPECTS
 
 
 @attrs.define
@@ -25,13 +25,16 @@
         # In the order of the last answers.
         self._answers: OrderedDict[str, _Answers] = OrderedDict()
 
+    def __contains__(self, suspect: str) -> bool:
+        return suspect in self._answers
+
     def record(self, suspect: str, now_s: float, *, is_complete: bool) -> None:
         """Record an answer to a request with ``suspect``, and count it if complete."""
         answers = self._answers.setdefault(suspect, _Answers(0.0, now_s))
         answers.count = answers.decayed(now_s) + float(is_complete)
         answers.last_s = now_s
         self._answers.move_to_end(suspect)
-        if len(self._answers) > MAX_SUSPECTS:
+        if len(self._answers) > MAX_ANSWERED_SUSPECTS:
             self._answers.popitem(last=False)
 
     def is_recent(self, suspect: str, now_s: float) -> bool:
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/crashes/const.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/crashes/const.py
@@ -51,11 +51,25 @@
 # no heartbeats for a while.
 CRASH_NOTICE_S: Final = 8.0
 
-# Crashes in one report, which must fit into one value of the store.
-MAX_REPORTED_CRASHES: Final = 5_000
+# Crashes in one report, which must fit into one value of the store, and refutations.
+MAX_REPORTED_CRASHES: Final = 4_000
 
-# Requests whose crashes are counted; the one with the oldest crash is evicted.
-MAX_SUSPECTS: Final = 10_000
+# Suspects whose crashes are counted: more than the requests of one upstream may have.
+# The one with the oldest crash is evicted, of those with one crash if there are any.
+MAX_SUSPECTS: Final = 40_000
+
+# Refutations that are remembered, crashes and refutations that wait to be stored.
+MAX_REFUTATIONS: Final = 40_000
+MAX_UNREPORTED: Final = 40_000
+
+# Suspects whose answers are counted.
+MAX_ANSWERED_SUSPECTS: Final = 20_000
+
+# Suspects that are forgotten at a time: all of a crash expire at one moment.
+MAX_EXPIRED_AT_ONCE: Final = 2_000
+
+# Suspects of one crash that are named in the log, those with most crashes.
+MAX_LOGGED_SUSPECTS: Final = 20
 
 # Suspects of all requests that are served, or that ended without an answer within
 # CRASH_NOTICE_S, from which requests with many of them are refused; each takes about
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/crashes/evidence.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/crashes/evidence.py
@@ -1,11 +1,21 @@
 """Crashes of upstreams, and the suspects that may have caused each of them."""
 
-from collections.abc import Iterable, Mapping, Set
+from collections import Counter
+from collections.abc import Iterable, Mapping, Sequence, Set
+from typing import TypeVar
+from weakref import WeakValueDictionary
 
 import attrs
 
-from .const import CRASH_RETENTION_S, MAX_SUSPECTS
-from .detection import Crash, Suspicion
+from .const import (
+    CRASH_RETENTION_S,
+    MAX_EXPIRED_AT_ONCE,
+    MAX_REFUTATIONS,
+    MAX_SUSPECTS,
+)
+from .detection import OPEN_SUSPICIONS, Crash, Suspicion
+
+_Key = TypeVar("_Key")
 
 
 @attrs.frozen
@@ -16,16 +26,46 @@
     process: str
 
 
-@attrs.define
-class _Record:
-    """The crashes that one suspect may have caused, by process."""
+@attrs.frozen
+class _Crash:
+    """A crash as a suspect's possible deed."""
+
+    suspicion: Suspicion
+    # When it became known, in seconds.
+    known_at_s: float
+    # Whether the request was sent after the first end of the same moment.
+    is_subsequent: bool
+
+
+# Compared by identity: equal histories are one object.
+@attrs.frozen(eq=False)
+class CrashHistory:
+    """The crashes that some suspects may have caused, the same for each of them.
+
+    Thousands of parts of one request share a history, so whatever depends on it only
+    is decided once for all of them.
+    """
+
+    crashes: Mapping[str, _Crash]
+    # When each crash became known, by process, in seconds.
+    times_s: Mapping[str, float] = attrs.field(init=False)
+    last_s: float = attrs.field(init=False)
+    # How many of the crashes have an open suspicion.
+    open_crashes: int = attrs.field(init=False)
+
+    @times_s.default
+    def _times_s(self) -> Mapping[str, float]:
+        return {process: crash.known_at_s for process, crash in self.crashes.items()}
 
-    suspicions: dict[str, Suspicion] = attrs.field(factory=dict)
-    # When each crash became known, in seconds.
-    times_s: dict[str, float] = attrs.field(factory=dict)
-    # The processes to which requests were sent after the first end of the same
-    # moment only.
-    subsequent: set[str] = attrs.field(factory=set)
+    @last_s.default
+    def _last_s(self) -> float:
+        return max(self.times_s.values())
+
+    @open_crashes.default
+    def _open_crashes(self) -> int:
+        return sum(
+            crash.suspicion in OPEN_SUSPICIONS for crash in self.crashes.values()
+        )
 
 
 class CrashEvidence:
@@ -36,49 +76,75 @@
     """
 
     def __init__(self) -> None:
-        # In the order of the suspects' last crashes.
-        self._records: dict[str, _Record] = {}
-        # Suspicion by process and suspect.
+        # History of each suspect, in the order of the last crashes: of those with one
+        # crash, and of those with several.
+        self._single: dict[str, CrashHistory] = {}
+        self._repeated: dict[str, CrashHistory] = {}
+        self._histories: WeakValueDictionary[
+            frozenset[tuple[str, _Crash]], CrashHistory
+        ] = WeakValueDictionary()
+        # Suspicion by process and suspect, and how many of each process are open.
         self._suspects: dict[str, dict[str, Suspicion]] = {}
+        self._open_counts: Counter[str] = Counter()
         # In the order of the refutations' times.
         self._refuted_at_s: dict[Refutation, float] = {}
 
+    def __len__(self) -> int:
+        return len(self._single) + len(self._repeated)
+
     @property
     def totals(self) -> dict[str, int]:
         """Return the number of crashes by suspect."""
         return {
-            suspect: len(record.times_s) for suspect, record in self._records.items()
+            suspect: len(history.crashes)
+            for histories in (self._repeated, self._single)
+            for suspect, history in histories.items()
         }
 
+    def history(self, suspect: str) -> CrashHistory | None:
+        """Return the crashes of ``suspect``; None if it has none."""
+        return self._repeated.get(suspect) or self._single.get(suspect)
+
+    def group(self, suspects: Iterable[str]) -> dict[CrashHistory, list[str]]:
+        """Return those of the suspects that have crashes, by their history."""
+        groups: dict[CrashHistory, list[str]] = {}
+        for suspect in suspects:
+            history = self._repeated.get(suspect) or self._single.get(suspect)
+            if history is None:
+                continue
+            members = groups.get(history)
+            if members is None:
+                groups[history] = [suspect]
+            else:
+                members.append(suspect)
+        return groups
+
     def known_at_s(self, suspect: str) -> Mapping[str, float]:
         """Return when each crash of ``suspect`` became known, by process."""
-        record = self._records.get(suspect)
-        return record.times_s if record else {}
+        history = self.history(suspect)
+        return history.times_s if history else {}
 
     def simultaneous_crashes(self, suspect: str, processes: Iterable[str]) -> int:
         """Return how many crashes of one moment did not follow another one.
 
         A crash follows another one if its request was sent afterwards.
         """
-        return len(set(processes) - self._records[suspect].subsequent)
+        crashes = self.history(suspect).crashes
+        return sum(not crashes[process].is_subsequent for process in set(processes))
 
-    def suspects(self, process: str, suspicions: Set[Suspicion]) -> list[str]:
-        """Return the suspects of a process's crash with one of these suspicions."""
-        return [
-            suspect
-            for suspect, suspicion in self._suspects.get(process, {}).items()
-            if suspicion in suspicions
-        ]
+    def has_open_suspect(self, process: str) -> bool:
+        """Return whether a suspect of a process's crash has an open suspicion."""
+        return self._open_counts[process] > 0
 
     def processes(self, suspect: str, suspicions: Set[Suspicion]) -> list[str]:
         """Return the crashed processes with one of these suspicions."""
-        record = self._records.get(suspect)
-        if record is None:
+        history = self.history(suspect)
+        if history is None:
             return []
         return [
             process
-            for process, suspicion in record.suspicions.items()
-            if suspicion in suspicions
+            for process, crash in history.crashes.items()
+            if crash.suspicion in suspicions
         ]
 
     def add(self, crash: Crash, now_s: float) -> bool:
@@ -87,36 +153,38 @@
         suspect, process = crash.suspect, crash.process
         if Refutation(suspect, process) in self._refuted_at_s:
             return False
-        record = self._records.get(suspect, _Record())
-        known = record.suspicions.get(process)
-        if not crash.is_subsequent:
-            record.subsequent.discard(process)
-        elif known is None:
-            record.subsequent.add(process)
-        if known is not None and known >= crash.suspicion:
+        history = self.history(suspect)
+        crashes = history.crashes if history else {}
+        known = crashes.get(process)
+        is_new = known is None or known.suspicion < crash.suspicion
+        added = _Crash(
+            suspicion=crash.suspicion if is_new else known.suspicion,
+            known_at_s=now_s if known is None else known.known_at_s,
+            is_subsequent=crash.is_subsequent
+            and (known is None or known.is_subsequent),
+        )
+        if added == known:
             return False
-        record.suspicions[process] = crash.suspicion
-        if known is None:
-            record.times_s[process] = now_s
-            # The last of the records is the one with the latest crash.
-            self._records.pop(suspect, None)
-            self._records[suspect] = record
-        self._suspects.setdefault(process, {})[suspect] = crash.suspicion
-        if len(self._records) > MAX_SUSPECTS:
-            self._forget(next(iter(self._records)))
-        return True
+        # The last one is the one with the latest crash.
+        self._set_history(suspect, {**crashes, process: added}, is_latest=known is None)
+        self._set_suspicion(process, suspect, added.suspicion)
+        if len(self) > MAX_SUSPECTS:
+            self._forget(next(iter(self._single or self._repeated)))
+        return is_new
 
     def refute(self, refutation: Refutation, now_s: float) -> None:
         """Remove a crash of a suspect, and ignore further reports of it."""
         self._refuted_at_s.setdefault(refutation, now_s)
-        record = self._records.get(refutation.suspect)
-        if record is None or refutation.process not in record.times_s:
+        if len(self._refuted_at_s) > MAX_REFUTATIONS:
+            del self._refuted_at_s[next(iter(self._refuted_at_s))]
+        suspect, process = refutation.suspect, refutation.process
+        history = self.history(suspect)
+        if history is None or process not in history.crashes:
             return
-        del record.suspicions[refutation.process], record.times_s[refutation.process]
-        record.subsequent.discard(refutation.process)
-        self._remove_suspect(refutation.process, refutation.suspect)
-        if not record.times_s:
-            del self._records[refutation.suspect]
+        crashes = dict(history.crashes)
+        del crashes[process]
+        self._set_suspicion(process, suspect, None)
+        self._set_history(suspect, crashes)
 
     def explanations(self, suspect: str, until_s: float) -> Set[str]:
         """Return the suspects that explain the crashes of ``suspect`` as well.
@@ -131,40 +199,78 @@
 
         Only crashes that were known at ``until_s`` are regarded.
         """
-        record = self._records[suspect]
         return [
             {
                 other
                 for other, other_suspicion in self._suspects[process].items()
-                if other_suspicion >= _least_rival(suspicion) and other != suspect
+                if other_suspicion >= _least_rival(crash.suspicion) and other != suspect
             }
-            for process, suspicion in record.suspicions.items()
-            if record.times_s[process] <= until_s
+            for process, crash in self.history(suspect).crashes.items()
+            if crash.known_at_s <= until_s
         ]
 
     def expire(self, now_s: float) -> None:
-        """Forget suspects and refutations after ``CRASH_RETENTION_S``."""
+        """Forget suspects and refutations after ``CRASH_RETENTION_S``.
+
+        Of many at one moment a part is forgotten by each call.
+        """
         oldest_s = now_s - CRASH_RETENTION_S
-        while self._records:
-            suspect, record = next(iter(self._records.items()))
-            if max(record.times_s.values()) > oldest_s:
-                break
-            self._forget(suspect)
-        while self._refuted_at_s:
-            refutation, refuted_at_s = next(iter(self._refuted_at_s.items()))
-            if refuted_at_s > oldest_s:
-                break
+        for histories in (self._single, self._repeated):
+            times_s = ((key, history.last_s) for key, history in histories.items())
+            for suspect in _take_until(times_s, oldest_s):
+                self._forget(suspect)
+        for refutation in _take_until(self._refuted_at_s.items(), oldest_s):
             del self._refuted_at_s[refutation]
 
-    def _forget(self, suspect: str) -> None:
-        for process in self._records.pop(suspect).times_s:
-            self._remove_suspect(process, suspect)
+    def _set_history(
+        self, suspect: str, crashes: Mapping[str, _Crash], *, is_latest: bool = False
+    ) -> None:
+        """Set the crashes of a suspect, and its place by the last of them."""
+        target, other = self._single, self._repeated
+        if len(crashes) > 1:
+            target, other = other, target
+        other.pop(suspect, None)
+        if is_latest or not crashes:
+            target.pop(suspect, None)
+        if not crashes:
+            return
+        key = frozenset(crashes.items())
+        history = self._histories.get(key)
+        if history is None:
+            history = self._histories[key] = CrashHistory(crashes)
+        target[suspect] = history
 
-    def _remove_suspect(self, process: str, suspect: str) -> None:
-        suspects = self._suspects[process]
-        del suspects[suspect]
+    def _set_suspicion(
+        self, process: str, suspect: str, suspicion: Suspicion | None
+    ) -> None:
+        """Set how suspect one is of a process's crash; None if it is not."""
+        suspects = self._suspects.setdefault(process, {})
+        previous = suspects.pop(suspect, None)
+        if suspicion is not None:
+            suspects[suspect] = suspicion
+        self._open_counts[process] += (suspicion in OPEN_SUSPICIONS) - (
+            previous in OPEN_SUSPICIONS
+        )
         if not suspects:
-            del self._suspects[process]
+            del self._suspects[process], self._open_counts[process]
+
+    def _forget(self, suspect: str) -> None:
+        for process in self.history(suspect).crashes:
+            self._set_suspicion(process, suspect, None)
+        self._single.pop(suspect, None)
+        self._repeated.pop(suspect, None)
+
+
+def _take_until(
+    times_s: Iterable[tuple[_Key, float]], until_s: float
+) -> Sequence[_Key]:
+    """Return the first keys with a time up to ``until_s``, as many as are removed."""
+    taken = []
+    for key, time_s in times_s:
+        if time_s > until_s or len(taken) >= MAX_EXPIRED_AT_ONCE:
+            break
+        taken.append(key)
+    return taken
 
 
 def _least_rival(suspicion: Suspicion) -> Suspicion:
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/crashes/quarantine.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/crashes/quarantine.py
@@ -1,21 +1,25 @@
 """Quarantine of requests and prompt parts that crash upstreams."""
 
-from collections.abc import Callable, Iterable, Set
+import heapq
+from collections.abc import Callable, Hashable, Iterable, Sequence, Set
 
 import attrs
 
+from ..const import MAX_PROMPT_PARTS
 from ..models import is_prompt_part
 from ..store_changes.changes import CrashesReported
 from .answered_suspects import AnsweredSuspects
 from .const import (
     CRASH_REPORT_SPREAD_S,
     MAX_CRASHES,
+    MAX_LOGGED_SUSPECTS,
     MAX_REPORTED_CRASHES,
     MAX_SUSPECTS,
+    MAX_UNREPORTED,
     QUARANTINE_GROWTH,
     QUARANTINE_S,
 )
-from .detection import OPEN_SUSPICIONS, Crash, Suspicion
+from .detection import Crash, Suspicion
 from .evidence import CrashEvidence, Refutation
 from .isolation import Isolation
 from .process_ends import ProcessEnds
@@ -36,8 +40,9 @@
 # Shortest wait of a request, in seconds: shorter ones may not advance a clock.
 _MIN_WAIT_S = 0.01
 
-# Called with each crash that this entry has seen, the number of crashes counted
-# for its suspect, and the number of suspects that explain all of these.
+# Called with a crash that this entry has seen, the number of crashes counted
+# for its suspect, and the number of suspects that explain all of these. Of a crash with
+# many suspects it is called for those with most crashes.
 CrashListener = Callable[[Crash, int, int], None]
 
 
@@ -53,6 +58,18 @@
     wait_s: float = 0.0
 
 
+@attrs.define
+class _SuspectGroup:
+    """Suspects of a request that cannot be told apart by what is known of them."""
+
+    suspects: Sequence[str]
+
+    @property
+    def first(self) -> str:
+        """Return the suspect for which a decision on all of them is made."""
+        return self.suspects[0]
+
+
 class Quarantine:
     """Decides which requests must not be sent to any upstream.
 
@@ -100,6 +117,11 @@
         """Return the number of crashes by suspect."""
         return self._evidence.totals
 
+    @property
+    def suspect_count(self) -> int:
+        """Return the number of suspects."""
+        return len(self._evidence)
+
     def subscribe(self, listener: CrashListener) -> Callable[[], None]:
         """Call ``listener`` for each crash; return how to unsubscribe it."""
         self._listeners.append(listener)
@@ -107,20 +129,42 @@
 
     def record_crash(self, crash: Crash, now_s: float) -> None:
         """Count a crash that this entry has seen."""
+        self.record_crashes((crash,), now_s)
+
+    def record_crashes(self, crashes: Sequence[Crash], now_s: float) -> None:
+        """Count crashes that this entry has seen, one for each suspect."""
         self._expire(now_s)
-        self._ends.record(crash.process, now_s)
-        if crash.suspicion in _REFUTED_BY_ONSET and self._answers.is_recent(
-            crash.suspect, now_s
-        ):
-            crash = attrs.evolve(crash, suspicion=Suspicion.ANSWERED)
-        if not self._add(crash, now_s):
+        added = []
+        for crash in crashes:
+            self._ends.record(crash.process, now_s)
+            if crash.suspicion in _REFUTED_BY_ONSET and self._answers.is_recent(
+                crash.suspect, now_s
+            ):
+                crash = attrs.evolve(crash, suspicion=Suspicion.ANSWERED)
+            if self._add(crash, now_s):
+                added.append(crash)
+        self._unreported.extend(added)
+        # The other entries count them for as long as this one does.
+        del self._unreported[:-MAX_UNREPORTED]
+        self._unsent_crashes.extend(added)
+        self._notify_listeners(added, now_s)
+
+    def _notify_listeners(self, added: Sequence[Crash], now_s: float) -> None:
+        if not self._listeners:
             return
-        self._unreported.append(crash)
-        self._unsent_crashes.append(crash)
-        crashes = self.crashes(crash.suspect, now_s)
-        explanations = self._evidence.explanations(crash.suspect, now_s)
-        for listener in self._listeners:
-            listener(crash, crashes, len(explanations))
+        most_suspected = heapq.nlargest(
+            MAX_LOGGED_SUSPECTS,
+            added,
+            key=lambda crash: len(self._evidence.known_at_s(crash.suspect)),
+        )
+        for crash in most_suspected:
+            # Evicted meanwhile if there are too many.
+            crashes = len(self._evidence.known_at_s(crash.suspect))
+            if not crashes:
+                continue
+            explanations = self._evidence.explanations(crash.suspect, now_s)
+            for listener in self._listeners:
+                listener(crash, crashes, len(explanations))
 
     def add_reported(
         self,
@@ -166,7 +210,11 @@
     ) -> None:
         """Record that these are stored."""
         stored = set(crashes)
-        self._unreported = [crash for crash in self._unreported if crash not in stored]
+        # They were the oldest ones.
+        count = len(stored)
+        self._unreported[:count] = [
+            crash for crash in self._unreported[:count] if crash not in stored
+        ]
         for refutation in refutations:
             self._unreported_refutations.pop(refutation, None)
 
@@ -193,7 +241,8 @@
         self._expire(now_s)
         settled_s = now_s - CRASH_REPORT_SPREAD_S
         wait_s = 0.0
-        for suspect in suspects:
+        for group in self._groups(suspects, now_s):
+            suspect = group.first
             weight = self._weighing.weigh(suspect, now_s, now_s)
             if not weight.is_enough:
                 continue
@@ -219,12 +268,13 @@
         """
         return frozenset(
             suspect
-            for suspect in suspects
+            for group in self._groups(suspects, now_s)
             if (
-                self._is_on_trial(suspect, suspects, now_s)
-                if is_prompt_part(suspect)
-                else self._open_crashes(suspect)
+                self._is_on_trial(group.first, suspects, now_s)
+                if is_prompt_part(group.first)
+                else self._open_crashes(group.first)
             )
+            for suspect in group.suspects
         )
 
     def isolation(self, suspects: Set[str], now_s: float) -> Isolation:
@@ -232,7 +282,10 @@
         exclusive = self.exclusive_suspects(suspects, now_s)
         if any(map(is_prompt_part, exclusive)):
             return Isolation.REQUIRED
-        levels = [self._isolation(suspect, now_s) for suspect in suspects]
+        levels = [
+            self._isolation(group.first, now_s)
+            for group in self._groups(suspects, now_s)
+        ]
         return max(levels, default=Isolation.NONE)
 
     def protects_last_upstream(self, now_s: float) -> bool:
@@ -254,6 +307,25 @@
         """Return whether this holds for ``MAX_CRASHES`` crashes of one suspect."""
         return any(self._open_crashes(suspect) >= MAX_CRASHES for suspect in suspects)
 
+    def _groups(self, suspects: Set[str], now_s: float) -> Iterable[_SuspectGroup]:
+        """Return the suspects that have crashes, those with equal ones together."""
+        if not len(self._evidence):
+            return
+        for members in self._evidence.group(suspects).values():
+            answered = [suspect for suspect in members if suspect in self._answers]
+            by_kind: dict[Hashable, list[str]] = {}
+            for suspect in answered:
+                level = self._weighing.answer_level(suspect, now_s)
+                key = level, is_prompt_part(suspect)
+                by_kind.setdefault(key, []).append(suspect)
+            if len(answered) < len(members):
+                known = set(answered)
+                for suspect in members:
+                    if suspect not in known:
+                        key = None, is_prompt_part(suspect)
+                        by_kind.setdefault(key, []).append(suspect)
+            yield from map(_SuspectGroup, by_kind.values())
+
     def _is_cause(self, suspect: str, suspects: Set[str], until_s: float) -> bool:
         """Return whether nothing but ``suspects`` explains the crashes as well.
 
@@ -294,7 +366,8 @@
         self._ends.expire(now_s)
 
     def _open_crashes(self, suspect: str) -> int:
-        return len(self._evidence.processes(suspect, OPEN_SUSPICIONS))
+        history = self._evidence.history(suspect)
+        return history.open_crashes if history else 0
 
     def _add(self, crash: Crash, now_s: float) -> bool:
         if not self._evidence.add(crash, now_s):
@@ -311,8 +384,12 @@
         is_complete: bool,
     ) -> None:
         """Refute the crashes of answered ``suspects`` with these suspicions."""
+        # The answers to a request with thousands of parts must not evict all others.
+        is_large = len(suspects) > MAX_PROMPT_PARTS
         for suspect in suspects:
-            self._answers.record(suspect, now_s, is_complete=is_complete)
+            is_suspected = self._evidence.history(suspect) is not None
+            if not is_large or is_suspected or suspect in self._answers:
+                self._answers.record(suspect, now_s, is_complete=is_complete)
             for process in self._evidence.processes(suspect, suspicions):
                 refutation = Refutation(suspect, process)
                 self._evidence.refute(refutation, now_s)
@@ -320,6 +397,8 @@
             self._share_refutations(suspect)
         while len(self._own_refutations) > MAX_SUSPECTS:
             del self._own_refutations[next(iter(self._own_refutations))]
+        while len(self._unreported_refutations) > MAX_UNREPORTED:
+            del self._unreported_refutations[next(iter(self._unreported_refutations))]
 
     def _share_refutations(self, suspect: str) -> None:
         """Store this entry's refutations if another entry may block a request.
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/crashes/weight.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/crashes/weight.py
@@ -12,7 +12,7 @@
     MAX_UNRELATED_ENDS,
     OUTSIDE_ENDS_WINDOW_S,
 )
-from .detection import OPEN_SUSPICIONS, Suspicion
+from .detection import Suspicion
 from .evidence import CrashEvidence
 from .process_ends import EndMoment, ProcessEnds
 
@@ -64,7 +64,7 @@
         explained = self._explained(suspect, until_s)
         has_outside_end = self._has_outside_end(suspect, set(explained), until_s)
         required = MAX_CRASHES + int(has_outside_end)
-        required += int(math.log2(1 + self._answer_count(suspect, now_s)))
+        required += self.answer_level(suspect, now_s)
         known_s = (at_s for at_s in known_at_s.values() if at_s <= until_s)
         return CrashWeight(
             crashes=sum(explained.values()),
@@ -73,6 +73,10 @@
             last_s=max(known_s, default=-math.inf),
         )
 
+    def answer_level(self, suspect: str, now_s: float) -> int:
+        """Return how many more crashes are required for the suspect's answers."""
+        return int(math.log2(1 + self._answer_count(suspect, now_s)))
+
     def has_repeated_crashes(self, now_s: float) -> bool:
         """Return whether suspects alone explain what ended processes lately.
 
@@ -137,5 +141,5 @@
         return [
             process
             for process in moment.processes
-            if not self._evidence.suspects(process, OPEN_SUSPICIONS)
+            if not self._evidence.has_open_suspect(process)
         ]
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/node.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/node.py
@@ -626,8 +626,8 @@
         state = self.fleet.by_process(process)
         if state is not None:
             state.record_process_ended(now_s)
-        for crash in self._crash_detector.record_process_ended(process, now_s):
-            self.quarantine.record_crash(crash, now_s)
+        crashes = self._crash_detector.record_process_ended(process, now_s)
+        self.quarantine.record_crashes(crashes, now_s)
 
     def _handle_upstream_end(self, upstream: Upstream, now_s: float) -> None:
         """Attribute the end of a process, and delete the state kept for it."""
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/const.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/const.py
@@ -151,6 +151,17 @@
 MAX_NOTICES_PER_DATAGRAM: Final = 8
 # The same for crashes, refutations and suspected runs, of each.
 MAX_REPORTS_PER_DATAGRAM: Final = 12
+# Crashes or refutations that are sent in rows of their own; more are grouped.
+MAX_SUSPECT_ROWS: Final = 96
+# Bytes of suspects in one datagram of a crash that has more of them, and the number of
+# such datagrams sent to each entry in one NOTICE_BATCH_INTERVAL_S.
+MAX_SUSPECT_BYTES_PER_DATAGRAM: Final = 1_000
+MAX_SUSPECT_DATAGRAMS_AT_ONCE: Final = 16
+# The same datagrams that wait to be sent; the oldest are dropped, as the store has
+# all reports.
+MAX_WAITING_SUSPECT_DATAGRAMS: Final = 1_024
+# Maximum number of suspects in the state dump, those with most crashes.
+MAX_LISTED_SUSPECTS: Final = 200
 
 # Largest priority value, the least urgent, that upstreams accept.
 LEAST_URGENT_PRIORITY: Final = 9
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/diagnostics.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/diagnostics.py
@@ -1,5 +1,6 @@
 """The state dump of a relaying entry."""
 
+import heapq
 from typing import Any
 
 import attrs
@@ -7,6 +8,7 @@
 from cardamomnotch_core.relay.node import RelayNode
 from cardamomnotch_runtime.caller_limits.guard import CallerGuard
 
+from .const import MAX_LISTED_SUSPECTS
 from .server import RelayServer
 
 
@@ -91,7 +93,14 @@
             }
             for upstream_id, cache in sorted(node.prompt_caches.caches.items())
         },
-        "crashes": node.quarantine.totals,
+        "crashes": dict(
+            heapq.nlargest(
+                MAX_LISTED_SUSPECTS,
+                node.quarantine.totals.items(),
+                key=lambda item: item[1],
+            )
+        ),
+        "suspects": node.quarantine.suspect_count,
         "held_suspects": node.held_suspects.count,
         "named_rates": node.rates.named,
         "zones_unreachable": sorted(node.reachability.lost_zones(now_s)),
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/metrics.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/metrics.py
@@ -227,7 +227,7 @@
             "Requests and prompt parts that upstreams may have crashed with.",
             registry=self.registry,
         )
-        suspects.set_function(lambda: len(node.quarantine.totals))
+        suspects.set_function(lambda: node.quarantine.suspect_count)
 
         lost_zones = Gauge(
             "cardamomnotch_relay_unreachable_zones",
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/peer_messages.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/peer_messages.py
@@ -4,7 +4,7 @@
 passes the notices on in its zone, or an object with the sender's name.
 """
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterator, Mapping, Sequence
 from typing import Any
 
 import orjson
@@ -27,6 +27,8 @@
 from cardamomnotch_core.relay.store_changes.changes import CrashesReported
 from cardamomnotch_protocol.store_position import StorePosition
 
+from .const import MAX_SUSPECT_BYTES_PER_DATAGRAM
+
 
 def encode_notices(
     entry: str, notices: Sequence[LoadNotice], *, is_relayed: bool = False
@@ -110,6 +112,48 @@
     )
 
 
+def encode_suspects(entry: str, report: CrashesReported) -> Iterator[bytes]:
+    """Yield datagrams with crashes and refutations that have many suspects each.
+
+    Entries of an earlier build ignore them, and learn of them from the store.
+    """
+    crashes: dict[tuple[str, int, bool], list[str]] = {}
+    for crash in report.crashes:
+        group = crash.process, int(crash.suspicion), crash.is_subsequent
+        crashes.setdefault(group, []).append(crash.suspect)
+    refuted: dict[tuple[str], list[str]] = {}
+    for item in report.refutations:
+        refuted.setdefault((item.process,), []).append(item.suspect)
+    for name, groups in (("crash_groups", crashes), ("refuted_groups", refuted)):
+        for group, suspects in groups.items():
+            for part in _split_suspects(suspects):
+                yield orjson.dumps(
+                    {
+                        "entry": entry,
+                        "crashes": [],
+                        "refuted": [],
+                        "runs": [],
+                        name: [[*group, part]],
+                    }
+                )
+
+
+def _split_suspects(suspects: Sequence[str]) -> Iterator[list[str]]:
+    """Yield the suspects in groups that fit into one datagram each."""
+    part: list[str] = []
+    size = 0
+    for suspect in suspects:
+        # With the quotes and the comma.
+        added = len(suspect) + 3
+        if part and size + added > MAX_SUSPECT_BYTES_PER_DATAGRAM:
+            yield part
+            part, size = [], 0
+        part.append(suspect)
+        size += added
+    if part:
+        yield part
+
+
 def decode_reports(
     message: dict[str, Any],
 ) -> tuple[str, CrashesReported, list[RunNotice]]:
@@ -118,19 +162,27 @@
     Raises KeyError, ValueError or TypeError if the message is malformed.
     """
     subsequent = frozenset(message.get("subsequent", ()))
+    rows = [
+        (suspect, process, suspicion, number in subsequent)
+        for number, (suspect, process, suspicion) in enumerate(message["crashes"])
+    ]
+    for process, suspicion, is_subsequent, suspects in message.get("crash_groups", ()):
+        rows += [(suspect, process, suspicion, is_subsequent) for suspect in suspects]
+    refuted = list(message["refuted"])
+    for process, suspects in message.get("refuted_groups", ()):
+        refuted += [(suspect, process) for suspect in suspects]
     report = CrashesReported(
         crashes=tuple(
             Crash(
                 suspect=str(suspect),
                 process=str(process),
                 suspicion=Suspicion(suspicion),
-                is_subsequent=number in subsequent,
+                is_subsequent=bool(is_subsequent),
             )
-            for number, (suspect, process, suspicion) in enumerate(message["crashes"])
+            for suspect, process, suspicion, is_subsequent in rows
         ),
         refutations=tuple(
-            Refutation(str(suspect), str(process))
-            for suspect, process in message["refuted"]
+            Refutation(str(suspect), str(process)) for suspect, process in refuted
         ),
     )
     runs = [
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/peers.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/peers.py
@@ -4,6 +4,7 @@
 import itertools
 import logging
 import socket
+from collections import deque
 from collections.abc import Callable, Iterator, Sequence
 from typing import Any, TypeVar
 
@@ -20,6 +21,9 @@
 from .const import (
     MAX_NOTICES_PER_DATAGRAM,
     MAX_REPORTS_PER_DATAGRAM,
+    MAX_SUSPECT_DATAGRAMS_AT_ONCE,
+    MAX_SUSPECT_ROWS,
+    MAX_WAITING_SUSPECT_DATAGRAMS,
     NOTICE_BATCH_INTERVAL_S,
 )
 from .peer_messages import (
@@ -36,6 +40,7 @@
     encode_rates,
     encode_reports,
     encode_rollouts,
+    encode_suspects,
     encode_unreachable,
 )
 
@@ -66,6 +71,10 @@
         self._datagram_socket = datagram_socket
         self._transport: asyncio.DatagramTransport | None = None
         self._malformed_datagrams = 0
+        # Datagrams with the suspects of crashes that have many.
+        self._waiting_suspects: deque[bytes] = deque(
+            maxlen=MAX_WAITING_SUSPECT_DATAGRAMS
+        )
 
     @property
     def malformed_datagrams(self) -> int:
@@ -123,6 +132,12 @@
     def _send_reports(self) -> None:
         """Send crashes, refutations and suspected runs."""
         report = self._node.quarantine.take_unsent()
+        if max(len(report.crashes), len(report.refutations)) > MAX_SUSPECT_ROWS:
+            name = self._node.identity.name
+            self._waiting_suspects.extend(encode_suspects(name, report))
+            report = CrashesReported(crashes=())
+        for _ in range(min(len(self._waiting_suspects), MAX_SUSPECT_DATAGRAMS_AT_ONCE)):
+            self._send(self._waiting_suspects.popleft())
         runs = self._node.isolation.take_notices(self._clock())
         columns = itertools.zip_longest(
             *(
--- a/tests/entry/relay/test_many_prompt_parts.py
+++ b/tests/entry/relay/test_many_prompt_parts.py
@@ -2,23 +2,28 @@
 
 import asyncio
 import gc
+import time
 import tracemalloc
 from collections.abc import AsyncIterator
 
 import pytest
 
 from cardamomnotch_core.relay.const import MAX_KEY_CHARS, MAX_PROMPT_PARTS
+from cardamomnotch_core.relay.crashes.const import MAX_HELD_SUSPECTS
 from cardamomnotch_entry.relay.const import MAX_NOTICES_PER_DATAGRAM
 from cardamomnotch_entry.relay.peer_messages import encode_notices
+from cardamomnotch_protocol.result_codes import ResultCode
 
 from tests.fixtures.relay_system import API_KEY, HOST, RelaySystem
 from tests.stand_ins.platform_upstream import (
     LAST_CHUNK,
+    Crash,
     Send,
     Wait,
     chunk,
     event,
     head,
+    plain,
 )
 
 # As many as fit into a head of 16,384 bytes.
@@ -27,6 +32,8 @@
 MAX_DATAGRAM_BYTES = 65_507
 # What an entry's tables may take for callers, in bytes.
 MAX_TABLE_BYTES = 30_000_000
+# Processor time for which an ordinary request may wait, in seconds.
+MAX_PROCESSOR_S = 0.5
 # What the tables keep of 24 requests, which name 55,000 parts.
 MAX_KEPT_BYTES = 6_000_000
 
@@ -155,3 +162,49 @@
         assert response.status == 200
     upstream.seen.clear()
     assert kept_bytes() - before < 200 * 7_000
+
+
+async def test_crowd_with_many_prompt_parts_uses_up_the_memory(relay, memory_peak):
+    """Requests beyond what can be held are refused; ordinary ones are served."""
+    for number in range(3):
+        await relay.async_add_upstream(f"up-{number}", stream_late, slots=64)
+    large = [
+        asyncio.create_task(call(relay, number, many_parts(number)))
+        for number in range(2 * MAX_HELD_SUSPECTS // MANY_PARTS)
+    ]
+    await asyncio.sleep(0.3)
+    ordinary = await asyncio.gather(
+        *(call(relay, 1_000 + number, f"aa:350,{number:x}:20") for number in range(20))
+    )
+    assert {response.status for response in ordinary} == {200}
+    responses = await asyncio.gather(*large)
+    refused = [response for response in responses if response.status != 200]
+    assert 0 < len(refused) < len(responses)
+    assert {response.error_code for response in refused} == {ResultCode.OVERLOADED}
+    assert all(float(response.headers["Retry-After"]) > 0 for response in refused)
+    seen = sum(len(upstream.seen) for upstream in relay.upstreams.values())
+    assert seen == len(responses) - len(refused) + len(ordinary)
+    assert relay.entry.node.held_suspects.count == 0
+    assert memory_peak() < 2 * MAX_TABLE_BYTES
+
+
+async def test_crash_with_many_prompt_parts_stops_the_entry(relay):
+    """Ordinary requests are answered at once when an upstream crashes with them."""
+
+    def hold_and_crash(request):
+        return [Wait(1.0), Crash()]
+
+    await relay.async_add_upstream("bookings", plain(), service="bookings")
+    for number in range(2):
+        await relay.async_add_upstream(f"up-{number}", hold_and_crash, slots=64)
+    large = [
+        asyncio.create_task(call(relay, number, many_parts(number)))
+        for number in range(8)
+    ]
+    longest_s = 0.0
+    while not all(task.done() for task in large):
+        began_s = time.process_time()
+        assert (await relay.async_call("/read/x")).status == 200
+        longest_s = max(longest_s, time.process_time() - began_s)
+    assert relay.entry.node.quarantine.suspect_count > MANY_PARTS
+    assert longest_s < MAX_PROCESSOR_S
--- a/tests/entry/relay/test_peers.py
+++ b/tests/entry/relay/test_peers.py
@@ -19,6 +19,7 @@
 from cardamomnotch_core.relay.rollouts.reports import RolloutsMessage
 from cardamomnotch_core.relay.rollouts.rollout import AnswerStats, RolloutReport
 from cardamomnotch_core.relay.store_changes import changes
+from cardamomnotch_entry.relay.const import MAX_SUSPECT_DATAGRAMS_AT_ONCE
 from cardamomnotch_entry.relay.peer_messages import (
     decode_feed_part,
     decode_feed_request,
@@ -258,3 +259,36 @@
     ), totals
     assert second_node.isolation.processes == {"up-2@0"}
     assert second_node.fleet.get("up-1").has_ended(0.0)
+
+
+async def test_crash_with_many_suspects_floods_the_other_entries(exchanges):
+    """Thousands of suspects are sent in few datagrams, and in several steps."""
+    (first, first_node), (_, second_node) = exchanges
+    quarantine = first_node.quarantine
+    suspects = [f"part:{number:x}" for number in range(2_290)]
+    quarantine.record_crashes(
+        [Crash(suspect=suspect, process="up-1@0") for suspect in suspects], 0.0
+    )
+    sent = []
+    send = first._send
+    first._send = lambda data: sent.append(data) or send(data)
+    await first.async_send()
+    assert len(sent) <= MAX_SUSPECT_DATAGRAMS_AT_ONCE
+    for _ in range(4):
+        await first.async_send()
+    assert max(map(len, sent)) < 1_500
+    assert len(sent) < len(suspects) / 50
+    assert await async_wait_until(
+        lambda: second_node.quarantine.suspect_count == len(suspects), 5.0
+    )
+    # Two crashes of a suspect make its refutations matter to the other entries.
+    for process in ("up-2@0", "up-3@0"):
+        quarantine.record_crashes(
+            [Crash(suspect=suspect, process=process) for suspect in suspects], 0.0
+        )
+    quarantine.record_completed(frozenset(suspects), 1.0)
+    for _ in range(12):
+        await first.async_send()
+    assert await async_wait_until(
+        lambda: second_node.quarantine.suspect_count == 0, 5.0
+    )
