Report on a roll-out only while its order is the one in the store

Cause: the report was written if the status had not changed since it was read. Nothing required that the order was still the reported one, and a status names only a target.

Evidence: tests write reports on orders that have been replaced or deleted, also between the report's read and its write; all were written.

Change: the transaction also requires the revision of the order's key, and its era. A state of another target does not count as a report, and an entry whose data is old reports no completion. A refused report no longer holds up those of other services. It works because the store compares order and status in one step, however long the entry was suspended and whenever a lost write is made.

--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/rollouts/versions.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/rollouts/versions.py
@@ -167,8 +167,12 @@
         """Apply a rollout state written at ``position`` of the store.
 
         A state written before the current order belongs to an earlier one and
-        is ignored. Final states stay.
+        is ignored, and so is one that was written before the last known state.
+        Final states stay.
         """
+        known = self._statuses.get(service)
+        if known is not None and known.position > position:
+            return
         self._statuses[service] = _Status(position, target, state)
         self._apply_status(service)
 
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/coordinator.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/coordinator.py
@@ -378,8 +378,6 @@
             await self._async_publish_record()
             for rollout in self._node.versions.rollouts:
                 await self._async_report(rollout)
-        except StoreConflictError:
-            return
         except StoreError as error:
             self._publish_after_s = self._clock() + PUBLISH_RETRY_DELAY_S
             self._mark_write_failed(error)
@@ -555,8 +553,27 @@
         )
         if now_s < due_at_s:
             return
+        # An entry that was suspended may have missed what speaks against it.
+        is_behind = self._node.feed.store_needed_in_s(now_s) <= 0.0
+        if state is RolloutState.COMPLETED and is_behind:
+            return
         new, old = rollout.combined_stats(now_s)
-        await self._relay_store.async_report_rollout(rollout, state)
+        try:
+            await self._relay_store.async_report_rollout(rollout, state)
+        except (StoreConflictError, StoreRestoredError) as error:
+            # The watch brings what has been written meanwhile.
+            self._report_due_at_s[service, rollout.order_id, state] = (
+                self._clock() + PUBLISH_RETRY_DELAY_S
+            )
+            log_event(
+                _LOGGER,
+                "roll-out not reported",
+                service=service,
+                target=rollout.order.target,
+                state=state.value,
+                detail=error.detail,
+            )
+            return
         self._reported_states[service] = (rollout.order_id, state)
         log_event(
             _LOGGER,
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/interfaces.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/interfaces.py
@@ -72,6 +72,9 @@
     ) -> bytes:
         """Return the stored form of a report of crashes and refutations."""
 
+    def order_key(self, service: str) -> str:
+        """Return the store key of the order to roll a service out."""
+
     def status_key(self, service: str) -> str:
         """Return the store key of the report on a service's rollout."""
 
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/relay_store.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/relay_store.py
@@ -361,33 +361,36 @@
     async def async_report_rollout(self, rollout: Rollout, state: RolloutState) -> None:
         """Write the state of a rollout unless it is already stored.
 
-        Raises StoreConflictError if another entry wrote first, or if a final
-        state is stored. The read before the write also finds an earlier report
-        whose response was lost.
+        Raises StoreConflictError if another entry wrote first, if a final state
+        is stored, or if the rollout's order is no longer the one in the store. The
+        read before the write also finds an earlier report whose response was lost.
         """
-        order = rollout.order
+        order, order_id = rollout.order, rollout.order_id
         current = await self._store.async_get(
             self._store_codec.status_key(order.service)
         )
-        if current.position > rollout.order_id:
+        if current.position > order_id:
             reported = self._decode_report(current)
-            if reported is not None and (reported.target, reported.state) == (
-                order.target,
-                state,
-            ):
-                return
-            if reported is not None and reported.state is not RolloutState.IN_PROGRESS:
-                raise StoreConflictError(
-                    f"rollout already reported as {reported.state.value}"
-                )
+            # A report of another target is of another order.
+            if reported is not None and reported.target == order.target:
+                if reported.state is state:
+                    return
+                if reported.state is not RolloutState.IN_PROGRESS:
+                    raise StoreConflictError(
+                        f"rollout already reported as {reported.state.value}"
+                    )
+        # The process may have been suspended since it read the order, or the status.
         write_result = await self._store.async_put_if(
             current.key,
             self._store_codec.encode_status(order.target, state),
             current.mod_revision,
-            era=current.era,
+            era=order_id.era,
+            unchanged={self._store_codec.order_key(order.service): order_id.revision},
         )
         if not write_result.succeeded:
-            raise StoreConflictError("another entry reported on the rollout first")
+            raise StoreConflictError(
+                "another entry reported on the rollout first, or its order has changed"
+            )
 
     def _decode_report(self, entry: StoreEntry) -> RolloutReported | None:
         change = self._store_codec.decode(entry)
--- a/packages/cardamomnotch-platform/src/cardamomnotch_platform/store/client.py
+++ b/packages/cardamomnotch-platform/src/cardamomnotch_platform/store/client.py
@@ -4,7 +4,7 @@
 import base64
 import logging
 import math
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Mapping
 from typing import Any
 
 import aiohttp
@@ -15,7 +15,7 @@
 
 from ..exceptions import CompactedError, LeaseExpiredError, StoreError
 from .budget import StoreBudget
-from .models import Lease, StoreEntry, StorePage, StoreView, WriteResult
+from .models import NO_CONDITIONS, Lease, StoreEntry, StorePage, StoreView, WriteResult
 
 _LOGGER = logging.getLogger(__name__)
 _TIMEOUT_S = 2.0
@@ -192,13 +192,15 @@
         *,
         lease_id: int = 0,
         era: int | None = None,
+        unchanged: Mapping[str, int] = NO_CONDITIONS,
     ) -> WriteResult:
         """Write ``value`` if ``key`` is still at ``mod_revision``.
 
-        A ``mod_revision`` of 0 requires that the key is absent.
+        A ``mod_revision`` of 0 requires that the key is absent. The keys of
+        ``unchanged`` must be at their revisions too.
         """
         put = _put_operation(key, value, lease_id)
-        return await self._async_transaction(key, mod_revision, put)
+        return await self._async_transaction(key, mod_revision, put, unchanged)
 
     async def async_delete(self, key: str) -> None:
         """Delete ``key`` if it exists."""
@@ -261,16 +263,21 @@
             raise StoreError("store watch failed: an event is not JSON") from error
 
     async def _async_transaction(
-        self, key: str, mod_revision: int, success: dict[str, Any]
+        self,
+        key: str,
+        mod_revision: int,
+        success: dict[str, Any],
+        unchanged: Mapping[str, int] = NO_CONDITIONS,
     ) -> WriteResult:
         body = {
             "compare": [
                 {
-                    "key": _key_to_base64(key),
+                    "key": _key_to_base64(compared),
                     "target": "MOD",
                     "result": "EQUAL",
-                    "mod_revision": str(mod_revision),
+                    "mod_revision": str(revision),
                 }
+                for compared, revision in {**unchanged, key: mod_revision}.items()
             ],
             "success": [success],
             "failure": [{"request_range": {"key": _key_to_base64(key)}}],
--- a/packages/cardamomnotch-platform/src/cardamomnotch_platform/store/interface.py
+++ b/packages/cardamomnotch-platform/src/cardamomnotch_platform/store/interface.py
@@ -1,11 +1,12 @@
 """Interface of a key-value store client, independent of its protocol."""
 
 import math
+from collections.abc import Mapping
 from typing import Protocol
 
 from cardamomnotch_protocol.store_position import StorePosition
 
-from .models import Lease, StoreEntry, StorePage, StoreView, WriteResult
+from .models import NO_CONDITIONS, Lease, StoreEntry, StorePage, StoreView, WriteResult
 
 
 class KeyValueStore(Protocol):
@@ -63,11 +64,13 @@
         *,
         lease_id: int = 0,
         era: int | None = None,
+        unchanged: Mapping[str, int] = NO_CONDITIONS,
     ) -> WriteResult:
         """Write ``value`` if ``key`` is still at ``mod_revision``.
 
-        A ``mod_revision`` of 0 requires that the key is absent. ``era`` is that of
-        the revision; None if it was never read. Raises LeaseExpiredError if the lease
+        A ``mod_revision`` of 0 requires that the key is absent. The keys of
+        ``unchanged`` must be at their revisions too. ``era`` is that of the
+        revisions; None if none was ever read. Raises LeaseExpiredError if the lease
         has expired, and StoreRestoredError if the store is in a later era; it may
         have written then if it entered that during the call.
         """
--- a/packages/cardamomnotch-platform/src/cardamomnotch_platform/store/models.py
+++ b/packages/cardamomnotch-platform/src/cardamomnotch_platform/store/models.py
@@ -1,9 +1,16 @@
 """Data types of the key-value store."""
 
+from collections.abc import Mapping
+from types import MappingProxyType
+from typing import Final
+
 import attrs
 
 from cardamomnotch_protocol.store_position import StorePosition
 
+# Revisions by key that a write requires beside that of its own key.
+NO_CONDITIONS: Final[Mapping[str, int]] = MappingProxyType({})
+
 
 @attrs.frozen(kw_only=True)
 class StoreEntry:
--- a/tests/core/relay/rollouts/test_rollouts.py
+++ b/tests/core/relay/rollouts/test_rollouts.py
@@ -453,3 +453,12 @@
         selector.withdraw("other")
     selector.order(order, at(12 if era == 1 else 5, era), 1.0)
     assert selector.get("other").state is state
+
+
+def test_older_state_that_arrives_late_replaces_the_newest_one(selector):
+    """Of two states of a rollout the one that was written later counts."""
+    order = RolloutOrder(service="drafts", target="v2", duration_s=20.0)
+    selector.set_status("drafts", "v2", RolloutState.REVERTED, at(12))
+    selector.set_status("drafts", "v2", RolloutState.IN_PROGRESS, at(11))
+    selector.order(order, at(10), 0.0)
+    assert selector.get("drafts").state is RolloutState.REVERTED
--- a/tests/entry/relay/test_coordinator.py
+++ b/tests/entry/relay/test_coordinator.py
@@ -370,6 +370,44 @@
     assert delays == [-1, -1]
 
 
+async def test_rollout_is_completed_by_an_entry_that_was_suspended(
+    coordinator, clock, relay_store, node
+):
+    """An entry whose data is old reports no roll-out as completed."""
+    await coordinator.async_apply_changes()
+    order = RolloutOrder(service="drafts", target="v2", duration_s=20.0)
+    node.apply(changes.RolloutOrdered(order=order, order_id=at(5)), clock())
+    await run_coordinator(coordinator, clock, 1.0)
+    assert relay_store.reports == [RolloutState.IN_PROGRESS]
+    clock.now_s += 19.0
+    await run_coordinator(coordinator, clock, 1.5)
+    assert relay_store.reports == [RolloutState.IN_PROGRESS]
+    await coordinator.async_apply_changes()
+    await run_coordinator(coordinator, clock, 0.5)
+    assert relay_store.reports == [RolloutState.IN_PROGRESS, RolloutState.COMPLETED]
+
+
+async def test_conflict_on_one_rollout_stops_the_reports_of_others(
+    coordinator, clock, relay_store, node
+):
+    """A report that is refused is retried after a pause, and holds up no other."""
+    for service in ("drafts", "views"):
+        order = RolloutOrder(service=service, target="v2", duration_s=20.0)
+        node.apply(changes.RolloutOrdered(order=order, order_id=at(5)), clock())
+    refused = []
+
+    async def async_report(rollout, state):
+        if rollout.order.service == "drafts":
+            refused.append(clock())
+            raise StoreConflictError("the order has changed")
+        relay_store.reports.append(state)
+
+    relay_store.async_report_rollout = async_report
+    await run_coordinator(coordinator, clock, 3.0)
+    assert relay_store.reports == [RolloutState.IN_PROGRESS]
+    assert 1 <= len(refused) <= 5
+
+
 @pytest.fixture
 async def reader(coordinator, clock, node):
     """Return a coordinator whose entry is not one of its zone's sources."""
--- a/tests/entry/relay/test_relay_store.py
+++ b/tests/entry/relay/test_relay_store.py
@@ -16,6 +16,7 @@
     CompactedError,
     StoreConflictError,
     StoreError,
+    StoreRestoredError,
 )
 
 from tests.fixtures.positions import at
@@ -182,6 +183,101 @@
     assert (await _async_read_status(store_harness))["state"] == "in_progress"
 
 
+async def _async_replace_order(store_harness, change):
+    """Let the operators replace, or delete, the order of a roll-out."""
+    if change is None:
+        await store_harness.store.async_delete("op/rollout/drafts")
+        return
+    order = attrs.evolve(ORDER, **change)
+    value = orjson.dumps(attrs.asdict(order))
+    await store_harness.store.async_put("op/rollout/drafts", value)
+
+
+REPLACED = pytest.mark.parametrize(
+    "change",
+    [{}, {"target": "v3"}, None],
+    ids=["same target", "other target", "deleted"],
+)
+
+
+@REPLACED
+@pytest.mark.parametrize("state", RolloutState)
+async def test_late_report_ends_the_rollout_of_a_later_order(
+    relay_store, store_harness, change, state
+):
+    """An entry that does not know of a later order writes nothing."""
+    earlier = await _async_write_order(store_harness)
+    await _async_replace_order(store_harness, change)
+    with pytest.raises(StoreConflictError):
+        await relay_store.async_report_rollout(earlier, state)
+    assert not (await store_harness.store.async_get(STATUS)).mod_revision
+
+
+@REPLACED
+async def test_report_replaces_the_state_of_a_later_order(
+    relay_store, store_harness, change
+):
+    """The state of the later order's roll-out stays as it is."""
+    earlier = await _async_write_order(store_harness)
+    await relay_store.async_report_rollout(earlier, RolloutState.IN_PROGRESS)
+    await _async_replace_order(store_harness, change)
+    later = b'{"state":"in_progress","target":"v2"}'
+    await store_harness.store.async_put(STATUS, later)
+    with pytest.raises(StoreConflictError):
+        await relay_store.async_report_rollout(earlier, RolloutState.COMPLETED)
+    assert (await store_harness.store.async_get(STATUS)).value == later
+
+
+@REPLACED
+async def test_order_that_changes_during_a_report_is_overlooked(
+    relay_store, store_harness, change, monkeypatch
+):
+    """An order that is replaced between the read and the write refuses the write."""
+    rollout = await _async_write_order(store_harness)
+    read = store_harness.store.async_get
+
+    async def async_get_slowly(key):
+        entry = await read(key)
+        await _async_replace_order(store_harness, change)
+        return entry
+
+    monkeypatch.setattr(store_harness.store, "async_get", async_get_slowly)
+    with pytest.raises(StoreConflictError):
+        await relay_store.async_report_rollout(rollout, RolloutState.COMPLETED)
+    monkeypatch.undo()
+    assert not (await store_harness.store.async_get(STATUS)).mod_revision
+
+
+async def test_report_on_an_order_of_an_earlier_era_is_written(serve_app, http_session):
+    """A store that came back from a copy has given the order's revision out again."""
+    stand_in = PlatformStoreStandIn()
+    url = await serve_app(stand_in.create_app())
+    store = PlatformStoreClient(http_session, url.removeprefix("http://"))
+    relay_store = RelayStore(store, PlatformStoreCodec(), lambda: 0.0)
+    copy = stand_in.copy()
+    stand_in.put("op/rollout/drafts", attrs.asdict(ORDER))
+    order_id = (await store.async_get("op/rollout/drafts")).position
+    stand_in.restore(copy)
+    stand_in.put("op/rollout/drafts", attrs.asdict(ORDER))
+    assert stand_in.revision("op/rollout/drafts") == order_id.revision
+    with pytest.raises(StoreRestoredError):
+        await relay_store.async_report_rollout(
+            Rollout(ORDER, order_id, 0.0), RolloutState.COMPLETED
+        )
+    assert not (await store.async_get(STATUS)).mod_revision
+
+
+async def test_final_state_of_another_target_stops_the_reports(
+    relay_store, store_harness
+):
+    """A state of another target is of another order, though it was written later."""
+    rollout = await _async_write_order(store_harness)
+    await store_harness.store.async_put(STATUS, b'{"state":"completed","target":"v1"}')
+    await relay_store.async_report_rollout(rollout, RolloutState.REVERTED)
+    expected = {"state": "reverted", "target": "v2"}
+    assert await _async_read_status(store_harness) == expected
+
+
 @pytest.mark.parametrize(
     ("document_bytes", "is_omitted"),
     [(None, None), (1_000, False), (200_000, True)],
--- a/tests/platform/test_key_value_store.py
+++ b/tests/platform/test_key_value_store.py
@@ -124,3 +124,21 @@
         await store_harness.store.async_wait_for_changes(
             "", at(5, store_harness.era), 1.0
         )
+
+
+@pytest.mark.parametrize("is_changed", [False, True])
+async def test_write_requires_other_keys_to_be_unchanged(store_harness, is_changed):
+    """A write is refused if a key of its conditions has changed."""
+    store = store_harness.store
+    condition = await store.async_put_if("a/order", b"one", 0)
+    own = await store.async_put_if("a/state", b"one", 0)
+    if is_changed:
+        await store.async_put("a/order", b"two")
+    result = await store.async_put_if(
+        "a/state", b"two", own.revision, unchanged={"a/order": condition.revision}
+    )
+    assert result.succeeded is not is_changed
+    if is_changed:
+        assert (result.current.key, result.current.value) == ("a/state", b"one")
+    value = (await store.async_get("a/state")).value
+    assert value == (b"one" if is_changed else b"two")
