End a response without a length only once its request has arrived

What callers could see: an upstream ended a 200 without a length while a long request was being sent, and reset the connection 50 ms later; the part was passed on as complete.

Cause: the library closes its side when the upstream ends its own, and the end of the connection is the end of the body. What the kernel still had to send was not waited for, so the reset was not seen. A reset without such an end was noticed already.

Change: while the upstream has not acknowledged the whole request, the end of its response is held back; an error of the connection breaks it off. An upstream that reads on after its end is served as before. Relay and sidecar share the handler.

Not tried with the program's processes.

--- a/packages/cardamomnotch-runtime/src/cardamomnotch_runtime/upstream_session.py
+++ b/packages/cardamomnotch-runtime/src/cardamomnotch_runtime/upstream_session.py
@@ -1,7 +1,11 @@
 """HTTP client sessions for calls to upstreams."""
 
 import asyncio
+import fcntl
 import functools
+import socket
+import struct
+import termios
 from collections.abc import Callable
 from typing import Any, Final
 
@@ -12,6 +16,9 @@
 # body: chunks of a single byte take six bytes.
 MAX_RESPONSE_HEAD_BYTES: Final = 65_536
 MAX_FRAMING_RATIO: Final = 16
+# Interval at which a request is checked that is still being sent when its response
+# has ended, in seconds.
+UPLOAD_CHECK_INTERVAL_S: Final = 0.01
 
 
 class OversizeError(aiohttp.ClientPayloadError):
@@ -23,12 +30,17 @@
 
     aiohttp limits single header lines only, not empty lines, interim responses or
     chunk extensions, and takes any end of the connection for the end of such a body.
+
+    If an upstream ends its response while the request is still being sent, a reset
+    may follow. So the response ends when the upstream has received the request.
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         super().__init__(loop=loop)
         # Bytes of the response that is being received.
         self._received_bytes = 0
+        # Runs while a response has ended before its request.
+        self._upload_timer: asyncio.TimerHandle | None = None
 
     def set_response_params(self, **params: Any) -> None:
         """Begin a response; called by the library for each request."""
@@ -44,6 +56,48 @@
         if self._received_bytes > limit:
             self._fail(OversizeError("the head or framing exceeds its size limit"))
 
+    def eof_received(self) -> bool:
+        """Return whether the connection stays open, since the request is being sent."""
+        super().eof_received()
+        payload = self._payload
+        if payload is None or payload.is_eof() or not self._is_sending():
+            return False
+        self._start_upload_timer()
+        return True
+
+    def _is_sending(self) -> bool:
+        """Return whether the upstream has not received all of the request."""
+        transport = self.transport
+        if transport is None:
+            return False
+        if transport.get_write_buffer_size():
+            return True
+        return _unacknowledged_bytes(transport.get_extra_info("socket")) > 0
+
+    def _start_upload_timer(self) -> None:
+        self._upload_timer = self._loop.call_later(
+            UPLOAD_CHECK_INTERVAL_S, self._check_upload
+        )
+
+    def _check_upload(self) -> None:
+        """End the response once its request has been sent; fail it after a reset."""
+        self._upload_timer = None
+        transport = self.transport
+        if transport is None:
+            return
+        connection = transport.get_extra_info("socket")
+        code = connection.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if code:
+            self._fail(
+                aiohttp.ClientPayloadError(
+                    f"connection lost while the request was being sent: error {code}"
+                )
+            )
+        elif self._is_sending():
+            self._start_upload_timer()
+        else:
+            transport.close()
+
     def _fail(self, error: aiohttp.ClientPayloadError) -> None:
         """Fail the response that is being received, and disconnect."""
         if self._payload is not None and not self._payload.is_eof():
@@ -54,6 +108,9 @@
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Set an error on an unfinished body if the connection failed."""
+        if self._upload_timer is not None:
+            self._upload_timer.cancel()
+            self._upload_timer = None
         payload = self._payload
         if exc is not None and payload is not None and not payload.is_eof():
             error = aiohttp.ClientPayloadError(f"connection lost: {exc}")
@@ -61,6 +118,15 @@
         super().connection_lost(exc)
 
 
+def _unacknowledged_bytes(connection: Any) -> int:
+    """Return the bytes that the other side has not acknowledged; 0 if unknown."""
+    try:
+        found = fcntl.ioctl(connection.fileno(), termios.TIOCOUTQ, bytes(4))
+    except OSError:
+        return 0
+    return struct.unpack("i", found)[0]
+
+
 def create_upstream_session(
     connector: aiohttp.BaseConnector,
     response_handler: Callable[..., UpstreamResponseHandler] = UpstreamResponseHandler,
