Count a response with a status outside 200 to 599 as a failure

What callers could see: an upstream answered with status 000 and a Content-Length, and the caller got the line "HTTP/1.1 0 " with the body; 001, 099, 101, 600 and 999 were passed on too, by the relay and by both clients of the sidecar.

Cause: the library takes any three digits for a status, and nothing behind it looked at its range. With X-Not-Executed it also counted as the promise that the request has not run.

Change: sessions for upstreams raise an error for such a response, which is handled as a lost one: 502, or another attempt where the route allows it.

--- a/packages/cardamomnotch-runtime/src/cardamomnotch_runtime/upstream_session.py
+++ b/packages/cardamomnotch-runtime/src/cardamomnotch_runtime/upstream_session.py
@@ -11,16 +11,24 @@
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
+from aiohttp.connector import Connection
 
 # Maximum size of a response's head, and of its framing for each byte of its
 # body: chunks of a single byte take six bytes.
 MAX_RESPONSE_HEAD_BYTES: Final = 65_536
 MAX_FRAMING_RATIO: Final = 16
+# Statuses of final responses; interim ones (1xx) are not passed on.
+MIN_FINAL_STATUS: Final = 200
+MAX_FINAL_STATUS: Final = 599
 # Interval at which a request is checked that is still being sent when its response
 # has ended, in seconds.
 UPLOAD_CHECK_INTERVAL_S: Final = 0.01
 
 
+class InvalidStatusError(aiohttp.ClientError):
+    """A response whose status is not that of a final response."""
+
+
 class OversizeError(aiohttp.ClientPayloadError):
     """A response whose head or framing exceeds its size limit."""
 
@@ -127,6 +135,18 @@
     return struct.unpack("i", found)[0]
 
 
+class UpstreamResponse(aiohttp.ClientResponse):
+    """A response with the status of a final one, which callers can be given."""
+
+    async def start(self, connection: Connection) -> aiohttp.ClientResponse:
+        """Receive the head; raise InvalidStatusError if it has another status."""
+        await super().start(connection)
+        if not MIN_FINAL_STATUS <= self.status <= MAX_FINAL_STATUS:
+            self.close()
+            raise InvalidStatusError(f"invalid HTTP status {self.status:03}")
+        return self
+
+
 def create_upstream_session(
     connector: aiohttp.BaseConnector,
     response_handler: Callable[..., UpstreamResponseHandler] = UpstreamResponseHandler,
@@ -134,6 +154,8 @@
 ) -> aiohttp.ClientSession:
     """Return a session that sends each request at most once.
 
+    Its responses have a status from 200 to 599.
+
     aiohttp repeats requests with an idempotent method by itself when their
     connection breaks. Whether a request may be repeated depends on its route
     instead, and each repeat counts; the library has no public option for it,
@@ -142,7 +164,9 @@
     connector._factory = functools.partial(
         response_handler, loop=asyncio.get_running_loop()
     )
-    session = aiohttp.ClientSession(connector=connector, **options)
+    session = aiohttp.ClientSession(
+        connector=connector, response_class=UpstreamResponse, **options
+    )
     session._retry_connection = False
     return session
 
