Register an early upstream in tests as the other stand-ins are; reword two comments

The test had a copy of the registration's fields. One comment said why a list is limited in words that did not tell it, the other left out how two limits depend on each other. No code that runs and no check is changed.

--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/crashes/const.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/crashes/const.py
@@ -73,5 +73,5 @@
 
 # Suspects of all requests that are served, or that ended without an answer within
 # CRASH_NOTICE_S, from which requests with many of them are refused; each takes about
-# 150 bytes.
+# 150 bytes. Not above MAX_SUSPECTS, or a crash could evict its own suspects.
 MAX_HELD_SUSPECTS: Final = 40_000
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/crashes/quarantine.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/crashes/quarantine.py
@@ -144,7 +144,7 @@
             if self._add(crash, now_s):
                 added.append(crash)
         self._unreported.extend(added)
-        # The other entries count them for as long as this one does.
+        # Without a limit, they would grow for as long as the store is unavailable.
         del self._unreported[:-MAX_UNREPORTED]
         self._unsent_crashes.extend(added)
         self._notify_listeners(added, now_s)
--- a/tests/entry/relay/test_early_responses.py
+++ b/tests/entry/relay/test_early_responses.py
@@ -4,7 +4,7 @@
 
 from tests.fixtures.early_upstream import BROKEN_ENDS, PART, EarlyUpstream
 from tests.fixtures.relay_system import document
-from tests.stand_ins.platform_upstream import stream
+from tests.stand_ins.platform_upstream import PlatformUpstreamStandIn, stream
 
 BODY = bytes(1_500_000)
 FRAMINGS = {
@@ -25,18 +25,9 @@
     async def add(end, service, **headers):
         upstream = EarlyUpstream(end, **headers)
         upstreams.append(upstream)
-        fields = {
-            "service": service,
-            "address": upstream.address,
-            "zone": "zone-a",
-            "version": "v1",
-            "slots": 64,
-            "state": "ready",
-            "cold_left_ms": 0,
-            "sequence": 1,
-            "born": 1_700_000_000_000,
-        }
-        relay.store.put(f"servers/{upstream.upstream_id}", fields)
+        registered = PlatformUpstreamStandIn(upstream.upstream_id)
+        registered.address = upstream.address
+        relay.register(registered, service=service)
         await relay.async_wait_for(
             lambda: relay.entry.node.fleet.get(upstream.upstream_id) is not None
         )
