Count the explanations of a crash once for all suspects with the same crashes

Cause: for each suspect that is logged, all that explain its crashes were listed, though the number is the same for all with one history; a request's suspects were grouped twice for each decision on its isolation; old records were expired for each new one.

Evidence: sampled and profiled in test_crash_with_many_prompt_parts_stops_the_entry.

--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/crashes/answered_suspects.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/crashes/answered_suspects.py
@@ -2,6 +2,7 @@
 
 import math
 from collections import OrderedDict
+from collections.abc import Iterable, Set
 
 import attrs
 
@@ -28,6 +29,10 @@
     def __contains__(self, suspect: str) -> bool:
         return suspect in self._answers
 
+    def known(self, suspects: Iterable[str]) -> Set[str]:
+        """Return those of the suspects that were answered lately."""
+        return self._answers.keys() & suspects
+
     def record(self, suspect: str, now_s: float, *, is_complete: bool) -> None:
         """Record an answer to a request with ``suspect``, and count it if complete."""
         answers = self._answers.setdefault(suspect, _Answers(0.0, now_s))
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/crashes/evidence.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/crashes/evidence.py
@@ -105,13 +105,16 @@
         """Return the crashes of ``suspect``; None if it has none."""
         return self._repeated.get(suspect) or self._single.get(suspect)
 
-    def group(self, suspects: Iterable[str]) -> dict[CrashHistory, list[str]]:
+    def group(self, suspects: Set[str]) -> dict[CrashHistory, list[str]]:
         """Return those of the suspects that have crashes, by their history."""
         groups: dict[CrashHistory, list[str]] = {}
-        for suspect in suspects:
-            history = self._repeated.get(suspect) or self._single.get(suspect)
+        for suspect, history in zip(
+            suspects, map(self._single.get, suspects), strict=True
+        ):
             if history is None:
-                continue
+                history = self._repeated.get(suspect)
+                if history is None:
+                    continue
             members = groups.get(history)
             if members is None:
                 groups[history] = [suspect]
@@ -149,7 +152,6 @@
 
     def add(self, crash: Crash, now_s: float) -> bool:
         """Add a crash; return False if it adds nothing to what is known."""
-        self.expire(now_s)
         suspect, process = crash.suspect, crash.process
         if Refutation(suspect, process) in self._refuted_at_s:
             return False
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/crashes/quarantine.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/crashes/quarantine.py
@@ -1,6 +1,7 @@
 """Quarantine of requests and prompt parts that crash upstreams."""
 
 import heapq
+import itertools
 from collections.abc import Callable, Hashable, Iterable, Sequence, Set
 
 import attrs
@@ -20,7 +21,7 @@
     QUARANTINE_S,
 )
 from .detection import Crash, Suspicion
-from .evidence import CrashEvidence, Refutation
+from .evidence import CrashEvidence, CrashHistory, Refutation
 from .isolation import Isolation
 from .process_ends import ProcessEnds
 from .weight import CrashWeighing, CrashWeight
@@ -157,14 +158,18 @@
             added,
             key=lambda crash: len(self._evidence.known_at_s(crash.suspect)),
         )
+        # Suspects with the same history have the same number of explanations.
+        explanation_counts: dict[CrashHistory, int] = {}
         for crash in most_suspected:
+            history = self._evidence.history(crash.suspect)
             # Evicted meanwhile if there are too many.
-            crashes = len(self._evidence.known_at_s(crash.suspect))
-            if not crashes:
+            if history is None:
                 continue
-            explanations = self._evidence.explanations(crash.suspect, now_s)
+            if history not in explanation_counts:
+                explanations = self._evidence.explanations(crash.suspect, now_s)
+                explanation_counts[history] = len(explanations)
             for listener in self._listeners:
-                listener(crash, crashes, len(explanations))
+                listener(crash, len(history.crashes), explanation_counts[history])
 
     def add_reported(
         self,
@@ -179,6 +184,7 @@
 
         ``is_recent`` is whether the processes have ended just now.
         """
+        self._expire(now_s)
         for refutation in refutations:
             self._evidence.refute(refutation, now_s)
             if not is_stored:
@@ -266,26 +272,15 @@
         This is a suspected request. Parts of prompts are included only if they
         are tried after a block, since other requests share them.
         """
-        return frozenset(
-            suspect
-            for group in self._groups(suspects, now_s)
-            if (
-                self._is_on_trial(group.first, suspects, now_s)
-                if is_prompt_part(group.first)
-                else self._open_crashes(group.first)
-            )
-            for suspect in group.suspects
-        )
+        return self._exclusive(self._groups(suspects, now_s), suspects, now_s)
 
     def isolation(self, suspects: Set[str], now_s: float) -> Isolation:
         """Return how far a request with these suspects is kept apart."""
-        exclusive = self.exclusive_suspects(suspects, now_s)
+        groups = self._groups(suspects, now_s)
+        exclusive = self._exclusive(groups, suspects, now_s)
         if any(map(is_prompt_part, exclusive)):
             return Isolation.REQUIRED
-        levels = [
-            self._isolation(group.first, now_s)
-            for group in self._groups(suspects, now_s)
-        ]
+        levels = [self._isolation(group.first, now_s) for group in groups]
         return max(levels, default=Isolation.NONE)
 
     def protects_last_upstream(self, now_s: float) -> bool:
@@ -307,24 +302,39 @@
         """Return whether this holds for ``MAX_CRASHES`` crashes of one suspect."""
         return any(self._open_crashes(suspect) >= MAX_CRASHES for suspect in suspects)
 
-    def _groups(self, suspects: Set[str], now_s: float) -> Iterable[_SuspectGroup]:
+    def _groups(self, suspects: Set[str], now_s: float) -> list[_SuspectGroup]:
         """Return the suspects that have crashes, those with equal ones together."""
+        groups: list[_SuspectGroup] = []
         if not len(self._evidence):
-            return
+            return groups
         for members in self._evidence.group(suspects).values():
-            answered = [suspect for suspect in members if suspect in self._answers]
+            answered = self._answers.known(members)
             by_kind: dict[Hashable, list[str]] = {}
             for suspect in answered:
                 level = self._weighing.answer_level(suspect, now_s)
                 key = level, is_prompt_part(suspect)
                 by_kind.setdefault(key, []).append(suspect)
-            if len(answered) < len(members):
-                known = set(answered)
-                for suspect in members:
-                    if suspect not in known:
-                        key = None, is_prompt_part(suspect)
-                        by_kind.setdefault(key, []).append(suspect)
-            yield from map(_SuspectGroup, by_kind.values())
+            if answered:
+                members = [suspect for suspect in members if suspect not in answered]
+            requests = list(itertools.filterfalse(is_prompt_part, members))
+            parts = [suspect for suspect in members if suspect not in requests]
+            kinds = *by_kind.values(), parts, requests
+            groups += map(_SuspectGroup, filter(None, kinds))
+        return groups
+
+    def _exclusive(
+        self, groups: Iterable[_SuspectGroup], suspects: Set[str], now_s: float
+    ) -> frozenset[str]:
+        return frozenset(
+            suspect
+            for group in groups
+            if (
+                self._is_on_trial(group.first, suspects, now_s)
+                if is_prompt_part(group.first)
+                else self._open_crashes(group.first)
+            )
+            for suspect in group.suspects
+        )
 
     def _is_cause(self, suspect: str, suspects: Set[str], until_s: float) -> bool:
         """Return whether nothing but ``suspects`` explains the crashes as well.
