Serve requests sent ahead no faster than their answers are read

Cause: a connection waits for its reader only when the kernel's send buffer is full, which has room for thousands of short answers. Until then each request sent ahead is served, and one round over all connections takes longer than an ordinary request may.

Evidence: after the crowd has sent what it can, the process uses a whole core until the test ends, with reading paused.

Change: a request waits while the kernel holds more than 4,096 bytes that the caller has no room for; after 10 s without progress the connection is closed, as with other callers that do not read.

--- a/packages/cardamomnotch-runtime/src/cardamomnotch_runtime/caller_limits/connection.py
+++ b/packages/cardamomnotch-runtime/src/cardamomnotch_runtime/caller_limits/connection.py
@@ -1,8 +1,12 @@
 """HTTP connection of a caller, within the limits of its guard."""
 
 import asyncio
+import fcntl
+import math
 import socket
+import struct
 import time
+from collections.abc import Awaitable, Callable
 from http import HTTPStatus
 from typing import Any, Final
 
@@ -16,8 +20,12 @@
     MAX_BYTES_AHEAD,
     MAX_HEAD_BYTES,
     MAX_REQUESTS_AHEAD,
+    MAX_UNREAD_BYTES,
+    MAX_UNREAD_CHECK_S,
+    MIN_UNREAD_CHECK_S,
     READ_BUFFER_BYTES,
     RECEIVE_BUFFER_BYTES,
+    UNREAD_TIMEOUT_S,
 )
 from .guard import CallerGuard
 
@@ -30,6 +38,9 @@
 _RETRY_AFTER_S = 1
 # Smallest read whose processing time is measured, in bytes.
 _MIN_MEASURED_BYTES = 8_192
+# Request for the bytes of a socket that the kernel has not sent yet, from
+# linux/sockios.h: those for which the receiver has no room, as a rule.
+_SIOCOUTQNSD = 0x894B
 
 
 def limit_receive_buffer(bound_socket: socket.socket) -> None:
@@ -37,6 +48,13 @@
     bound_socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
 
 
+def unread_bytes(transport: asyncio.BaseTransport) -> int:
+    """Return how many bytes the kernel holds until the receiver reads on."""
+    connected = transport.get_extra_info("socket")
+    size = fcntl.ioctl(connected.fileno(), _SIOCOUTQNSD, struct.pack("i", 0))
+    return struct.unpack("i", size)[0]
+
+
 def _refusal(status: HTTPStatus) -> bytes:
     return (
         f"HTTP/1.1 {status.value} {status.phrase}\r\nContent-Length: 0\r\n"
@@ -133,6 +151,16 @@
         if self._state is not None:
             self._guard.record_unsent(self._state, 0)
 
+    async def _handle_request(
+        self,
+        request: web.BaseRequest,
+        start_time: float | None,
+        request_handler: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]],
+    ) -> tuple[web.StreamResponse, bool]:
+        """Handle a request once the answers before it have been read."""
+        await self._async_wait_until_read()
+        return await super()._handle_request(request, start_time, request_handler)
+
     async def finish_response(
         self, request: web.BaseRequest, resp: web.StreamResponse, start_time: Any
     ) -> tuple[web.StreamResponse, bool]:
@@ -165,6 +193,30 @@
         transport.write(_refusal(status))
         self.force_close()
 
+    async def _async_wait_until_read(self) -> None:
+        """Wait while the caller does not read the answers that it has.
+
+        Requests sent ahead are served no faster than that. Raises
+        ConnectionResetError if the connection ends meanwhile.
+        """
+        check_s, least_bytes = MIN_UNREAD_CHECK_S, math.inf
+        progress_at_s = time.monotonic()
+        while self.transport is not None and not self._is_shed:
+            unread = unread_bytes(self.transport)
+            if unread <= MAX_UNREAD_BYTES:
+                return
+            now_s = time.monotonic()
+            if unread < least_bytes:
+                least_bytes, progress_at_s = unread, now_s
+            elif now_s - progress_at_s > UNREAD_TIMEOUT_S and self._state is not None:
+                self._guard.shed(self._state, ShedReason.UNREAD)
+                break
+            if self._force_close:
+                break
+            await asyncio.sleep(check_s)
+            check_s = min(2 * check_s, MAX_UNREAD_CHECK_S)
+        raise ConnectionResetError("the connection ended before its next request")
+
     def _limit_requests_ahead(self, auto_decompress: bool) -> None:
         """Parse fewer requests ahead than the library does, which are 32."""
         self._max_msg_queue_size = MAX_REQUESTS_AHEAD
--- a/packages/cardamomnotch-runtime/src/cardamomnotch_runtime/caller_limits/const.py
+++ b/packages/cardamomnotch-runtime/src/cardamomnotch_runtime/caller_limits/const.py
@@ -26,6 +26,11 @@
 # being served, from which the connection is not read until its answer is sent.
 MAX_REQUESTS_AHEAD: Final = 4
 MAX_BYTES_AHEAD: Final = 16_384
+# Bytes of earlier answers that the caller has not read, beyond which the next request
+# on a connection waits, and the intervals in which this is checked, in seconds.
+MAX_UNREAD_BYTES: Final = 4_096
+MIN_UNREAD_CHECK_S: Final = 0.01
+MAX_UNREAD_CHECK_S: Final = 1.0
 
 # While bodies wait to be admitted: time without data after which an admitted one is
 # refused, and the rate that it must keep after that time.
