Treat a connection as busy until its response has been sent

Cause: a request counted as ended when its handler returned; the library writes the response afterwards. Whatever closes idle connections closed it, and the time limit of the next request head ran.

A third fault of the same kind: a connection that is closed with requests unread is reset, and the rest of its response lost.

Change: a connection is busy until the kernel has taken the whole response, in both programs. Requests that follow a last response are dropped until it has been received.

--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/composition.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/composition.py
@@ -257,7 +257,8 @@
         """
         self._runner.dispatch(events.DrainStarted())
         await async_wait_until(
-            lambda: not self._node.requests_in_flight, self._settings.drain_grace_s
+            lambda: not self._node.requests_in_flight and not self._is_responding(),
+            self._settings.drain_grace_s,
         )
         await self._journal.async_unload()
         for server in self._servers:
@@ -266,6 +267,9 @@
         for session in self._sessions:
             await session.close()
 
+    def _is_responding(self) -> bool:
+        return any(server.is_busy for server in self._servers)
+
     def _diagnostics(self) -> dict[str, Any]:
         return {
             **self._node.diagnostics(),
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/caller_connection.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/caller_connection.py
@@ -5,7 +5,7 @@
 import select
 import socket
 import struct
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import Any, Final
 
 from aiohttp import web
@@ -101,15 +101,27 @@
         if self._reading_paused:
             super().resume_reading(resume_parser)
 
-    def mark_head_received(self) -> None:
+    async def _handle_request(
+        self,
+        request: web.BaseRequest,
+        start_time: float | None,
+        request_handler: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]],
+    ) -> tuple[web.StreamResponse, bool]:
         """Cancel the timeout, since a complete request head has arrived."""
         self._stop_timer()
         self._is_receiving = False
         self._is_serving = True
-
-    def mark_response_sent(self) -> None:
-        """Accept the next request after the last one has its response."""
-        self._is_serving = False
+        return await super()._handle_request(request, start_time, request_handler)
+
+    def _end_request(self, request: web.BaseRequest) -> None:
+        """Accept the next request after the last one's response has been sent."""
+        has_next_part = bool(self._bytes_ahead) and not self._messages
+        super()._end_request(request)
+        # The rest of a refused body is no next request.
+        self._is_serving = not request.content.at_eof()
+        if has_next_part and not self._is_serving:
+            self._is_receiving = True
+            self._start_timer(self._caller_limits().header_timeout_s)
 
     def _start_timer(self, seconds: float) -> None:
         loop = asyncio.get_running_loop()
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/composition.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/composition.py
@@ -143,6 +143,11 @@
     def _grace_s(self) -> float:
         return max(0.0, self._settings.limits.grace_s - SHUTDOWN_MARGIN_S)
 
+    @property
+    def _in_flight(self) -> int:
+        """Return the number of requests whose response has not been sent."""
+        return len(self._guard.busy_connections)
+
     async def async_setup(self, store: KeyValueStore) -> None:
         """Start serving."""
         self._client = UpstreamClient(self._metrics.count_response_pause)
@@ -214,7 +219,7 @@
         self._is_draining = True
         self._server.start_draining()
         self._node.admission.start_draining()
-        log_event(_LOGGER, "entry is draining", in_flight=self._server.in_flight)
+        log_event(_LOGGER, "entry is draining", in_flight=self._in_flight)
         await asyncio.sleep(RESPONSE_FLUSH_S)
         # Idle connections are closed now, so that callers open their next one
         # at another entry; busy ones are closed after their response.
@@ -226,18 +231,18 @@
         self._server.refuse_requests()
         self._close_idle_connections()
         await async_wait_until(
-            lambda: not self._server.in_flight, self._grace_s - BALANCER_DETECTION_S
+            lambda: not self._in_flight, self._grace_s - BALANCER_DETECTION_S
         )
-        if self._server.in_flight:
+        if self._in_flight:
             log_event(
                 _LOGGER,
                 "grace time has passed; ending the requests in flight",
                 logging.WARNING,
-                in_flight=self._server.in_flight,
+                in_flight=self._in_flight,
             )
             self._server.end_requests()
             await async_wait_until(
-                lambda: not self._server.in_flight, LAST_RESPONSES_TIMEOUT_S
+                lambda: not self._in_flight, LAST_RESPONSES_TIMEOUT_S
             )
         await self._tasks.async_unload()
         await self._caller_server.shutdown(_CONNECTION_CLOSE_TIMEOUT_S)
@@ -247,7 +252,7 @@
         if self._metrics_server is not None:
             await self._metrics_server.async_stop()
         await self._client.async_unload()
-        log_event(_LOGGER, "entry stopped", in_flight=self._server.in_flight)
+        log_event(_LOGGER, "entry stopped", in_flight=self._in_flight)
 
     async def _async_start_metrics(self) -> None:
         address = self._settings.metrics_address
@@ -311,7 +316,7 @@
 
     def _close_idle_connections(self) -> None:
         for connection in self._caller_server.connections:
-            is_busy = connection in self._server.busy_connections
+            is_busy = connection in self._guard.busy_connections
             if not is_busy and connection.is_idle:
                 connection.force_close()
 
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/server.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/server.py
@@ -3,7 +3,7 @@
 import asyncio
 import logging
 import math
-from collections.abc import Callable, Set
+from collections.abc import Callable
 
 import attrs
 from aiohttp import HttpVersion11, web
@@ -15,7 +15,7 @@
 from cardamomnotch_runtime.responses import error_body, json_response
 from cardamomnotch_runtime.structured_log import log_event, secret_digest
 
-from .caller_connection import CallerConnection, reset_on_close
+from .caller_connection import reset_on_close
 from .const import MAX_LOGGED_PATH_CHARS, RETRY_AFTER_DECIMALS
 from .exceptions import ResponseTruncatedError, UpstreamFailureError
 from .forwarder import Forwarder
@@ -59,12 +59,6 @@
         self._is_draining = False
         self._is_refusing = False
         self._forwarders: set[Forwarder] = set()
-        self._busy_connections: set[CallerConnection] = set()
-
-    @property
-    def busy_connections(self) -> Set[CallerConnection]:
-        """Return the connections whose request is being served."""
-        return self._busy_connections
 
     @property
     def in_flight(self) -> int:
@@ -88,9 +82,6 @@
         """Handle one request and log its end."""
         arrived_at_s = self._clock()
         self._in_flight += 1
-        connection: CallerConnection = http_request.protocol
-        connection.mark_head_received()
-        self._busy_connections.add(connection)
         forwarder: Forwarder | None = None
         request: CallerRequest | None = None
         code: ResultCode | None = ResultCode.CALLER_GONE
@@ -135,14 +126,12 @@
             response = self._refusal_response(error, request)
         finally:
             self._in_flight -= 1
-            self._busy_connections.discard(connection)
             self._forwarders.discard(forwarder)
             self._record_end(forwarder, request, code, detail, response, arrived_at_s)
         if not http_request.content.at_eof():
             # The rest of the body must not be parsed as another request.
             response.force_close()
             return response
-        connection.mark_response_sent()
         if self._is_draining or code is ResultCode.NOT_READY:
             # The caller's next connection may reach an entry that is ready.
             response.force_close()
--- a/packages/cardamomnotch-runtime/src/cardamomnotch_runtime/caller_limits/connection.py
+++ b/packages/cardamomnotch-runtime/src/cardamomnotch_runtime/caller_limits/connection.py
@@ -5,6 +5,7 @@
 import math
 import socket
 import struct
+import termios
 import time
 from collections.abc import Awaitable, Callable
 from http import HTTPStatus
@@ -22,7 +23,9 @@
     MAX_REQUESTS_AHEAD,
     MAX_UNREAD_BYTES,
     MAX_UNREAD_CHECK_S,
+    MAX_UNSENT_CHECK_S,
     MIN_UNREAD_CHECK_S,
+    MIN_UNSENT_CHECK_S,
     READ_BUFFER_BYTES,
     RECEIVE_BUFFER_BYTES,
     UNREAD_TIMEOUT_S,
@@ -38,9 +41,12 @@
 _RETRY_AFTER_S = 1
 # Smallest read whose processing time is measured, in bytes.
 _MIN_MEASURED_BYTES = 8_192
-# Request for the bytes of a socket that the kernel has not sent yet, from
-# linux/sockios.h: those for which the receiver has no room, as a rule.
+# Requests for the bytes of a socket that the kernel has not sent, those that its
+# receiver has not acknowledged, and those that have arrived unread, from
+# linux/sockios.h. What is not sent is what the receiver has no room for, as a rule.
 _SIOCOUTQNSD = 0x894B
+_SIOCOUTQ = termios.TIOCOUTQ
+_SIOCINQ = termios.FIONREAD
 
 
 def limit_receive_buffer(bound_socket: socket.socket) -> None:
@@ -48,10 +54,10 @@
     bound_socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
 
 
-def unread_bytes(transport: asyncio.BaseTransport) -> int:
-    """Return how many bytes the kernel holds until the receiver reads on."""
+def _kernel_bytes(transport: asyncio.BaseTransport, kind: int) -> int:
+    """Return how many bytes the kernel holds for a connection."""
     connected = transport.get_extra_info("socket")
-    size = fcntl.ioctl(connected.fileno(), _SIOCOUTQNSD, struct.pack("i", 0))
+    size = fcntl.ioctl(connected.fileno(), kind, struct.pack("i", 0))
     return struct.unpack("i", size)[0]
 
 
@@ -80,10 +86,15 @@
         self._max_body_bytes = max_body_bytes
         self._state: CallerState | None = None
         self._is_shed = False
+        # Whether the last response is sent, and nothing else is read.
+        self._is_dropping = False
         # Reasons for which nothing is read now.
         self._holds: set[str] = set()
         self._head_bytes = 0
         self._bytes_ahead = 0
+        # Request whose response has not been sent yet; the library forgets it when its
+        # response has been made.
+        self._served: web.BaseRequest | None = None
         # Rest of a body that is read and dropped; None if there is none.
         self._discarded: StreamReader | None = None
 
@@ -104,7 +115,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse the data, and pause if there is no room for more."""
-        if self._is_shed:
+        if self._is_shed or self._is_dropping:
             return
         if not data or self._state is None:
             # The rest of earlier data is parsed, which may end the request.
@@ -157,16 +168,30 @@
         start_time: float | None,
         request_handler: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]],
     ) -> tuple[web.StreamResponse, bool]:
-        """Handle a request once the answers before it have been read."""
-        await self._async_wait_until_read()
-        return await super()._handle_request(request, start_time, request_handler)
+        """Handle a request once the answers before it have been read.
+
+        The connection is busy until the kernel has taken the whole response.
+        """
+        self._guard.busy_connections.add(self)
+        self._served = request
+        try:
+            # Requests sent ahead are served no faster than their answers are read.
+            await self._async_wait_for_reader(_SIOCOUTQNSD, MAX_UNREAD_BYTES)
+            return await super()._handle_request(request, start_time, request_handler)
+        finally:
+            self._served = None
+            self._guard.busy_connections.discard(self)
 
     async def finish_response(
         self, request: web.BaseRequest, resp: web.StreamResponse, start_time: Any
     ) -> tuple[web.StreamResponse, bool]:
-        """Release what the request held once its response has been written."""
+        """Release what the request held once its response has been sent."""
         try:
-            return await super().finish_response(request, resp, start_time)
+            result = await super().finish_response(request, resp, start_time)
+            await self._async_wait_until_sent()
+            if not result[0].keep_alive and request.content.is_eof():
+                await self._async_drop_requests_ahead()
+            return result
         finally:
             self._end_request(request)
 
@@ -193,21 +218,20 @@
         transport.write(_refusal(status))
         self.force_close()
 
-    async def _async_wait_until_read(self) -> None:
-        """Wait while the caller does not read the answers that it has.
+    async def _async_wait_for_reader(self, kind: int, most_bytes: int) -> None:
+        """Wait while the kernel holds more than ``most_bytes`` of this kind.
 
-        Requests sent ahead are served no faster than that. Raises
-        ConnectionResetError if the connection ends meanwhile.
+        Raises ConnectionResetError if the connection ends meanwhile.
         """
         check_s, least_bytes = MIN_UNREAD_CHECK_S, math.inf
         progress_at_s = time.monotonic()
         while self.transport is not None and not self._is_shed:
-            unread = unread_bytes(self.transport)
-            if unread <= MAX_UNREAD_BYTES:
+            held_bytes = _kernel_bytes(self.transport, kind)
+            if held_bytes <= most_bytes:
                 return
             now_s = time.monotonic()
-            if unread < least_bytes:
-                least_bytes, progress_at_s = unread, now_s
+            if held_bytes < least_bytes:
+                least_bytes, progress_at_s = held_bytes, now_s
             elif now_s - progress_at_s > UNREAD_TIMEOUT_S and self._state is not None:
                 self._guard.shed(self._state, ShedReason.UNREAD)
                 break
@@ -215,7 +239,30 @@
                 break
             await asyncio.sleep(check_s)
             check_s = min(2 * check_s, MAX_UNREAD_CHECK_S)
-        raise ConnectionResetError("the connection ended before its next request")
+        raise ConnectionResetError("the connection ended before its caller read on")
+
+    async def _async_drop_requests_ahead(self) -> None:
+        """Drop the requests that follow a last response until it has been received.
+
+        Closing a connection with unread data resets it, and what the caller has not
+        received of the response would be lost.
+        """
+        if self.transport is None or not _kernel_bytes(self.transport, _SIOCINQ):
+            return
+        self._is_dropping = True
+        super()._resume_transport_reading()
+        await self._async_wait_for_reader(_SIOCOUTQ, 0)
+
+    async def _async_wait_until_sent(self) -> None:
+        """Wait until the kernel has taken all that was written."""
+        if self.transport is None or not self.transport.get_write_buffer_size():
+            return
+        check_s = 0.0
+        while self.transport is not None and self.transport.get_write_buffer_size():
+            self.measure_unsent()
+            await asyncio.sleep(check_s)
+            check_s = min(max(2 * check_s, MIN_UNSENT_CHECK_S), MAX_UNSENT_CHECK_S)
+        self.measure_unsent()
 
     def _limit_requests_ahead(self, auto_decompress: bool) -> None:
         """Parse fewer requests ahead than the library does, which are 32."""
@@ -238,11 +285,10 @@
             super()._resume_transport_reading()
 
     def _is_request_complete(self) -> bool:
-        request = self._current_request
-        return request is not None and request.content.is_eof()
+        return self._served is not None and self._served.content.is_eof()
 
     def _has_head(self) -> bool:
-        return bool(self._messages) or self._current_request is not None
+        return bool(self._messages) or self._served is not None
 
     def _has_bad_message(self) -> bool:
         return any(not hasattr(message, "headers") for message, _ in self._messages)
@@ -274,7 +320,7 @@
 
     def _expected_bytes(self) -> int:
         """Return the largest size that the request can have, in bytes."""
-        head = self._current_request
+        head = self._served
         if head is None:
             head = self._messages[0][0]
         length = getattr(head, "headers", {}).get(hdrs.CONTENT_LENGTH, "")
--- a/packages/cardamomnotch-runtime/src/cardamomnotch_runtime/caller_limits/const.py
+++ b/packages/cardamomnotch-runtime/src/cardamomnotch_runtime/caller_limits/const.py
@@ -31,6 +31,9 @@
 MAX_UNREAD_BYTES: Final = 4_096
 MIN_UNREAD_CHECK_S: Final = 0.01
 MAX_UNREAD_CHECK_S: Final = 1.0
+# Intervals in which it is checked whether a response has been sent, in seconds.
+MIN_UNSENT_CHECK_S: Final = 0.001
+MAX_UNSENT_CHECK_S: Final = 0.05
 
 # While bodies wait to be admitted: time without data after which an admitted one is
 # refused, and the rate that it must keep after that time.
--- a/packages/cardamomnotch-runtime/src/cardamomnotch_runtime/caller_limits/guard.py
+++ b/packages/cardamomnotch-runtime/src/cardamomnotch_runtime/caller_limits/guard.py
@@ -47,6 +47,8 @@
         self._last_shed_s = 0.0
         self._released = asyncio.Event()
         self.budget = CallerBudget(limits)
+        # Connections with a request whose response the kernel has not taken yet.
+        self.busy_connections: set[Guarded] = set()
 
     def open(self, connection: Guarded) -> CallerState:
         """Return the state of a connection that was opened."""
--- a/packages/cardamomnotch-runtime/src/cardamomnotch_runtime/server.py
+++ b/packages/cardamomnotch-runtime/src/cardamomnotch_runtime/server.py
@@ -76,6 +76,11 @@
         self._listener: asyncio.Server | None = None
         self.guard = CallerGuard(name, limits or admin_limits())
 
+    @property
+    def is_busy(self) -> bool:
+        """Return whether a request has no response that was sent as a whole."""
+        return bool(self.guard.busy_connections)
+
     async def async_start(self) -> None:
         """Start accepting connections."""
         await self._runner.setup()
--- a/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/composition.py
+++ b/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/composition.py
@@ -129,7 +129,8 @@
         """Drain the attempts in flight, then stop."""
         self._runner.dispatch(events.DrainStarted())
         await async_wait_until(
-            lambda: not self._node.attempts_in_flight, self._settings.drain_grace_s
+            lambda: not self._node.attempts_in_flight and not self._is_responding(),
+            self._settings.drain_grace_s,
         )
         for server in self._servers:
             await server.async_stop()
@@ -137,6 +138,9 @@
         for session in self._sessions:
             await session.close()
 
+    def _is_responding(self) -> bool:
+        return any(server.is_busy for server in self._servers)
+
     async def _async_tick(self) -> None:
         self._runner.dispatch(events.TimerDue())
 
