Refuse CONNECT, and run nothing that follows it

Cause: for the parser a CONNECT has no body. What follows is the data of a tunnel, which the library parses as requests once the tunnel has been declined.

Change: CONNECT gets one refusal (400, invalid_request), the rest of the connection is dropped, and it is closed; in both programs.

--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/server.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/server.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 
 import attrs
-from aiohttp import HttpVersion11, web
+from aiohttp import HttpVersion11, hdrs, web
 
 from cardamomnotch_core.relay.exceptions import RefusalError
 from cardamomnotch_core.relay.node import RelayNode
@@ -34,6 +34,8 @@
 # Retry-After of an entry that is stopping, in seconds: the caller's next connection
 # reaches another one.
 _DRAINING_RETRY_S = 0.05
+# The only transfer coding of a request's body that is removed.
+_CHUNKED = "chunked"
 # Status in the log when the caller disconnected before the response.
 _STATUS_CLIENT_CLOSED_REQUEST = 499
 
@@ -91,6 +93,10 @@
             if not http_request.content.is_eof():
                 request = self._decode_head(http_request)
                 self._check_head(request, http_request.content_length)
+            refusal = _framing_refusal(http_request)
+            if refusal is not None:
+                request = self._decode_head(http_request)
+                raise refusal
             body = await self._async_read_body(http_request)
             if self._is_refusing:
                 raise RefusalError(
@@ -277,6 +283,20 @@
         )
 
 
+def _framing_refusal(http_request: web.BaseRequest) -> RefusalError | None:
+    """Return the refusal of a request that cannot be forwarded unchanged.
+
+    These are a tunnel, and a body in a transfer coding that is lost with its header.
+    """
+    detail = ""
+    if http_request.method == hdrs.METH_CONNECT:
+        detail = "the method CONNECT is not supported"
+    coding = http_request.headers.get(hdrs.TRANSFER_ENCODING, _CHUNKED)
+    if coding.strip().lower() != _CHUNKED:
+        detail = "Transfer-Encoding must be chunked"
+    return RefusalError(ResultCode.INVALID_REQUEST, detail) if detail else None
+
+
 def _document_age_ms(age_s: float) -> int:
     """Return an age in milliseconds; -1 without a confirmed route document."""
     return int(age_s * 1000) if math.isfinite(age_s) else -1
--- a/packages/cardamomnotch-runtime/src/cardamomnotch_runtime/caller_limits/connection.py
+++ b/packages/cardamomnotch-runtime/src/cardamomnotch_runtime/caller_limits/connection.py
@@ -186,10 +186,19 @@
         self, request: web.BaseRequest, resp: web.StreamResponse, start_time: Any
     ) -> tuple[web.StreamResponse, bool]:
         """Release what the request held once its response has been sent."""
+        if request.method == hdrs.METH_CONNECT:
+            # The library reads what follows as a tunnel's data, and, as there is none,
+            # as the next requests. It may be a body.
+            self._message_tail = b""
+            self._is_dropping = True
+            resp.force_close()
         try:
             result = await super().finish_response(request, resp, start_time)
             await self._async_wait_until_sent()
-            if not result[0].keep_alive and request.content.is_eof():
+            if self._is_dropping:
+                # The caller gets the refusal instead of a reset while it is sending.
+                await asyncio.sleep(self._lingering_time)
+            elif not result[0].keep_alive and request.content.is_eof():
                 await self._async_drop_requests_ahead()
             return result
         finally:
--- a/tests/runtime/test_unread_answers.py
+++ b/tests/runtime/test_unread_answers.py
@@ -99,3 +99,17 @@
                 pass
     sending.cancel()
     assert len(served) < MAX_UNREAD_ANSWERS
+
+
+async def test_body_of_a_tunnel_is_run_as_a_request(address, served):
+    """What follows a CONNECT is dropped, and the connection closed."""
+    reader, writer = await asyncio.open_connection(*address)
+    inner = b"GET /inner HTTP/1.1\r\nHost: x\r\n\r\n"
+    head = f"CONNECT x:80 HTTP/1.1\r\nHost: x\r\nContent-Length: {len(inner)}\r\n\r\n"
+    writer.write(head.encode() + inner)
+    async with asyncio.timeout(5):
+        received = await reader.read()
+    writer.close()
+    assert received.startswith(b"HTTP/1.1 4")
+    assert received.count(b"HTTP/1.1 ") == 1
+    assert not served
