Limit what all unfinished events hold in a process

Cause: the part of an event that has arrived is kept for each stream and counted nowhere.

Evidence: by reading; the limit of one event is not reached, and nothing sums them up.

Change: the sum is limited to a tenth of the memory in the settings. The stream with the largest part ends as one that its upstream has broken off; ordinary ones go on. The same for the streams of a sidecar's model engine. Released where an attempt ends.

--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/attempts.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/attempts.py
@@ -12,6 +12,7 @@
 from cardamomnotch_core.relay.node import RelayNode
 from cardamomnotch_core.relay.placement.placer import Placement
 from cardamomnotch_runtime.caller_limits.const import FREE_BYTES
+from cardamomnotch_runtime.response_memory import HeldResponse
 from cardamomnotch_runtime.structured_log import log_event
 
 from .const import FULL_STATUS, MIN_SERVER_ERROR_STATUS
@@ -74,6 +75,8 @@
         self._is_load_recorded = False
         self._response: ClientResponse | None = None
         self._head: ResponseHead | None = None
+        # What is held of the response; None before that is anything.
+        self._held: HeldResponse | None = None
         self._sent_at_s = 0.0
         self._began_at_s: float | None = None
         self._has_outlasted_onset = False
@@ -215,6 +218,14 @@
         assert self._response is not None
         return self._client.process_part(self._response, function, data)
 
+    def record_unfinished(self, size: int) -> None:
+        """Record that ``size`` bytes of the body cannot be passed on yet."""
+        if self._held is None:
+            if not size or self._response is None:
+                return
+            self._held = self._client.hold(self._response)
+        self._held.record(size)
+
     async def async_read_body(
         self, async_reserve: Callable[[int], Awaitable[None]]
     ) -> bytes:
@@ -271,6 +282,8 @@
                 self._state, self, _ATTEMPT_ENDS[outcome], self._clock()
             )
         self._node.isolation.end(self)
+        if self._held is not None:
+            self._held.close()
         if self._response is not None:
             self._response.close()
         if outcome not in _NEUTRAL_OUTCOMES:
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/composition.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/composition.py
@@ -15,6 +15,7 @@
 from cardamomnotch_runtime.admin import create_admin_app, create_metrics_app
 from cardamomnotch_runtime.caller_limits.connection import limit_receive_buffer
 from cardamomnotch_runtime.caller_limits.guard import CallerGuard
+from cardamomnotch_runtime.response_memory import ResponseMemory
 from cardamomnotch_runtime.server import HttpServer, bind
 from cardamomnotch_runtime.settings import SettingsError
 from cardamomnotch_runtime.structured_log import log_event
@@ -113,6 +114,7 @@
             count_shed=self._metrics.count_shed,
         )
         self._caller_shares = LoopShares()
+        self._response_memory = ResponseMemory(settings.process.unfinished_bytes)
         self._metrics.watch_callers(self._guard)
         self._node.quarantine.subscribe(_log_crash)
         self._metrics_server: HttpServer | None = None
@@ -150,7 +152,9 @@
 
     async def async_setup(self, store: KeyValueStore) -> None:
         """Start serving."""
-        self._client = UpstreamClient(self._metrics.count_response_pause)
+        self._client = UpstreamClient(
+            self._response_memory, self._metrics.count_response_pause
+        )
         self._server = RelayServer(
             node=self._node,
             client=self._client,
@@ -174,9 +178,10 @@
         self._admin = HttpServer(
             create_admin_app(
                 is_ready=lambda: self.is_ready,
-                diagnostics=lambda: diagnostics(
-                    self._node, self._server, self._guard, boot_clock()
-                ),
+                diagnostics=lambda: {
+                    **diagnostics(self._node, self._server, self._guard, boot_clock()),
+                    "unfinished_responses": self._response_memory.diagnostics(),
+                },
                 registry=self._metrics.registry,
             ),
             self._admin_socket,
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/forwarder.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/forwarder.py
@@ -318,6 +318,7 @@
                     if self.model_selection and passed_on_at_s is not None:
                         self.model_selection.record_pause(passed_on_at_s)
                     complete_events = attempt.process_part(events.feed, data)
+                    attempt.record_unfinished(len(events.pending))
                     if complete_events:
                         await response.write(complete_events)
                     passed_on_at_s = self._clock()
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/upstream_client.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/upstream_client.py
@@ -13,10 +13,12 @@
 
 from cardamomnotch_core.relay.const import CONNECT_TIMEOUT_S
 from cardamomnotch_core.relay.loop_share import LoopShares
+from cardamomnotch_runtime.response_memory import HeldResponse, ResponseMemory
 from cardamomnotch_runtime.upstream_session import (
     OversizeError,
     UpstreamResponseHandler,
     create_upstream_session,
+    hold_response,
     is_connection_refused,
 )
 
@@ -122,11 +124,17 @@
     """Sends attempts to upstreams, each over a new connection.
 
     A connection used once cannot deliver another attempt's response, and
-    cannot have been dropped silently while idle. ``count_pause`` is called when a
+    cannot have been dropped silently while idle. ``memory`` limits what is held of all
+    unfinished responses. ``count_pause`` is called when a
     response is not read on for a while, since it takes too much of the event loop.
     """
 
-    def __init__(self, count_pause: Callable[[], None] = lambda: None) -> None:
+    def __init__(
+        self,
+        memory: ResponseMemory,
+        count_pause: Callable[[], None] = lambda: None,
+    ) -> None:
+        self._memory = memory
         connector = aiohttp.TCPConnector(
             limit=0, force_close=True, socket_factory=_create_socket
         )
@@ -142,6 +150,10 @@
             max_field_size=MAX_LINE_BYTES,
         )
 
+    def hold(self, response: aiohttp.ClientResponse) -> HeldResponse:
+        """Return the record of what is held of a response."""
+        return hold_response(self._memory, response)
+
     def process_part(
         self,
         response: aiohttp.ClientResponse,
--- a/packages/cardamomnotch-runtime/src/cardamomnotch_runtime/caller_limits/const.py
+++ b/packages/cardamomnotch-runtime/src/cardamomnotch_runtime/caller_limits/const.py
@@ -11,6 +11,8 @@
 BODY_SHARE: Final = 0.15
 ANSWER_SHARE: Final = 0.15
 HELD_SHARE: Final = 0.2
+# Share of the memory for parts of responses that cannot be passed on yet.
+UNFINISHED_SHARE: Final = 0.1
 # Bytes of one request that are read without being admitted: more than a head of
 # the largest size that the platform allows, with a small body.
 FREE_BYTES: Final = 65_536
--- a/packages/cardamomnotch-runtime/src/cardamomnotch_runtime/caller_limits/settings.py
+++ b/packages/cardamomnotch-runtime/src/cardamomnotch_runtime/caller_limits/settings.py
@@ -15,6 +15,7 @@
     DEFAULT_MEMORY_MB,
     HELD_SHARE,
     RESERVED_DESCRIPTORS,
+    UNFINISHED_SHARE,
 )
 
 _BYTES_PER_MB = 1_000_000
@@ -24,7 +25,8 @@
 class ProcessSettings:
     """Table ``process``: what the process may take of its VM."""
 
-    # Memory of the VM in megabytes, half of which may be held for callers.
+    # Memory of the VM in megabytes, six tenths of which may be held for callers and
+    # for responses.
     memory_mb: int = attrs.field(
         default=DEFAULT_MEMORY_MB, validator=attrs.validators.ge(64)
     )
@@ -36,6 +38,11 @@
         ),
     )
 
+    @property
+    def unfinished_bytes(self) -> int:
+        """Return the limit of what is held of unfinished responses."""
+        return int(self.memory_mb * _BYTES_PER_MB * UNFINISHED_SHARE)
+
     @property
     def caller_limits(self) -> BudgetLimits:
         """Return the limits of the address for callers."""
--- a/packages/cardamomnotch-runtime/src/cardamomnotch_runtime/upstream_session.py
+++ b/packages/cardamomnotch-runtime/src/cardamomnotch_runtime/upstream_session.py
@@ -13,6 +13,8 @@
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.connector import Connection
 
+from .response_memory import HeldResponse, ResponseMemory
+
 # Maximum size of a response's head, and of its framing for each byte of its
 # body: chunks of a single byte take six bytes.
 MAX_RESPONSE_HEAD_BYTES: Final = 65_536
@@ -171,6 +173,22 @@
     return session
 
 
+def hold_response(
+    memory: ResponseMemory, response: aiohttp.ClientResponse
+) -> HeldResponse:
+    """Return the record of what is held of ``response``.
+
+    If all responses hold too much, reading on raises OversizeError.
+    """
+
+    def end() -> None:
+        response.content.set_exception(
+            OversizeError("the unfinished responses of the process are too large")
+        )
+
+    return memory.open(end)
+
+
 def is_connection_refused(error: BaseException) -> bool:
     """Return whether ``error`` means that a connection was refused."""
     return isinstance(error, aiohttp.ClientConnectorError) and isinstance(
--- a/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/composition.py
+++ b/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/composition.py
@@ -16,13 +16,14 @@
     ConfigurationSource,
 )
 from cardamomnotch_runtime.const import MAX_INNER_BODY_BYTES, TIMER_INTERVAL_S
+from cardamomnotch_runtime.response_memory import ResponseMemory
 from cardamomnotch_runtime.runner import NodeRunner
 from cardamomnotch_runtime.server import HttpServer, bind
 from cardamomnotch_runtime.tasks import TaskGroup, async_wait_until
 from cardamomnotch_runtime.upstream_session import create_upstream_session
 
 from .attempt_runner import AttemptRunner
-from .const import REPORT_INTERVAL_S, UPSTREAM_KIND_ENGINE, UPSTREAM_KIND_SERVICE
+from .const import REPORT_INTERVAL_S, UPSTREAM_KIND_SERVICE
 from .coordinator import UpstreamCoordinator
 from .inner.server import InnerServer
 from .metrics import SidecarMetrics
@@ -32,11 +33,6 @@
 from .upstream.engine import EngineClient
 from .upstream.plain_service import PlainServiceClient
 
-_CLIENT_CLASSES = {
-    UPSTREAM_KIND_ENGINE: EngineClient,
-    UPSTREAM_KIND_SERVICE: PlainServiceClient,
-}
-
 
 class Sidecar:
     """Creates, connects, starts and stops the components of a sidecar."""
@@ -76,10 +72,7 @@
         inner_session = self._open_session(
             inner_headers(self._settings.node.inner_keys)
         )
-        upstream = self._settings.upstream
-        client = _CLIENT_CLASSES[upstream.kind](
-            upstream_session, upstream.url, upstream.silence_s
-        )
+        client = self._create_client(upstream_session)
         metrics = SidecarMetrics(self._node, self._runner)
         coordinator = UpstreamCoordinator(self._runner, client)
         if isinstance(client, EngineClient):
@@ -138,6 +131,15 @@
         for session in self._sessions:
             await session.close()
 
+    def _create_client(
+        self, session: aiohttp.ClientSession
+    ) -> EngineClient | PlainServiceClient:
+        upstream = self._settings.upstream
+        if upstream.kind == UPSTREAM_KIND_SERVICE:
+            return PlainServiceClient(session, upstream.url, upstream.silence_s)
+        memory = ResponseMemory(self._settings.process.unfinished_bytes)
+        return EngineClient(session, upstream.url, upstream.silence_s, memory)
+
     def _is_responding(self) -> bool:
         return any(server.is_busy for server in self._servers)
 
--- a/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/upstream/engine.py
+++ b/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/upstream/engine.py
@@ -1,5 +1,6 @@
 """Client of a model engine with a chat-completions API."""
 
+import contextlib
 import time
 
 import aiohttp
@@ -9,6 +10,8 @@
 from cardamomnotch_protocol.models import AttemptRequest, EnginePlacement
 from cardamomnotch_protocol.result_codes import ResultCode
 from cardamomnotch_protocol.schema import strict_converter, structure
+from cardamomnotch_runtime.response_memory import ResponseMemory
+from cardamomnotch_runtime.upstream_session import hold_response
 
 from ..answer_buffer import AnswerBuffer
 from ..const import HEADER_REQUEST_ID
@@ -39,9 +42,14 @@
     """
 
     def __init__(
-        self, session: aiohttp.ClientSession, url: str, read_timeout_s: float
+        self,
+        session: aiohttp.ClientSession,
+        url: str,
+        read_timeout_s: float,
+        memory: ResponseMemory,
     ) -> None:
         self._session = session
+        self._memory = memory
         self._url = url.rstrip("/")
         self._read_timeout_s = read_timeout_s
 
@@ -88,8 +96,28 @@
             ) as response:
                 _check_response_head(request, response)
                 if request.stream and response.status == 200:
-                    return await _async_read_stream(response, buffer, started_at_s)
-                return await _async_read_completion(response, buffer, started_at_s)
+                    return await self._async_read_stream(response, buffer, started_at_s)
+                answer = await async_read_body(response)
+                return _store_completion(answer, response.status, buffer, started_at_s)
+
+    async def _async_read_stream(
+        self,
+        response: aiohttp.ClientResponse,
+        buffer: AnswerBuffer,
+        started_at_s: float,
+    ) -> CallResult:
+        stream = CompletionStream()
+        first_token_ms = 0.0
+        buffer.set_head(response.status, {"Content-Type": "text/event-stream"})
+        with contextlib.closing(hold_response(self._memory, response)) as held:
+            async for data in response.content.iter_any():
+                for event in stream.feed(data):
+                    first_token_ms = first_token_ms or _elapsed_ms(started_at_s)
+                    buffer.append(event)
+                held.record(stream.pending_bytes)
+        if not stream.is_complete:
+            raise UpstreamError(code=ResultCode.SHORT_ANSWER)
+        return CallResult(usage=stream.usage, first_token_ms=first_token_ms)
 
 
 def _parse_report(body: bytes) -> UpstreamReport:
@@ -131,33 +159,17 @@
         )
 
 
-async def _async_read_stream(
-    response: aiohttp.ClientResponse, buffer: AnswerBuffer, started_at_s: float
-) -> CallResult:
-    stream = CompletionStream()
-    first_token_ms = 0.0
-    buffer.set_head(response.status, {"Content-Type": "text/event-stream"})
-    async for data in response.content.iter_any():
-        for event in stream.feed(data):
-            first_token_ms = first_token_ms or _elapsed_ms(started_at_s)
-            buffer.append(event)
-    if not stream.is_complete:
-        raise UpstreamError(code=ResultCode.SHORT_ANSWER)
-    return CallResult(usage=stream.usage, first_token_ms=first_token_ms)
-
-
-async def _async_read_completion(
-    response: aiohttp.ClientResponse, buffer: AnswerBuffer, started_at_s: float
+def _store_completion(
+    answer: bytes, status: int, buffer: AnswerBuffer, started_at_s: float
 ) -> CallResult:
-    body = await async_read_body(response)
     try:
-        usage = usage_from_json(orjson.loads(body))
+        usage = usage_from_json(orjson.loads(answer))
     except (AttributeError, TypeError, ValueError) as error:
         raise UpstreamError(
             "engine response is not a completion", code=ResultCode.SHORT_ANSWER
         ) from error
-    buffer.set_head(response.status, {"Content-Type": "application/json"})
-    buffer.append(body)
+    buffer.set_head(status, {"Content-Type": "application/json"})
+    buffer.append(answer)
     return CallResult(usage=usage, first_token_ms=_elapsed_ms(started_at_s))
 
 
--- a/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/upstream/sse.py
+++ b/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/upstream/sse.py
@@ -40,6 +40,11 @@
         """Return the latest token usage in the stream."""
         return self._usage
 
+    @property
+    def pending_bytes(self) -> int:
+        """Return the number of bytes after the last complete event."""
+        return len(self._buffer)
+
     @property
     def is_complete(self) -> bool:
         """Return whether a finish reason and ``[DONE]`` have been received."""
--- a/tests/entry/relay/test_fast_upstreams.py
+++ b/tests/entry/relay/test_fast_upstreams.py
@@ -12,6 +12,7 @@
 from cardamomnotch_entry.relay.event_stream import EventSplitter
 from cardamomnotch_entry.relay.exceptions import ResponseLostError
 from cardamomnotch_entry.relay.upstream_client import UpstreamClient
+from cardamomnotch_runtime.response_memory import ResponseMemory
 
 from tests.fixtures.relay_system import API_KEY, HOST
 from tests.stand_ins.fast_upstream import ANSWERS
@@ -93,7 +94,7 @@
 async def test_fast_upstream_leaves_most_of_the_processor(start_process, answer):
     """Reading streams that are sent too fast takes a part of the loop only."""
     _, address = await start_process(answer)
-    client = UpstreamClient()
+    client = UpstreamClient(ResponseMemory(16_000_000))
 
     async def read(number):
         headers = CIMultiDict({"X-Attempt-Id": f"stream-{number}"})
--- a/tests/entry/relay/test_invalid_statuses.py
+++ b/tests/entry/relay/test_invalid_statuses.py
@@ -1,10 +1,12 @@
 """Responses of upstreams with a status that is not one of a final response."""
 
 import asyncio
+import functools
 
 import aiohttp
 import pytest
 
+from cardamomnotch_runtime.response_memory import ResponseMemory
 from cardamomnotch_runtime.upstream_session import create_upstream_session
 from cardamomnotch_sidecar.answer_buffer import AnswerBuffer
 from cardamomnotch_sidecar.upstream.engine import EngineClient
@@ -15,7 +17,10 @@
 from tests.stand_ins.platform_upstream import PlatformUpstreamStandIn, Send, head
 
 STATUSES = ["000", "001", "099", "101", "600", "999"]
-CLIENTS = {"model engine": EngineClient, "plain service": PlainServiceClient}
+CLIENTS = {
+    "model engine": functools.partial(EngineClient, memory=ResponseMemory(16_000_000)),
+    "plain service": PlainServiceClient,
+}
 
 
 def respond_with(status, **headers):
--- a/tests/platform/test_upstream_contract.py
+++ b/tests/platform/test_upstream_contract.py
@@ -8,6 +8,7 @@
 
 from cardamomnotch_protocol.models import AttemptRequest
 from cardamomnotch_protocol.result_codes import ResultCode
+from cardamomnotch_runtime.response_memory import ResponseMemory
 from cardamomnotch_sidecar.answer_buffer import AnswerBuffer
 from cardamomnotch_sidecar.upstream.engine import EngineClient
 from cardamomnotch_sidecar.upstream.models import UpstreamError
@@ -19,6 +20,7 @@
 from tests.stand_ins.weight_store import WeightStoreStandIn
 
 _READ_TIMEOUT_S = 0.3
+MEMORY = ResponseMemory(16_000_000)
 _BODY = orjson.dumps({"messages": [{"role": "user", "content": "x"}], "max_tokens": 4})
 _STREAM_BODY = orjson.dumps({**orjson.loads(_BODY), "stream": True})
 _EVENT = (
@@ -53,7 +55,7 @@
 async def engine(engine_stand_in, serve_app, http_session):
     """Return a client of the engine's stand-in."""
     url = await serve_app(engine_stand_in.create_app())
-    return EngineClient(http_session, url, _READ_TIMEOUT_S)
+    return EngineClient(http_session, url, _READ_TIMEOUT_S, MEMORY)
 
 
 @pytest.fixture
@@ -170,7 +172,7 @@
 
     app = web.Application()
     app.router.add_get("/load", reply)
-    client = EngineClient(http_session, await serve_app(app), _READ_TIMEOUT_S)
+    client = EngineClient(http_session, await serve_app(app), _READ_TIMEOUT_S, MEMORY)
     with pytest.raises(UpstreamError):
         await client.async_fetch_report()
 
@@ -195,7 +197,7 @@
 @pytest.mark.parametrize("call", ["report", "completion", "stream", "service"])
 async def test_endless_body_is_given_up(endless_url, http_session, call):
     """A body or event without end fails at its size limit."""
-    engine = EngineClient(http_session, endless_url, _READ_TIMEOUT_S)
+    engine = EngineClient(http_session, endless_url, _READ_TIMEOUT_S, MEMORY)
     service = PlainServiceClient(http_session, endless_url, _READ_TIMEOUT_S)
     buffer = AnswerBuffer("r-1")
     calls = {
--- a/tests/sidecar/test_early_responses.py
+++ b/tests/sidecar/test_early_responses.py
@@ -1,10 +1,12 @@
 """Upstreams of a sidecar that answer before they have read the request."""
 
 import asyncio
+import functools
 
 import aiohttp
 import pytest
 
+from cardamomnotch_runtime.response_memory import ResponseMemory
 from cardamomnotch_runtime.upstream_session import create_upstream_session
 from cardamomnotch_sidecar.answer_buffer import AnswerBuffer
 from cardamomnotch_sidecar.upstream.engine import EngineClient
@@ -14,7 +16,10 @@
 from tests.fixtures.early_upstream import BROKEN_ENDS, EarlyUpstream
 from tests.sidecar.test_truncated_responses import ATTEMPT
 
-CLIENTS = {"model engine": EngineClient, "plain service": PlainServiceClient}
+CLIENTS = {
+    "model engine": functools.partial(EngineClient, memory=ResponseMemory(16_000_000)),
+    "plain service": PlainServiceClient,
+}
 BODY = b'{"text": "%s"}' % (b"x" * 1_500_000)
 
 
--- a/tests/sidecar/test_endless_bytes.py
+++ b/tests/sidecar/test_endless_bytes.py
@@ -1,10 +1,12 @@
 """Upstreams of a sidecar that send bytes without end, in a head or a body."""
 
 import asyncio
+import functools
 
 import aiohttp
 import pytest
 
+from cardamomnotch_runtime.response_memory import ResponseMemory
 from cardamomnotch_runtime.tasks import async_wait_until
 from cardamomnotch_runtime.upstream_session import create_upstream_session
 from cardamomnotch_sidecar.answer_buffer import AnswerBuffer
@@ -16,7 +18,10 @@
 from tests.sidecar.test_truncated_responses import ATTEMPT
 from tests.stand_ins.platform_upstream import PlatformUpstreamStandIn
 
-CLIENTS = {"model engine": EngineClient, "plain service": PlainServiceClient}
+CLIENTS = {
+    "model engine": functools.partial(EngineClient, memory=ResponseMemory(16_000_000)),
+    "plain service": PlainServiceClient,
+}
 
 
 @pytest.mark.parametrize("create_client", CLIENTS.values(), ids=CLIENTS)
