Check that an upstream lives when its connection ends a response without a length

Cause: the kernel closes the connections of a killed process as the process itself does after a whole response. The attempt counted as answered, which refutes its suspects.

Change: when its connection ends such a response, the entry opens one connection to the upstream. If that is refused, the response is lost. Not for an upstream that is leaving. Whole answers without a length are checked in the same way.

--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/attempts.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/attempts.py
@@ -29,7 +29,11 @@
     CallerRequest,
     ResponseHead,
 )
-from .upstream_client import UpstreamClient, response_framing
+from .upstream_client import (
+    UpstreamClient,
+    ends_with_connection,
+    response_framing,
+)
 
 _LOGGER = logging.getLogger(__name__)
 # Outcomes that are no evidence for or against the upstream's version.
@@ -199,17 +203,32 @@
     async def async_iter_body(self) -> AsyncIterator[bytes]:
         """Yield the response body as it arrives.
 
-        Raises ResponseLostError if the connection fails within the body.
+        Raises ResponseLostError if the connection fails within the body, or if it ends
+        a body without a length and the upstream's process has ended as well.
         """
         assert self._response is not None
         try:
             async for data in self._client.async_iter_body(self._response):
                 self._record_progress()
                 yield data
+            if ends_with_connection(self._response):
+                await self._async_check_end()
         except ResponseLostError:
             self.mark_broken()
             raise
 
+    async def _async_check_end(self) -> None:
+        """Raise ResponseLostError if the process has ended with the response.
+
+        The kernel closes the connections of a process that is killed as the process
+        itself does after a whole response. One that is leaving ends when it has sent
+        its responses.
+        """
+        if self._state.is_draining or self.log.leaving:
+            return
+        if await self._client.async_has_ended(self.address):
+            raise ResponseLostError("the upstream's process ended with its response")
+
     def process_part(self, function: Callable[[bytes], bytes], data: bytes) -> bytes:
         """Return ``function(data)`` for a part of the body that has arrived.
 
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/upstream_client.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/upstream_client.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 import aiohttp
+from aiohttp import hdrs
 from multidict import CIMultiDict
 from yarl import URL
 
@@ -40,6 +41,8 @@
 )
 from .models import ResponseFraming
 
+# Statuses of responses that have no body, whatever their headers say.
+_STATUSES_WITHOUT_BODY = frozenset({204, 304})
 _DEFAULT_HEADERS = ("Accept", "Accept-Encoding", "Content-Type", "User-Agent")
 
 
@@ -104,6 +107,15 @@
     return ResponseFraming.CONNECTION_END
 
 
+def ends_with_connection(response: aiohttp.ClientResponse) -> bool:
+    """Return whether the response has a body that any end of the connection ends."""
+    return (
+        response_framing(response) is ResponseFraming.CONNECTION_END
+        and response.method != hdrs.METH_HEAD
+        and response.status not in _STATUSES_WITHOUT_BODY
+    )
+
+
 def _create_socket(address: Any) -> socket.socket:
     family, kind, protocol, _, _ = address
     created = socket.socket(family, kind, protocol)
@@ -222,14 +234,23 @@
 
     async def async_is_up(self, address: str) -> bool:
         """Return whether the upstream still accepts TCP connections."""
+        return await self._async_connect(address) is None
+
+    async def async_has_ended(self, address: str) -> bool:
+        """Return whether nothing listens at the upstream's address any more."""
+        error = await self._async_connect(address)
+        return isinstance(error, ConnectionRefusedError)
+
+    async def _async_connect(self, address: str) -> Exception | None:
+        """Open a connection and close it; return why it could not be opened."""
         host, _, port = address.rpartition(":")
         try:
             async with asyncio.timeout(REACHABILITY_TIMEOUT_S):
                 _, writer = await asyncio.open_connection(host, int(port))
-        except (OSError, TimeoutError):
-            return False
+        except (OSError, TimeoutError) as error:
+            return error
         writer.close()
-        return True
+        return None
 
     async def async_unload(self) -> None:
         """Close all connections."""
--- a/tests/stand_ins/platform_upstream.py
+++ b/tests/stand_ins/platform_upstream.py
@@ -59,7 +59,12 @@
     disconnected: asyncio.Event = attrs.field(factory=asyncio.Event)
 
 
-Step = Send | SendWithoutEnd | Wait | Reset | Crash | HoldOpen
+@attrs.frozen
+class Kill:
+    """End the process, whose kernel closes all connections without a reset."""
+
+
+Step = Send | SendWithoutEnd | Wait | Reset | Crash | Kill | HoldOpen
 Behavior = Callable[[SeenRequest], Iterable[Step]]
 
 
@@ -160,6 +165,12 @@
         for writer in tuple(self._writers):
             _reset(writer)
 
+    def kill(self) -> None:
+        """Stop listening and close all connections."""
+        self.stop()
+        for writer in tuple(self._writers):
+            writer.close()
+
     def entry(self, service: str = "drafts", **fields: Any) -> dict[str, Any]:
         """Return the registration that the upstream writes to the store."""
         return {
@@ -221,6 +232,9 @@
                 case Crash():
                     self.crash()
                     return
+                case Kill():
+                    self.kill()
+                    return
                 case HoldOpen(disconnected=disconnected):
                     await reader.read()
                     disconnected.set()
