Estimate an attempt's first token without counting the attempt itself

Cause: counted an attempt as in flight before its time to the first token was estimated, so that each estimate was of one request more than there was.

Change: the attempt counts after the estimate, also if that fails, and the parts of its end are recorded in the order from before.

--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/attempt_tracker.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/attempt_tracker.py
@@ -89,10 +89,13 @@
         number = next(self._next_attempt_number)
         # First of all, so that each attempt that counts has an end.
         self._local_attempts[key] = number, session, workspace, now_s
-        state.in_flight += 1
-        usual = self._placer.estimates.record_sent(
-            state, key, facts, model, placement.unread_tokens, now_s
-        )
+        try:
+            usual = self._placer.estimates.record_sent(
+                state, key, facts, model, placement.unread_tokens, now_s
+            )
+        finally:
+            # The estimate is of the upstream without this attempt.
+            state.in_flight += 1
         self._rates.record_sent(state, now_s)
         self._placer.record_sent(state, key, facts, model, now_s)
         rollout = self._versions.get(state.upstream.service)
@@ -176,24 +179,22 @@
         is_completed = end is AttemptEnd.COMPLETED
         suspects = self._crash_detector.suspects(key)
         state.in_flight -= 1
+        # Called in the reverse order.
         with contextlib.ExitStack() as ends:
             ends.callback(self._admission.handle_ended, state, key, now_s)
             ends.callback(self._queue_end_notice, upstream, number, workspace, now_s)
-            if is_completed:
-                ends.callback(
-                    self._admission.record_completed,
-                    upstream.service,
-                    now_s - sent_at_s,
-                )
-            ends.callback(self._record_crashes, key, end, now_s)
-            if is_completed:
-                ends.callback(self._quarantine.record_completed, suspects, now_s)
             ends.callback(
                 self._admission.use.record_ended, self._entries.own, number, now_s
             )
             ends.callback(
                 self._versions.sessions.record_ended, upstream, session, now_s
             )
+            if is_completed:
+                ends.callback(
+                    self._admission.record_completed,
+                    upstream.service,
+                    now_s - sent_at_s,
+                )
             rollout = self._versions.get(upstream.service)
             if rollout is not None:
                 ends.callback(rollout.record_ended, key, now_s)
@@ -208,6 +209,9 @@
                 completed=is_completed,
             )
             ends.callback(self._isolation.end, key)
+            ends.callback(self._record_crashes, key, end, now_s)
+            if is_completed:
+                ends.callback(self._quarantine.record_completed, suspects, now_s)
 
     def take_notices(self, now_s: float) -> list[LoadNotice]:
         """Return the notices that are due and remove them from the queue.
