Read the kernel's queues of a connection in one place

The connections of callers and of upstreams had a function of their own for it, of which one did not regard a closed connection. No change of behavior otherwise.

--- a/packages/cardamomnotch-runtime/src/cardamomnotch_runtime/caller_limits/connection.py
+++ b/packages/cardamomnotch-runtime/src/cardamomnotch_runtime/caller_limits/connection.py
@@ -1,11 +1,8 @@
 """HTTP connection of a caller, within the limits of its guard."""
 
 import asyncio
-import fcntl
 import math
 import socket
-import struct
-import termios
 import time
 from collections.abc import Awaitable, Callable
 from http import HTTPStatus
@@ -16,6 +13,7 @@
 
 from cardamomnotch_core.relay.loop_share import LoopShares
 
+from ..socket_queues import unacknowledged_bytes, unread_bytes, unsent_bytes
 from .budget import CallerState, ShedReason
 from .const import (
     MAX_BYTES_AHEAD,
@@ -41,12 +39,6 @@
 _RETRY_AFTER_S = 1
 # Smallest read whose processing time is measured, in bytes.
 _MIN_MEASURED_BYTES = 8_192
-# Requests for the bytes of a socket that the kernel has not sent, those that its
-# receiver has not acknowledged, and those that have arrived unread, from
-# linux/sockios.h. What is not sent is what the receiver has no room for, as a rule.
-_SIOCOUTQNSD = 0x894B
-_SIOCOUTQ = termios.TIOCOUTQ
-_SIOCINQ = termios.FIONREAD
 
 
 def limit_receive_buffer(bound_socket: socket.socket) -> None:
@@ -54,13 +46,6 @@
     bound_socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
 
 
-def _kernel_bytes(transport: asyncio.BaseTransport, kind: int) -> int:
-    """Return how many bytes the kernel holds for a connection."""
-    connected = transport.get_extra_info("socket")
-    size = fcntl.ioctl(connected.fileno(), kind, struct.pack("i", 0))
-    return struct.unpack("i", size)[0]
-
-
 def _refusal(status: HTTPStatus) -> bytes:
     return (
         f"HTTP/1.1 {status.value} {status.phrase}\r\nContent-Length: 0\r\n"
@@ -176,7 +161,7 @@
         self._served = request
         try:
             # Requests sent ahead are served no faster than their answers are read.
-            await self._async_wait_for_reader(_SIOCOUTQNSD, MAX_UNREAD_BYTES)
+            await self._async_wait_for_reader(unsent_bytes, MAX_UNREAD_BYTES)
             return await super()._handle_request(request, start_time, request_handler)
         finally:
             self._served = None
@@ -227,15 +212,17 @@
         transport.write(_refusal(status))
         self.force_close()
 
-    async def _async_wait_for_reader(self, kind: int, most_bytes: int) -> None:
-        """Wait while the kernel holds more than ``most_bytes`` of this kind.
+    async def _async_wait_for_reader(
+        self, measure: Callable[[asyncio.BaseTransport], int], most_bytes: int
+    ) -> None:
+        """Wait while ``measure`` returns more than ``most_bytes`` of the connection.
 
         Raises ConnectionResetError if the connection ends meanwhile.
         """
         check_s, least_bytes = MIN_UNREAD_CHECK_S, math.inf
         progress_at_s = time.monotonic()
         while self.transport is not None and not self._is_shed:
-            held_bytes = _kernel_bytes(self.transport, kind)
+            held_bytes = measure(self.transport)
             if held_bytes <= most_bytes:
                 return
             now_s = time.monotonic()
@@ -256,11 +243,11 @@
         Closing a connection with unread data resets it, and what the caller has not
         received of the response would be lost.
         """
-        if self.transport is None or not _kernel_bytes(self.transport, _SIOCINQ):
+        if self.transport is None or not unread_bytes(self.transport):
             return
         self._is_dropping = True
         super()._resume_transport_reading()
-        await self._async_wait_for_reader(_SIOCOUTQ, 0)
+        await self._async_wait_for_reader(unacknowledged_bytes, 0)
 
     async def _async_wait_until_sent(self) -> None:
         """Wait until the kernel has taken all that was written."""
--- a/packages/cardamomnotch-runtime/src/cardamomnotch_runtime/upstream_session.py
+++ b/packages/cardamomnotch-runtime/src/cardamomnotch_runtime/upstream_session.py
@@ -1,11 +1,8 @@
 """HTTP client sessions for calls to upstreams."""
 
 import asyncio
-import fcntl
 import functools
 import socket
-import struct
-import termios
 from collections.abc import Callable
 from typing import Any, Final
 
@@ -14,6 +11,7 @@
 from aiohttp.connector import Connection
 
 from .response_memory import HeldResponse, ResponseMemory
+from .socket_queues import unacknowledged_bytes
 
 # Maximum size of a response's head, and of its framing for each byte of its
 # body: chunks of a single byte take six bytes.
@@ -80,9 +78,9 @@
         transport = self.transport
         if transport is None:
             return False
-        if transport.get_write_buffer_size():
-            return True
-        return _unacknowledged_bytes(transport.get_extra_info("socket")) > 0
+        return bool(
+            transport.get_write_buffer_size() or unacknowledged_bytes(transport)
+        )
 
     def _start_upload_timer(self) -> None:
         self._upload_timer = self._loop.call_later(
@@ -128,15 +126,6 @@
         super().connection_lost(exc)
 
 
-def _unacknowledged_bytes(connection: Any) -> int:
-    """Return the bytes that the other side has not acknowledged; 0 if unknown."""
-    try:
-        found = fcntl.ioctl(connection.fileno(), termios.TIOCOUTQ, bytes(4))
-    except OSError:
-        return 0
-    return struct.unpack("i", found)[0]
-
-
 class UpstreamResponse(aiohttp.ClientResponse):
     """A response with the status of a final one, which callers can be given."""
 
