--- a/tests/adapter/test_settings.py
+++ b/tests/adapter/test_settings.py
@@ -166,7 +166,11 @@
 def test_activation_time_of_the_environment_is_used(load):
     """The deploy file passes the platform's value on; an empty one is the default."""
     environment = _DEPLOYMENT["roles"]["entry"]["env"]
-    assert environment[ENV_ACTIVATION_MS] == "{{bounds.config_apply_ms}}"
+    assert environment == {
+        ENV_ACTIVATION_MS: "{{bounds.config_apply_ms}}",
+        ENV_MAX_OPEN_FILES: "{{limits.max_fds}}",
+        ENV_MEMORY_MB: "{{limits.memory_mb}}",
+    }
     settings = load(render_template())
     set_by_platform = read_environment(settings, {ENV_ACTIVATION_MS: "13000"})
     assert set_by_platform.limits.activation_ms == 13_000.0
--- a/tests/runtime/test_unsent_responses.py
+++ b/tests/runtime/test_unsent_responses.py
@@ -50,14 +50,20 @@
     await server.async_stop()
 
 
-@pytest.mark.parametrize("handler", [whole, sliced, streamed])
-async def test_response_counts_as_sent_before_it_is_written(server, handler):
-    """A server is busy until the kernel has taken the whole response."""
-    server, address = server
+async def async_request(address, handler):
+    """Return a slow reader whose response has been made."""
     reader = await SlowReader.async_open(address)
     request = f"GET /{handler.__name__} HTTP/1.1\r\nHost: x\r\n\r\n"
     await reader.async_send(request.encode())
     await asyncio.sleep(0.3)
+    return reader
+
+
+@pytest.mark.parametrize("handler", [whole, sliced, streamed])
+async def test_response_counts_as_sent_before_it_is_written(server, handler):
+    """A server is busy until the kernel has taken the whole response."""
+    server, address = server
+    reader = await async_request(address, handler)
     assert server.is_busy
     received = await reader.async_read(len(BODY), 3_000_000)
     while not received.endswith(BODY):
@@ -71,10 +77,7 @@
 async def test_stop_of_a_server_cuts_off_a_response(server, handler):
     """A server that stops sends the responses that it has made."""
     server, address = server
-    reader = await SlowReader.async_open(address)
-    request = f"GET /{handler.__name__} HTTP/1.1\r\nHost: x\r\n\r\n"
-    await reader.async_send(request.encode())
-    await asyncio.sleep(0.3)
+    reader = await async_request(address, handler)
     stopping = asyncio.create_task(server.async_stop())
     received = await reader.async_read(10 * len(BODY), 1_500_000)
     assert received.endswith(BODY)
