--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/crashes/evidence.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/crashes/evidence.py
@@ -28,7 +28,7 @@
 
 @attrs.frozen
 class _Crash:
-    """A crash as a suspect's possible deed."""
+    """A crash that a suspect may have caused."""
 
     suspicion: Suspicion
     # When it became known, in seconds.
--- a/packages/cardamomnotch-core/src/cardamomnotch_core/relay/node.py
+++ b/packages/cardamomnotch-core/src/cardamomnotch_core/relay/node.py
@@ -60,6 +60,8 @@
 }
 # Least Retry-After time of a request that is quarantined, in seconds.
 _MIN_RETRY_QUARANTINED_S = 1.0
+# Retry-After of a request whose deadline has passed before it was sent, in seconds.
+_PASSED_DEADLINE_RETRY_S = 1.0
 
 
 @attrs.frozen(kw_only=True)
@@ -475,7 +477,7 @@
             raise RefusalError(
                 ResultCode.NO_UPSTREAM,
                 "no time was left to send the request",
-                _MIN_RETRY_QUARANTINED_S,
+                _PASSED_DEADLINE_RETRY_S,
             )
         decision = self.quarantine.decide(facts.suspects, now_s)
         if not decision.is_blocked and now_s + decision.wait_s < deadline_s:
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/composition.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/composition.py
@@ -146,7 +146,7 @@
         return max(0.0, self._settings.limits.grace_s - SHUTDOWN_MARGIN_S)
 
     @property
-    def _in_flight(self) -> int:
+    def _busy_count(self) -> int:
         """Return the number of requests whose response has not been sent."""
         return len(self._guard.busy_connections)
 
@@ -224,7 +224,7 @@
         self._is_draining = True
         self._server.start_draining()
         self._node.admission.start_draining()
-        log_event(_LOGGER, "entry is draining", in_flight=self._in_flight)
+        log_event(_LOGGER, "entry is draining", in_flight=self._busy_count)
         await asyncio.sleep(RESPONSE_FLUSH_S)
         # Idle connections are closed now, so that callers open their next one
         # at another entry; busy ones are closed after their response.
@@ -236,18 +236,18 @@
         self._server.refuse_requests()
         self._close_idle_connections()
         await async_wait_until(
-            lambda: not self._in_flight, self._grace_s - BALANCER_DETECTION_S
+            lambda: not self._busy_count, self._grace_s - BALANCER_DETECTION_S
         )
-        if self._in_flight:
+        if self._busy_count:
             log_event(
                 _LOGGER,
                 "grace time has passed; ending the requests in flight",
                 logging.WARNING,
-                in_flight=self._in_flight,
+                in_flight=self._busy_count,
             )
             self._server.end_requests()
             await async_wait_until(
-                lambda: not self._in_flight, LAST_RESPONSES_TIMEOUT_S
+                lambda: not self._busy_count, LAST_RESPONSES_TIMEOUT_S
             )
         await self._tasks.async_unload()
         await self._caller_server.shutdown(_CONNECTION_CLOSE_TIMEOUT_S)
@@ -257,7 +257,7 @@
         if self._metrics_server is not None:
             await self._metrics_server.async_stop()
         await self._client.async_unload()
-        log_event(_LOGGER, "entry stopped", in_flight=self._in_flight)
+        log_event(_LOGGER, "entry stopped", in_flight=self._busy_count)
 
     async def _async_start_metrics(self) -> None:
         address = self._settings.metrics_address
