--- a/review/stand_ins_3/deployment.py
+++ b/review/stand_ins_3/deployment.py
@@ -236,7 +236,7 @@
         self.record = record
         self.store = PlatformStoreStandIn()
         self.entries: list[Entry] = []
-        self._runner = web.AppRunner(self.store.create_app())
+        self._runner = web.AppRunner(self.store.create_app(), shutdown_timeout=0.5)
         self._folder = tempfile.TemporaryDirectory()
 
     async def __aenter__(self) -> "Deployment":
@@ -256,7 +256,7 @@
         for number in range(count):
             entry = Entry(
                 f"edge-{number + 1}",
-                f"zone-{'abc'[number]}",
+                f"zone-{'abc'[number % 3]}",
                 f"{host}:{port}",
                 Path(self._folder.name),
             )
