--- a/review/15/case.py
+++ b/review/15/case.py
@@ -1,20 +1,16 @@
-"""The store comes back from a copy while entries start again; a key was revoked."""
+"""Engines spoil some of their answers: a control character in a header."""
 
 import asyncio
 import sys
 from collections import Counter
+from collections.abc import Awaitable, Callable
 from pathlib import Path
-from typing import Any
 
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parents[1]))
 
 from review.stand_ins_3.deployment import (  # noqa: E402
-    API_KEY,
-    FIELDS,
-    TENANT,
     Deployment,
-    Entry,
     Record,
     config,
     route,
@@ -24,30 +20,17 @@
     Engine,
     Message,
     async_read_head,
+    chunk,
+    event,
     request,
 )
 
-REVOKED_KEY = "key-two"
-REVOKE_S = FIELDS["bounds"]["revoke_ms"] / 1000
-ENTRIES = 5
-# Entries whose processes are killed while the store is away.
-KILLED = 3
+REQUESTS = 800
 INTERVAL_S = 0.02
-# Times after the acknowledgement of the config that takes the key away.
-AWAY_FROM_S = 1.0
-KILLED_AT_S = 2.5
-BACK_AT_S = 5.5
-WRITTEN_AGAIN_AT_S = 8.5
-END_S = 12.0
-
-
-def _config(version: int, *keys: str) -> dict[str, Any]:
-    """Return a config with these keys."""
-    return {
-        **config(route("read", "idempotent", attempts=2)),
-        "version": version,
-        "tenants": [{"name": TENANT, "api_keys": list(keys), "priority": 1}],
-    }
+# Each answer of this number, one in fifty, of one of the engines is spoilt.
+SPOILT_STEP = 51
+ENGINES = 3
+WAIT_S = 3.0
 
 
 class Case:
@@ -56,114 +39,112 @@
     def __init__(self, record: Record, trouble: bool) -> None:
         self._record = record
         self._trouble = trouble
-        self._acknowledged_s = float("inf")
-        self._sent_at_s: dict[str, float] = {}
-        self._answers: Counter[tuple[str, str]] = Counter()
-        self._broken: list[str] = []
-        self._calls: set[asyncio.Task[None]] = set()
-
-    def _now_s(self) -> float:
-        return asyncio.get_running_loop().time()
-
-    async def async_handle(self, message: Message) -> None:
-        """Run a request, and check the key that it was sent with."""
+        self._runs: Counter[str] = Counter()
+        self._faulty: int | None = None
+        self._by_faulty = 0
+        self._spoilt: set[str] = set()
+        self._answers: Counter[str] = Counter()
+        self._extra: list[str] = []
+
+    def handler(self, number: int) -> Callable[[Message], Awaitable[None]]:
+        """Return how an engine handles a request."""
+
+        async def async_handle(message: Message) -> None:
+            if self._faulty is None:
+                # The one that gets the first request.
+                self._faulty = number
+            is_spoilt = False
+            if number == self._faulty:
+                self._by_faulty += 1
+                is_spoilt = self._by_faulty % SPOILT_STEP == 0
+            await self._async_answer(message, is_spoilt and self._trouble)
+
+        return async_handle
+
+    async def _async_answer(self, message: Message, is_spoilt: bool) -> None:
         await message.reader.readexactly(message.length)
-        name = message.attempt_id
-        sent_s = self._sent_at_s[name] - self._acknowledged_s
-        if name.startswith(REVOKED_KEY) and sent_s > REVOKE_S:
-            self._broken.append(name)
-            self._record(
-                f"{name} runs: sent {sent_s:.2f} s after its key was taken away"
-            )
-        message.writer.write(message.head("Content-Length: 5") + b"whole")
+        self._runs[message.attempt_id] += 1
+        note = "X-Note: a\x01b" if is_spoilt else "X-Note: ab"
+        if is_spoilt:
+            self._spoilt.add(message.attempt_id)
+        if "/answer/" in message.line:
+            message.writer.write(message.head(note, "Transfer-Encoding: chunked"))
+            for number in range(3):
+                message.writer.write(chunk(event(number)))
+            message.writer.write(b"0\r\n\r\n")
+        else:
+            message.writer.write(message.head(note, "Content-Length: 5") + b"whole")
         await message.writer.drain()
         await message.reader.read(1)
 
-    async def _async_call(self, entry: Entry, key: str, name: str) -> None:
-        sent = request("/read/a", name, b"question")
-        sent = sent.replace(API_KEY.encode(), key.encode(), 1)
-        status = "refused"
-        self._sent_at_s[name] = self._now_s()
-        try:
-            reader, writer = await asyncio.open_connection("127.0.0.1", entry.port)
-        except OSError:
-            self._answers[key, status] += 1
-            return
+    async def _async_call(self, port: int, number: int) -> None:
+        """Send a request, and read its answer and whatever else comes."""
+        kind = "answer" if number % 2 else "book"
+        name = f"{kind}-{number}"
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(request(f"/{kind}/a", name, b"question"))
+        result, rest = "no answer, connection closed", b""
         try:
-            async with asyncio.timeout(5):
-                writer.write(sent)
-                answer = await async_read_head(reader, writer)
-                status = answer.line.split(" ")[1]
-        except (OSError, asyncio.IncompleteReadError):
-            status = "none"
+            async with asyncio.timeout(WAIT_S):
+                head = await async_read_head(reader, writer)
+                result = head.line.split(" ")[1]
+                await self._async_read_body(head)
+                if head.headers.get("connection") == "close":
+                    rest = await reader.read(1_000)
+        except (ConnectionError, asyncio.IncompleteReadError):
+            pass
+        except TimeoutError:
+            result += ", then nothing"
         writer.close()
-        self._answers[key, status] += 1
-
-    async def _async_send(self, entries: list[Entry]) -> None:
-        """Send requests with both keys to all entries."""
-        number = 0
-        while True:
-            number += 1
-            entry = entries[number % len(entries)]
-            for key in (API_KEY, REVOKED_KEY):
-                call = asyncio.create_task(
-                    self._async_call(entry, key, f"{key}-{number}")
-                )
-                self._calls.add(call)
-                call.add_done_callback(self._calls.discard)
-            await asyncio.sleep(INTERVAL_S)
-
-    async def _async_wait_until(self, after_s: float) -> None:
-        await asyncio.sleep(self._acknowledged_s + after_s - self._now_s())
-
-    async def _async_disturb(self, deployment: Deployment) -> None:
-        """Take the key away, then the store, and restart some entries meanwhile."""
-        store, record = deployment.store, self._record
-        copy = store.copy()
-        await asyncio.sleep(0.5)
-        store.put("op/config", _config(2, API_KEY))
-        self._acknowledged_s = self._now_s()
-        record("operator: version 2, without a key, is acknowledged")
-        await self._async_wait_until(AWAY_FROM_S)
-        record("store: away")
-        store.faults.active["busy"] = 1_000_000
-        await self._async_wait_until(KILLED_AT_S)
-        record(f"platform: {KILLED} entries are killed and started again")
-        for entry in deployment.entries[-KILLED:]:
-            entry.kill()
-            entry.start()
-        await self._async_wait_until(BACK_AT_S)
-        if self._trouble:
-            store.restore(copy)
-        store.faults.active.pop("busy", None)
-        record(
-            f"store: back, {'from a copy' if self._trouble else 'as it was'},"
-            f" era {store.era}"
-        )
-        await self._async_wait_until(WRITTEN_AGAIN_AT_S)
-        if self._trouble:
-            store.put("op/config", _config(2, API_KEY))
-            record("operator: version 2 is written again")
-        await self._async_wait_until(END_S)
+        is_spoilt = name in self._spoilt
+        if is_spoilt or rest or result != "200":
+            self._record(
+                f"{name}: run {self._runs[name]} times, spoilt: {is_spoilt}, got:"
+                f" {result}" + (f", then the bytes {rest!r}" if rest else "")
+            )
+        if rest:
+            self._extra.append(name)
+        self._answers[f"{kind} {result}"] += 1
+
+    async def _async_read_body(self, head: Message) -> None:
+        if "content-length" in head.headers:
+            await head.reader.readexactly(head.length)
+            return
+        size = 1
+        while size:
+            size = int(await head.reader.readuntil(b"\r\n"), 16)
+            await head.reader.readexactly(size + 2)
 
     async def async_run(self) -> bool:
-        """Return whether no request ran whose key was taken away."""
+        """Return whether nothing but answers came."""
+        engines = [
+            Engine(f"i-{number}", self.handler(number)) for number in range(ENGINES)
+        ]
         async with Deployment(self._record) as deployment:
-            deployment.store.put("op/config", _config(1, API_KEY, REVOKED_KEY))
-            engine = Engine("i-0", self.async_handle)
-            await engine.async_start()
-            deployment.store.put("servers/i-0", engine.registration())
-            await deployment.async_start_entries(ENTRIES)
+            routes = [route("answer", "streaming"), route("book", "non_idempotent")]
+            deployment.store.put("op/config", config(*routes))
+            for engine in engines:
+                await engine.async_start()
+                key = f"servers/{engine.engine_id}"
+                deployment.store.put(key, engine.registration())
+            await deployment.async_start_entries(2)
+            # Longer than stable_window_ms.
             await asyncio.sleep(4)
-            sending = asyncio.create_task(self._async_send(deployment.entries))
-            await self._async_disturb(deployment)
-            sending.cancel()
-            await asyncio.gather(*self._calls)
-            engine.stop()
-        for (key, status), count in sorted(self._answers.items()):
-            self._record(f"answers to {key}: {status}: {count}")
-        self._record(f"{len(self._broken)} requests ran whose key was taken away")
-        return not self._broken
+            calls = []
+            for number in range(REQUESTS):
+                entry = deployment.entries[number // 2 % 2]
+                call = self._async_call(entry.port, number)
+                calls.append(asyncio.create_task(call))
+                await asyncio.sleep(INTERVAL_S)
+            await asyncio.gather(*calls)
+            self._record(f"answers: {dict(self._answers)}")
+            self._record(
+                f"{len(self._spoilt)} of {self._by_faulty} answers of i-{self._faulty}"
+                f" were spoilt; {len(self._extra)} callers got bytes that are no answer"
+            )
+            for engine in engines:
+                engine.stop()
+        return not self._extra
 
 
 async def _async_main(record: Record, trouble: bool) -> bool:
