End a request that fails unexpectedly with one response or a closed connection

Callers saw: an exception while a stream's head was written gave a 500 whose bytes were chunks, with stray bytes after it; one after the handler a closed connection; a refusal returned after a stream had begun was written into it; an HTTP/1.0 stream that an exception ended looked whole.

Cause: the library's error response, and any second response of a handler, is written with the writer of the first, which may have its framing. What is raised after the handler is not answered.

Change: SingleResponseConnection, below all servers, gives a response that replaces an unsent one a writer of its own, closes the connection if a part of another one was sent, answers exceptions after the handler, and resets an incomplete response that only its connection's end ends. The relay counts such requests as internal_error (801) instead of caller_gone, and answers them with 500, the attempt's id and no promise.

Why it works: a response is only written with a new writer or its own.

--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/caller_connection.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/caller_connection.py
@@ -3,8 +3,6 @@
 import asyncio
 import logging
 import select
-import socket
-import struct
 from collections.abc import Awaitable, Callable
 from typing import Any, Final
 
@@ -25,17 +23,6 @@
 ).encode()
 
 
-# Value of SO_LINGER with which closing a socket resets its connection.
-_NO_LINGER = struct.pack("ii", 1, 0)
-
-
-def reset_on_close(transport: asyncio.BaseTransport) -> None:
-    """Let closing ``transport`` reset its connection; unsent data is lost."""
-    transport.get_extra_info("socket").setsockopt(
-        socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER
-    )
-
-
 def _has_unread_data(transport: asyncio.BaseTransport) -> bool:
     """Return whether data has arrived that the process has not read yet."""
     poller = select.poll()
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/server.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/server.py
@@ -10,12 +10,12 @@
 
 from cardamomnotch_core.relay.exceptions import RefusalError
 from cardamomnotch_core.relay.node import RelayNode
-from cardamomnotch_protocol.exceptions import CardamomnotchError
+from cardamomnotch_protocol.exceptions import CardamomnotchError, InternalError
 from cardamomnotch_protocol.result_codes import ResultCode, describe
 from cardamomnotch_runtime.responses import error_body, json_response
+from cardamomnotch_runtime.socket_queues import reset_on_close
 from cardamomnotch_runtime.structured_log import log_event, secret_digest
 
-from .caller_connection import reset_on_close
 from .const import MAX_LOGGED_PATH_CHARS, RETRY_AFTER_DECIMALS
 from .exceptions import ResponseTruncatedError, UpstreamFailureError
 from .forwarder import Forwarder
@@ -130,6 +130,10 @@
         except CardamomnotchError as error:
             code, detail = error.code, error.detail
             response = self._refusal_response(error, request)
+        except Exception as error:
+            _LOGGER.exception("request failed unexpectedly")
+            code, detail = ResultCode.INTERNAL_ERROR, type(error).__name__
+            response = self._failure_response(http_request, forwarder, request)
         finally:
             self._in_flight -= 1
             self._forwarders.discard(forwarder)
@@ -222,6 +226,19 @@
             response.headers.update(self._codec.refusal_headers(request))
         return response
 
+    def _failure_response(
+        self,
+        http_request: web.BaseRequest,
+        forwarder: Forwarder | None,
+        request: CallerRequest | None,
+    ) -> web.StreamResponse:
+        """Return the response to a request that failed unexpectedly."""
+        if forwarder is not None and forwarder.response is not None:
+            return self._abort_response(http_request, forwarder)
+        response = self._refusal_response(InternalError(), request)
+        response.force_close()
+        return response
+
     def _abort_response(
         self, http_request: web.BaseRequest, forwarder: Forwarder
     ) -> web.StreamResponse:
--- a/packages/cardamomnotch-protocol/src/cardamomnotch_protocol/exceptions.py
+++ b/packages/cardamomnotch-protocol/src/cardamomnotch_protocol/exceptions.py
@@ -31,6 +31,12 @@
     code = ResultCode.MALFORMED_MESSAGE
 
 
+class InternalError(CardamomnotchError):
+    """A request failed for a reason that was not expected, and may have run."""
+
+    code = ResultCode.INTERNAL_ERROR
+
+
 class SchemaError(CardamomnotchError):
     """Decoded JSON or TOML does not match the class it is converted to.
 
--- a/packages/cardamomnotch-protocol/src/cardamomnotch_protocol/result_codes.py
+++ b/packages/cardamomnotch-protocol/src/cardamomnotch_protocol/result_codes.py
@@ -11,7 +11,7 @@
     """A numbered result; the hundreds digit tells its area.
 
     1xx admission, 2xx plan, 3xx upstream, 4xx journal, 5xx configuration,
-    6xx platform, 7xx inner protocol.
+    6xx platform, 7xx inner protocol, 8xx the router itself.
     """
 
     OK = 0
@@ -74,6 +74,7 @@
     UNSUPPORTED_PROTOCOL = 702
     MESSAGE_TOO_LARGE = 703
     UNAUTHENTICATED = 704
+    INTERNAL_ERROR = 801
 
 
 @attrs.frozen
@@ -294,6 +295,12 @@
             "The inner key is missing or invalid.",
             False,
         ),
+        (
+            ResultCode.INTERNAL_ERROR,
+            500,
+            "The router failed unexpectedly; the request may have run.",
+            False,
+        ),
     )
 }
 
--- a/packages/cardamomnotch-runtime/src/cardamomnotch_runtime/caller_limits/connection.py
+++ b/packages/cardamomnotch-runtime/src/cardamomnotch_runtime/caller_limits/connection.py
@@ -13,6 +13,7 @@
 
 from cardamomnotch_core.relay.loop_share import LoopShares
 
+from ..single_response import SingleResponseConnection
 from ..socket_queues import unacknowledged_bytes, unread_bytes, unsent_bytes
 from .budget import CallerState, ShedReason
 from .const import (
@@ -53,7 +54,7 @@
     ).encode()
 
 
-class GuardedConnection(web.RequestHandler):
+class GuardedConnection(SingleResponseConnection):
     """Pauses reading, and refuses or closes, as the guard decides."""
 
     def __init__(
--- a/packages/cardamomnotch-runtime/src/cardamomnotch_runtime/socket_queues.py
+++ b/packages/cardamomnotch-runtime/src/cardamomnotch_runtime/socket_queues.py
@@ -1,7 +1,8 @@
-"""What the kernel holds for a TCP connection."""
+"""What the kernel holds for a TCP connection, and its release."""
 
 import asyncio
 import fcntl
+import socket
 import struct
 import termios
 
@@ -9,6 +10,15 @@
 _SIOCOUTQNSD = 0x894B
 _SIOCOUTQ = termios.TIOCOUTQ
 _SIOCINQ = termios.FIONREAD
+# Value of SO_LINGER with which closing a socket resets its connection.
+_NO_LINGER = struct.pack("ii", 1, 0)
+
+
+def reset_on_close(transport: asyncio.BaseTransport) -> None:
+    """Let closing ``transport`` reset its connection; unsent data is lost."""
+    transport.get_extra_info("socket").setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER
+    )
 
 
 def unsent_bytes(transport: asyncio.BaseTransport) -> int:
