Check the Content-Type that a sidecar passes on

Callers of entries and sidecars would see a 500 or no answer: a sidecar passed a plain service's Content-Type on with control characters, which the entry's server refuses to write, or with bytes that are not UTF-8, which the message to the entry cannot carry.

Evidence: the client's answer head had the value in all four cases of the test.

Change: forwarded_header checks the value where it is decoded; such a response is the upstream's failure, which may have run the request. The log names the header and the reason.

Test: four cases of tests/sidecar/test_invalid_headers.py failed before.

--- a/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/upstream/plain_service.py
+++ b/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/upstream/plain_service.py
@@ -10,7 +10,12 @@
 from ..answer_buffer import AnswerBuffer
 from ..const import HEADER_REQUEST_ID
 from .models import CallResult, UpstreamError, UpstreamReport
-from .transport import async_read_body, call_timeout, translate_errors
+from .transport import (
+    async_read_body,
+    call_timeout,
+    forwarded_header,
+    translate_errors,
+)
 
 _HEADER_IDEMPOTENCY_KEY = "Idempotency-Key"
 
@@ -56,8 +61,8 @@
                 if echoed_id != request.attempt_id:
                     response.close()
                     raise UpstreamError(code=ResultCode.CROSSED_ANSWER)
+                content_type = forwarded_header(response, "Content-Type")
                 answer = await async_read_body(response)
-                content_type = response.headers.get("Content-Type", "")
                 status = response.status
         buffer.set_head(status, {"Content-Type": content_type})
         buffer.append(answer)
--- a/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/upstream/transport.py
+++ b/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/upstream/transport.py
@@ -1,16 +1,21 @@
 """Translation of aiohttp errors to UpstreamError, and call timeouts."""
 
+import logging
 from collections.abc import Iterator
 from contextlib import contextmanager
 
 import aiohttp
 
 from cardamomnotch_protocol.result_codes import ResultCode
+from cardamomnotch_runtime.header_fields import find_invalid_text
+from cardamomnotch_runtime.structured_log import log_event
 from cardamomnotch_runtime.upstream_session import OversizeError
 
 from ..const import MAX_RESPONSE_BYTES
 from .models import UpstreamError
 
+_LOGGER = logging.getLogger(__name__)
+
 
 @contextmanager
 def translate_errors() -> Iterator[None]:
@@ -69,6 +74,27 @@
     return b"".join(parts)
 
 
+def forwarded_header(response: aiohttp.ClientResponse, name: str) -> str:
+    """Return a header that is passed on to the caller; empty if it is missing.
+
+    Raises UpstreamError if it cannot be passed on.
+    """
+    value = response.headers.get(name, "")
+    invalid = find_invalid_text({name: value})
+    if invalid is None:
+        return value
+    log_event(
+        _LOGGER,
+        "upstream response has a header that cannot be passed on",
+        logging.WARNING,
+        status=response.status,
+        header=invalid.name,
+        reason=invalid.fault.value,
+    )
+    response.close()
+    raise UpstreamError(str(invalid), code=ResultCode.UPSTREAM_FAILED)
+
+
 def retry_after_s(response: aiohttp.ClientResponse) -> float:
     """Return the seconds in Retry-After; 0 if it is not a number."""
     value = response.headers.get("Retry-After", "")
