End a sidecar's attempt after an unexpected exception

Callers saw: no answer until their deadline.

Cause: the runner ended an attempt after errors of the upstream and cancellations only. Another exception ended its task with the answer's buffer open, so the entry waited on.

Change: it is logged and ends the attempt as a failure of the upstream, which may have run the request.

--- a/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/attempt_runner.py
+++ b/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/attempt_runner.py
@@ -1,6 +1,7 @@
 """Runs accepted attempts at the upstream."""
 
 import asyncio
+import logging
 import time
 from collections.abc import Awaitable, Callable
 
@@ -22,6 +23,8 @@
 from .const import ANSWER_RETENTION_S
 from .upstream.models import CallResult, UpstreamClient, UpstreamError
 
+_LOGGER = logging.getLogger(__name__)
+
 
 class AttemptRunner:
     """Runs the upstream calls and keeps the answer buffers."""
@@ -85,6 +88,10 @@
             retry_after_s = error.retry_after_s or 0.0
         except asyncio.CancelledError:
             code = ResultCode.ATTEMPT_CANCELLED
+        except Exception as error:
+            # Its readers wait for the end of the attempt.
+            _LOGGER.exception("call to the upstream failed unexpectedly")
+            code, detail = ResultCode.UPSTREAM_FAILED, type(error).__name__
         self._buffer_outcome(request, code, result.usage, buffer, started=started)
         self._calls.pop(request.attempt_id, None)
         self._idempotent_ids.discard(request.attempt_id)
