Pass the bytes of an upstream's header values on as they are

Callers saw: header values without their bytes over 0x7f that are not UTF-8, the signature's among them.

Cause: the parser decodes such bytes to surrogates, and the writer leaves surrogates out (its version in Python raises an exception). Evidence: all bytes from 0x80 to 0xff in a value came out as nothing, on four kinds of route.

Change: ResponseWriter, which all servers use, encodes heads that are not ASCII as they were decoded, and refuses what the library's writer refuses.

Test: the twelve cases of test_byte_beyond_ascii_is_dropped failed before.

--- a/packages/cardamomnotch-runtime/src/cardamomnotch_runtime/single_response.py
+++ b/packages/cardamomnotch-runtime/src/cardamomnotch_runtime/single_response.py
@@ -6,10 +6,10 @@
 from typing import Any
 
 from aiohttp import HttpVersion11, web
-from aiohttp.http_writer import StreamWriter
 
 from cardamomnotch_protocol.exceptions import InternalError
 
+from .response_writer import ResponseWriter
 from .responses import error_response
 from .socket_queues import reset_on_close
 
@@ -31,6 +31,7 @@
         request_handler: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]],
     ) -> tuple[web.StreamResponse, bool]:
         """Handle a request; a failure closes the connection."""
+        request._payload_writer = ResponseWriter(self, self._loop)
         try:
             return await super()._handle_request(request, start_time, request_handler)
         except BaseException:
@@ -81,7 +82,7 @@
         if request.writer.output_size:
             raise ConnectionResetError("another response to the request has begun")
         # The writer may have the head or the framing of the other response.
-        request._payload_writer = StreamWriter(self, self._loop)
+        request._payload_writer = ResponseWriter(self, self._loop)
 
     def _reset_unframed_response(self, request: web.BaseRequest) -> None:
         """Let an incomplete response that its connection ends not look complete."""
--- a/tests/entry/relay/test_invalid_headers.py
+++ b/tests/entry/relay/test_invalid_headers.py
@@ -163,6 +163,20 @@
     assert SECRET not in str(response.headers)
 
 
+@pytest.mark.parametrize("name", ["Content-Type", "X-Engine-Signature", "X-Note"])
+@pytest.mark.parametrize("route", ROUTES)
+async def test_byte_beyond_ascii_is_dropped(relay, route, name):
+    """Bytes that are allowed in a value are passed on, whether UTF-8 or not."""
+    value = b"a\t" + bytes(range(0x80, 0x100)) + "caf\u00e9\u0085".encode() + b"b"
+    whole = whole_response(route, X_Engine_Signature="")
+    signed = with_header("X-Engine-Signature", b"3e1b.07", whole)
+    if name == "X-Engine-Signature":
+        signed = whole
+    await async_add(relay, route, with_header(name, value, signed))
+    response = await async_exchange(relay, route)
+    assert (response.status, response.headers[name.lower()]) == (200, value)
+
+
 @pytest.mark.parametrize("route", ["draft", "read"])
 async def test_spoilt_response_is_not_repeated_where_the_route_allows_it(relay, route):
     """Another upstream's response is passed on."""
--- a/tests/runtime/test_unexpected_exceptions.py
+++ b/tests/runtime/test_unexpected_exceptions.py
@@ -291,3 +291,16 @@
     address = await serve(stream("in prepare", RuntimeError))
     for _ in range(3):
         assert (await async_call(address)).status == 500
+
+
+@pytest.mark.parametrize("value", ["a\x01b", "caf\u00e9\x01", "\udcff\x7f"])
+@pytest.mark.parametrize("response_class", [web.Response, web.StreamResponse])
+async def test_header_with_a_control_character_is_written(serve, response_class, value):
+    """A response that has such a header is replaced by an error response."""
+
+    async def handle(request):
+        response = response_class(headers={"X-Note": value})
+        await response.prepare(request)
+        return response
+
+    assert (await async_call(await serve(handle))).status == 500
