Reject responses whose body has a coding that is not removed

Callers saw: bodies in gzip or in an unknown transfer coding as if they were plain, and raw chunks where the parser does not take the value for chunks.

Cause: Transfer-Encoding is not forwarded, and the client's parser removes chunks only; only the first Content-Encoding was checked. Evidence: nine heads on four kinds of route; all but the list of content codings gave 200.

--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/attempts.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/attempts.py
@@ -377,5 +377,5 @@
     if not head.is_signed:
         return "the response is not signed"
     if not head.is_plain:
-        return "the response body has a content encoding"
+        return "the response body has a coding that is not removed"
     return ""
--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/models.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/models.py
@@ -58,7 +58,7 @@
     is_signed: bool
     # The model's confidence in its response, 0 to 100.
     confidence: int | None = None
-    # Whether the body has no content encoding.
+    # Whether the body has no coding that the caller does not learn of.
     is_plain: bool = True
     # What the upstream states about itself; None if that is not known, since
     # it is malformed or the response is another upstream's.
