--- a/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/server.py
+++ b/packages/cardamomnotch-entry/src/cardamomnotch_entry/relay/server.py
@@ -28,7 +28,10 @@
 # HTTP statuses of the relay that differ from the protocol's: a client error
 # would mean that the request can never succeed. It has not run, and is tried
 # again after a while.
-_STATUS_OVERRIDES = {ResultCode.REQUEST_QUARANTINED: 503}
+_STATUS_OVERRIDES = {
+    ResultCode.REQUEST_QUARANTINED: 503,
+    ResultCode.INVALID_CONFIGURATION: 503,
+}
 # Retry-After of a process that has no routes yet, in seconds.
 _NOT_READY_RETRY_AFTER_S = 0.5
 # Retry-After of an entry that is stopping, in seconds: the caller's next connection
