Bound the counts and retry times that a sidecar takes from its engine

Callers would see no end of an answer whose usage has a count over 64 bits, as the message with it cannot be encoded; negative counts were billed.

Cause: token counts, counts of load reports and Retry-After had no bounds. Evidence: a client double of the engine; the counts and an infinite retry time came out of the client as they were.

Change: counts are from 0 to 2^53, else the engine has failed; a retry time is at most an hour, and none if it is no number of seconds.

--- a/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/const.py
+++ b/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/const.py
@@ -19,6 +19,11 @@
 # passed on, and of one event of a stream.
 MAX_RESPONSE_BYTES: Final = 4 * 1_048_576
 MAX_EVENT_BYTES: Final = 1_048_576
+# Largest count in an upstream's usage or report that is taken as meant: every JSON
+# reader holds it exactly.
+MAX_COUNT: Final = 2**53
+# Longest Retry-After of an upstream, in seconds.
+MAX_RETRY_AFTER_S: Final = 3_600.0
 # Time for which an answer is kept after its end.
 ANSWER_RETENTION_S: Final = 60.0
 # Interval at which the upstream's load report is fetched.
--- a/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/upstream/engine.py
+++ b/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/upstream/engine.py
@@ -14,7 +14,7 @@
 from cardamomnotch_runtime.upstream_session import hold_response
 
 from ..answer_buffer import AnswerBuffer
-from ..const import HEADER_REQUEST_ID
+from ..const import HEADER_REQUEST_ID, MAX_COUNT
 from .models import CallResult, UpstreamError, UpstreamReport
 from .sse import CompletionStream, usage_from_json
 from .transport import (
@@ -122,11 +122,17 @@
 
 def _parse_report(body: bytes) -> UpstreamReport:
     try:
-        return structure(_CONVERTER, orjson.loads(body), UpstreamReport)
+        report = structure(_CONVERTER, orjson.loads(body), UpstreamReport)
     except (orjson.JSONDecodeError, SchemaError) as error:
         raise UpstreamError(
             f"invalid load report: {error}", code=ResultCode.UPSTREAM_FAILED
         ) from error
+    if not (0 <= report.waiting <= MAX_COUNT and 0 <= report.fencing <= MAX_COUNT):
+        raise UpstreamError(
+            f"invalid load report: a count is not between 0 and {MAX_COUNT}",
+            code=ResultCode.UPSTREAM_FAILED,
+        )
+    return report
 
 
 def _engine_body(request: AttemptRequest, body: bytes) -> bytes:
--- a/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/upstream/sse.py
+++ b/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/upstream/sse.py
@@ -8,7 +8,7 @@
 from cardamomnotch_protocol.models import Usage
 from cardamomnotch_protocol.result_codes import ResultCode
 
-from ..const import MAX_EVENT_BYTES
+from ..const import MAX_COUNT, MAX_EVENT_BYTES
 from .models import UpstreamError
 
 _DATA_PREFIX = b"data:"
@@ -17,14 +17,25 @@
 
 
 def usage_from_json(data: dict[str, Any]) -> Usage:
-    """Return the token usage of a completion or chunk; zeros if missing."""
+    """Return the token usage of a completion or chunk; zeros if missing.
+
+    Raises AttributeError, TypeError or ValueError if it is malformed.
+    """
     usage = data.get("usage") or {}
     return Usage(
-        prompt_tokens=int(usage.get("prompt_tokens", 0)),
-        completion_tokens=int(usage.get("completion_tokens", 0)),
+        prompt_tokens=_token_count(usage, "prompt_tokens"),
+        completion_tokens=_token_count(usage, "completion_tokens"),
     )
 
 
+def _token_count(usage: dict[str, Any], name: str) -> int:
+    value = usage.get(name, 0)
+    # Compared before the conversion, which fails for infinity.
+    if not 0 <= float(value) <= MAX_COUNT:
+        raise ValueError(f"{name} is not between 0 and {MAX_COUNT}")
+    return int(value)
+
+
 class CompletionStream:
     """Validates a completion stream event by event, up to its end."""
 
--- a/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/upstream/transport.py
+++ b/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/upstream/transport.py
@@ -1,6 +1,7 @@
 """Translation of aiohttp errors to UpstreamError, and call timeouts."""
 
 import logging
+import math
 from collections.abc import Iterator
 from contextlib import contextmanager
 
@@ -11,7 +12,7 @@
 from cardamomnotch_runtime.structured_log import log_event
 from cardamomnotch_runtime.upstream_session import OversizeError
 
-from ..const import MAX_RESPONSE_BYTES
+from ..const import MAX_RESPONSE_BYTES, MAX_RETRY_AFTER_S
 from .models import UpstreamError
 
 _LOGGER = logging.getLogger(__name__)
@@ -96,12 +97,13 @@
 
 
 def retry_after_s(response: aiohttp.ClientResponse) -> float:
-    """Return the seconds in Retry-After; 0 if it is not a number."""
+    """Return the seconds in Retry-After; 0 if it is not a number of them."""
     value = response.headers.get("Retry-After", "")
     try:
-        return max(0.0, float(value))
+        seconds = float(value)
     except ValueError:
         return 0.0
+    return min(seconds, MAX_RETRY_AFTER_S) if 0.0 <= seconds < math.inf else 0.0
 
 
 def call_timeout(timeout_ms: int, read_timeout_s: float) -> aiohttp.ClientTimeout:
