Close a connection whose response has no head

Callers would see chunks without a head: a handler that ignores the failure of its response's head returns it as prepared, and the library writes its end.

Cause: a response counts as prepared before its head is written. Evidence: the bytes "0 CR LF CR LF" of the test's caller.

Change: ResponseWriter knows whether it has a head, and a response without one closes the connection.

Test: test_body_without_a_head_is_written[1.1-in prepare] failed before.

--- a/packages/cardamomnotch-runtime/src/cardamomnotch_runtime/response_writer.py
+++ b/packages/cardamomnotch-runtime/src/cardamomnotch_runtime/response_writer.py
@@ -12,6 +12,9 @@
     The library leaves bytes out that are not UTF-8, which RFC 9110 allows in values.
     """
 
+    # Whether the head has been encoded; a body without one is no response.
+    has_head = False
+
     async def write_headers(self, status_line: str, headers: CIMultiDict[str]) -> None:
         """Keep the encoded head until the body begins.
 
@@ -19,6 +22,7 @@
         """
         if all(map(str.isascii, headers.values())):
             await super().write_headers(status_line, headers)
+            self.has_head = True
             return
         invalid = find_invalid_header(headers)
         if invalid is not None:
@@ -27,3 +31,4 @@
         head = "".join(f"{line}\r\n" for line in [*lines, ""])
         self._headers_written = False
         self._headers_buf = head.encode(errors="surrogateescape")
+        self.has_head = True
--- a/packages/cardamomnotch-runtime/src/cardamomnotch_runtime/single_response.py
+++ b/packages/cardamomnotch-runtime/src/cardamomnotch_runtime/single_response.py
@@ -75,9 +75,12 @@
     ) -> None:
         """Let ``response`` replace another one that has not been sent.
 
-        Raises ConnectionResetError if a part of another one has been sent.
+        Raises ConnectionResetError if a part of another one has been sent, or if
+        ``response`` has no head.
         """
         if response.prepared:
+            if not request.writer.has_head:
+                raise ConnectionResetError("the response has no head")
             return
         if request.writer.output_size:
             raise ConnectionResetError("another response to the request has begun")
--- a/tests/runtime/test_unexpected_exceptions.py
+++ b/tests/runtime/test_unexpected_exceptions.py
@@ -1,6 +1,7 @@
 """Servers of entries and sidecars whose response fails unexpectedly."""
 
 import asyncio
+import contextlib
 
 import pytest
 from aiohttp import web
@@ -304,3 +305,17 @@
         return response
 
     assert (await async_call(await serve(handle))).status == 500
+
+
+@pytest.mark.parametrize("point", ["in prepare"])
+@pytest.mark.parametrize("version", ["1.0", "1.1"])
+async def test_body_without_a_head_is_written(serve, version, point):
+    """A handler that ignores the failure of its response gets it closed."""
+
+    async def handle(request):
+        response = FailingStream(point, ValueError)
+        with contextlib.suppress(ValueError):
+            await response.prepare(request)
+        return response
+
+    assert await async_receive(await serve(handle), version) == (b"", False)
