Reject coded bodies in the sidecar as well

Callers would see bodies in gzip, in an unknown coding or as raw chunks as if they were plain ones.

Cause: as in the relay; the sidecar's clients pass on the Content-Type only and did not look at codings that the library does not remove. Evidence: the answers of a plain service and the streams of an engine in the test.

Codings that the library removes are allowed.

--- a/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/upstream/engine.py
+++ b/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/upstream/engine.py
@@ -20,6 +20,7 @@
 from .transport import (
     async_read_body,
     call_timeout,
+    check_codings,
     retry_after_s,
     translate_errors,
 )
@@ -106,6 +107,7 @@
         buffer: AnswerBuffer,
         started_at_s: float,
     ) -> CallResult:
+        check_codings(response)
         stream = CompletionStream()
         first_token_ms = 0.0
         buffer.set_head(response.status, {"Content-Type": "text/event-stream"})
--- a/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/upstream/transport.py
+++ b/packages/cardamomnotch-sidecar/src/cardamomnotch_sidecar/upstream/transport.py
@@ -8,6 +8,7 @@
 import aiohttp
 
 from cardamomnotch_protocol.result_codes import ResultCode
+from cardamomnotch_runtime.body_codings import is_content_plain, is_transfer_plain
 from cardamomnotch_runtime.header_fields import find_invalid_text
 from cardamomnotch_runtime.structured_log import log_event
 from cardamomnotch_runtime.upstream_session import OversizeError
@@ -16,6 +17,8 @@
 from .models import UpstreamError
 
 _LOGGER = logging.getLogger(__name__)
+# Content codings that the client removes, or reports as an error.
+_REMOVED_CONTENT_CODINGS = frozenset({"br", "deflate", "gzip", "zstd"})
 
 
 @contextmanager
@@ -56,11 +59,30 @@
         ) from error
 
 
+def check_codings(response: aiohttp.ClientResponse) -> None:
+    """Raise UpstreamError if the body has a coding that the client does not remove."""
+    codings = response.headers.getall("Content-Encoding", ())
+    is_content_known = is_content_plain(codings) or (
+        len(codings) == 1 and codings[0].lower() in _REMOVED_CONTENT_CODINGS
+    )
+    if is_content_known and is_transfer_plain(
+        response.headers.getall("Transfer-Encoding", ())
+    ):
+        return
+    response.close()
+    raise UpstreamError(
+        "the response body has a coding that is not removed",
+        code=ResultCode.UPSTREAM_FAILED,
+    )
+
+
 async def async_read_body(response: aiohttp.ClientResponse) -> bytes:
     """Return the complete body of a response.
 
-    Raises UpstreamError if the body exceeds its size limit.
+    Raises UpstreamError if the body exceeds its size limit, or has a coding that the
+    client does not remove.
     """
+    check_codings(response)
     parts: list[bytes] = []
     size = 0
     async for data in response.content.iter_any():
