--- a/tests/entry/relay/test_invalid_headers.py
+++ b/tests/entry/relay/test_invalid_headers.py
@@ -105,7 +105,7 @@
 
 @pytest.mark.parametrize("character", CONTROL_CHARACTERS, ids="{:02x}".format)
 @pytest.mark.parametrize("route", ROUTES)
-async def test_control_character_of_an_upstream_spoils_the_response(
+async def test_control_character_of_an_upstream_breaks_the_response(
     relay, route, character
 ):
     """The caller gets one whole response, and what may run once has run once."""
@@ -154,7 +154,7 @@
 
 @pytest.mark.parametrize("name", ["Connection", "Keep-Alive", "Trailer", "Upgrade"])
 @pytest.mark.parametrize("route", ROUTES)
-async def test_header_that_is_not_forwarded_spoils_no_response(relay, route, name):
+async def test_header_that_is_not_forwarded_fails_the_response(relay, route, name):
     """The response is passed on without a header that only the hop concerns."""
     await async_add(relay, route, invalid(route, name))
     response = await async_exchange(relay, route)
@@ -178,7 +178,7 @@
 
 
 @pytest.mark.parametrize("route", ["draft", "read"])
-async def test_spoilt_response_is_not_repeated_where_the_route_allows_it(relay, route):
+async def test_invalid_response_is_not_repeated_where_the_route_allows_it(relay, route):
     """Another upstream's response is passed on."""
     bad = await async_add(relay, route, invalid(route), "up-bad")
     good = await async_add(relay, route, whole_response(route), "up-good")
@@ -188,7 +188,7 @@
     assert len(good.seen) == 6
 
 
-async def test_stream_is_resumed_with_a_spoilt_head(relay):
+async def test_stream_is_resumed_with_an_invalid_head(relay):
     """A stream goes on at an upstream whose head can be passed on."""
     refused = 0
 
@@ -209,7 +209,7 @@
 
 
 async def test_stream_that_cannot_be_resumed_ends_in_stray_bytes(relay):
-    """A stream that only spoilt heads follow is truncated, without other bytes."""
+    """A stream that only invalid heads follow is truncated, without other bytes."""
 
     def respond(request):
         if "last-event-id" in request.headers:
@@ -223,7 +223,7 @@
     assert answer.body == event(1) + event(2)
 
 
-async def test_escalated_request_gets_a_spoilt_head(relay):
+async def test_escalated_request_gets_an_invalid_head(relay):
     """A larger model's response that cannot be passed on is a failure like others."""
 
     def respond(request):
@@ -238,7 +238,7 @@
 
 
 @pytest.mark.parametrize(("status", "name"), [(503, "X-Not-Executed"), (421, "X-Note")])
-async def test_spoilt_refusal_promises_that_a_request_has_not_run(relay, status, name):
+async def test_invalid_refusal_promises_that_a_request_has_not_run(relay, status, name):
     """Nothing that a head says is believed if it cannot be passed on."""
     refusal = plain(b"", status, X_Not_Executed="1")
     behavior = with_header(name, b"a\x01b", refusal)
@@ -249,7 +249,7 @@
     assert sum(len(upstream.seen) for upstream in upstreams) == 1
 
 
-async def test_spoilt_head_changes_what_is_known_of_the_upstream(relay):
+async def test_invalid_head_changes_what_is_known_of_the_upstream(relay):
     """Its rate limit and its leaving are not taken from such a head."""
     fields = {"Server_Limit": "0.001", "Server_Leaving": "1"}
     whole = plain(b"whole", **fields)
@@ -259,8 +259,8 @@
     assert not relay.entry.node.fleet.get("up").is_draining
 
 
-async def test_spoilt_heads_do_not_count_as_failures_of_the_upstream(relay):
-    """An upstream whose responses are spoilt again and again is avoided."""
+async def test_invalid_heads_do_not_count_as_failures_of_the_upstream(relay):
+    """An upstream whose responses are invalid again and again is avoided."""
     await async_add(relay, "book", invalid("book"))
     state = relay.entry.node.fleet.get("up")
     for number in range(1, 4):
@@ -272,7 +272,7 @@
 
 
 @pytest.mark.parametrize("route", ROUTES)
-async def test_spoilt_head_counts_as_a_crash_or_as_load(relay, route, caplog):
+async def test_invalid_head_counts_as_a_crash_or_as_load(relay, route, caplog):
     """Its upstream lives, and what ends it later was not this request."""
     caplog.set_level("INFO")
     await async_add(relay, route, invalid(route))
@@ -297,7 +297,7 @@
     ],
     ids=["control character", "cookie", "NUL", "name"],
 )
-async def test_value_of_a_spoilt_header_is_logged(relay, caplog, response, named):
+async def test_value_of_an_invalid_header_is_logged(relay, caplog, response, named):
     """The log names the header, or else the reason, and never the value."""
     caplog.set_level("DEBUG")
 
@@ -320,7 +320,7 @@
 
 
 @pytest.mark.parametrize("route", ROUTES)
-async def test_kept_connection_after_a_spoilt_head(relay, route):
+async def test_kept_connection_after_an_invalid_head(relay, route):
     """The responses to the next requests on the connection stay apart."""
     behaviors = [invalid(route), whole_response(route), invalid(route)]
     service = "drafts" if route in STREAMS else "bookings"
@@ -356,7 +356,7 @@
 
 @pytest.mark.parametrize("name", [b"X-Trailer", b"Location", b"X-Attempt-Id"])
 @pytest.mark.parametrize("route", ROUTES)
-async def test_control_character_in_a_trailer_spoils_the_response(relay, route, name):
+async def test_control_character_in_a_trailer_fails_the_response(relay, route, name):
     """Trailers are not passed on, so the response is whole without them."""
     await async_add(relay, route, with_trailer(name + b": a\x01b"))
     response = await async_exchange(relay, route)
--- a/tests/entry/relay/test_unexpected_exceptions.py
+++ b/tests/entry/relay/test_unexpected_exceptions.py
@@ -30,7 +30,7 @@
 )
 
 ERRORS = [ArithmeticError, AttributeError, KeyError, OSError, TimeoutError, ValueError]
-# What is called before a response begins, by whether there is a response by then.
+# What is called before a response begins.
 BEFORE_RESPONSE = {
     "decode_request": (PlatformMessageCodec, "decode_request"),
     "async_serve": (Forwarder, "async_serve"),
