--- a/tests/entry/relay/test_invalid_headers.py
+++ b/tests/entry/relay/test_invalid_headers.py
@@ -73,20 +73,22 @@
     return await relay.async_add_upstream(upstream_id, behavior, service=service)
 
 
+def send_call(caller, route, method="POST", version="1.1", **headers):
+    """Send a request to one of the routes on the caller's connection."""
+    fields = {
+        "Host": HOST,
+        "X_Attempt_Id": "request-1",
+        "X_Deadline_Ms": "3000",
+        "X_Model": "small",
+        "Authorization": f"Token {API_KEY}",
+    }
+    caller.send(method, f"/{route}/x", version, **{**fields, **headers})
+
+
 async def async_exchange(relay, route, method="POST", version="1.1"):
     """Return the only response on a connection that ends with it."""
     caller = await RawCaller.async_open(relay.caller_address)
-    caller.send(
-        method,
-        f"/{route}/x",
-        version,
-        Host=HOST,
-        X_Attempt_Id="request-1",
-        X_Deadline_Ms="3000",
-        X_Model="small",
-        Authorization=f"Token {API_KEY}",
-        Connection="close",
-    )
+    send_call(caller, route, method, version, Connection="close")
     response = await caller.async_read_response(method)
     assert await caller.async_read_rest() == b""
     caller.close()
@@ -328,15 +330,7 @@
     caller = await RawCaller.async_open(relay.caller_address)
     statuses = []
     for number in range(3):
-        caller.send(
-            "POST",
-            f"/{route}/x",
-            Host=HOST,
-            X_Attempt_Id=f"request-{number}",
-            X_Deadline_Ms="3000",
-            X_Model="small",
-            Authorization=f"Token {API_KEY}",
-        )
+        send_call(caller, route, X_Attempt_Id=f"request-{number}")
         response = await caller.async_read_response()
         assert response.headers["x-attempt-id"] == f"request-{number}".encode()
         statuses.append(response.status)
--- a/tests/entry/relay/test_mutated_responses.py
+++ b/tests/entry/relay/test_mutated_responses.py
@@ -9,10 +9,10 @@
 from tests.entry.relay.test_invalid_headers import (
     STREAMS,
     async_add,
+    send_call,
     whole_response,
 )
 from tests.fixtures.raw_caller import RawCaller
-from tests.fixtures.relay_system import API_KEY, HOST
 from tests.stand_ins.platform_upstream import Send
 
 # Seeds that are played; more are played by hand.
@@ -65,15 +65,13 @@
         relay.entry.node.fleet.get("up").record_success()
         method, version = rng.choice(METHODS), rng.choice(["1.0", "1.1", "1.1"])
         caller = await RawCaller.async_open(relay.caller_address)
-        caller.send(
+        send_call(
+            caller,
+            route,
             method,
-            f"/{route}/x",
             version,
-            Host=HOST,
             X_Attempt_Id=f"request-{seed}-{number}",
             X_Deadline_Ms="500",
-            X_Model="small",
-            Authorization=f"Token {API_KEY}",
             Connection="close",
         )
         try:
